Lay the ground: build, wire protocol, shared interfaces

Cause: nothing stood yet. The build has the formatter and linter in it, Netty and protobuf carry calls between processes, and the interfaces between the parts (admission, ledger, membership, replicated log) are set so that the parts can be built side by side.

--- /dev/null
+++ b/src/main/java/org/cuminrack/admission/Fingerprint.java
@@ -0,0 +1,32 @@
+package org.cuminrack.admission;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Tells a request again when its caller sends it a second time.
+ *
+ * @param hex SHA-256 over organisation, route and body, as lower-case hex
+ */
+public record Fingerprint(String hex) {
+
+  /** Returns the fingerprint of a request. */
+  public static Fingerprint of(String organisation, String route, byte[] body) {
+    MessageDigest digest = sha256();
+    digest.update(organisation.getBytes(StandardCharsets.UTF_8));
+    digest.update((byte) 0);
+    digest.update(route.getBytes(StandardCharsets.UTF_8));
+    digest.update((byte) 0);
+    return new Fingerprint(HexFormat.of().formatHex(digest.digest(body)));
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -0,0 +1,53 @@
+package org.cuminrack.cli;
+
+import java.util.List;
+import java.util.logging.Level;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.log.Logging;
+
+/** The one entry point of the binary. */
+public final class Main {
+  private static final String COMMAND = "command";
+
+  private static final List<Command> COMMANDS = List.of();
+
+  private Main() {}
+
+  public static void main(String[] args) {
+    System.exit(run(args).code());
+  }
+
+  /** Parses a command line and runs its command. */
+  static ExitCode run(String... args) {
+    ArgumentParser parser = parser();
+    try {
+      Namespace arguments = parser.parseArgs(args);
+      Logging.configure(Level.INFO);
+      return command(arguments.getString(COMMAND)).run(arguments);
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      return e instanceof net.sourceforge.argparse4j.helper.HelpScreenException
+          ? ExitCode.DONE
+          : ExitCode.USAGE;
+    }
+  }
+
+  private static ArgumentParser parser() {
+    ArgumentParser parser = ArgumentParsers.newFor("cuminrack").build();
+    parser.description("Serves generations of unknown length on crowded engines.");
+    Subparsers subparsers = parser.addSubparsers().dest(COMMAND).metavar("COMMAND");
+    COMMANDS.forEach(each -> each.describe(subparsers));
+    return parser;
+  }
+
+  private static Command command(String name) {
+    return COMMANDS.stream()
+        .filter(each -> each.name().equals(name))
+        .findFirst()
+        .orElseThrow(() -> new IllegalStateException("the parser knows no command " + name));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/config/ConfigKind.java
@@ -0,0 +1,22 @@
+package org.cuminrack.config;
+
+/** The kinds of object in a configuration. */
+public enum ConfigKind {
+  ORGANISATION(Organisation.class),
+  SERVICE(Service.class),
+  ROUTE(Route.class),
+  DATA_CENTRE(DataCentre.class),
+  UPSTREAM(Upstream.class),
+  ROLLOUT(Rollout.class);
+
+  private final Class<? extends ConfigObject> type;
+
+  ConfigKind(Class<? extends ConfigObject> type) {
+    this.type = type;
+  }
+
+  /** Returns the record that holds an object of this kind. */
+  public Class<? extends ConfigObject> type() {
+    return type;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/ledger/StoredAnswer.java
@@ -0,0 +1,6 @@
+package org.cuminrack.ledger;
+
+import com.google.protobuf.ByteString;
+
+/** The answer of a call that ran, kept for resends. */
+public record StoredAnswer(int httpStatus, String contentType, ByteString body) {}
--- /dev/null
+++ b/src/main/java/org/cuminrack/wire/WireClient.java
@@ -0,0 +1,95 @@
+package org.cuminrack.wire;
+
+import com.google.protobuf.ByteString;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cuminrack.generated.wire.Envelope;
+import org.cuminrack.generated.wire.EnvelopeKind;
+import org.cuminrack.lifecycle.ManagedService;
+
+/**
+ * Calls other cuminrack processes, over one connection to each. A connection that is lost or silent
+ * fails its calls at once and is made anew by the next call.
+ */
+public final class WireClient implements ManagedService {
+  private static final int THREADS = 2;
+
+  private final WireGroup group;
+  private final AtomicLong lastCallId = new AtomicLong();
+  private final Map<String, WireConnection> connections = new ConcurrentHashMap<>();
+  private MultiThreadIoEventLoopGroup loops;
+  private Bootstrap bootstrap;
+
+  public WireClient(WireGroup group) {
+    this.group = group;
+  }
+
+  @Override
+  public void start() {
+    loops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    bootstrap = new Bootstrap().group(loops).channel(NioSocketChannel.class);
+    bootstrap.option(ChannelOption.TCP_NODELAY, true);
+    bootstrap.option(
+        ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) WireLimits.CONNECT_TIMEOUT.toMillis());
+  }
+
+  /**
+   * Calls a method of the process at an address. The future always completes normally, at the
+   * latest when the timeout has passed.
+   *
+   * @param address host and port, as {@code 127.0.0.1:7001}
+   */
+  public CompletableFuture<Either<WireFailure, byte[]>> call(
+      String address, Method method, byte[] payload, Duration timeout) {
+    long callId = lastCallId.incrementAndGet();
+    WireConnection connection = connectionTo(address);
+    CompletableFuture<Either<WireFailure, byte[]>> answer =
+        connection.send(request(method, payload, timeout, callId));
+    answer.completeOnTimeout(
+        Either.left(
+            new WireFailure.NoAnswer(address, "no answer in " + timeout.toMillis() + " ms")),
+        timeout.toMillis(),
+        TimeUnit.MILLISECONDS);
+    answer.whenComplete((result, failure) -> connection.forget(callId));
+    return answer;
+  }
+
+  private WireConnection connectionTo(String address) {
+    return connections.compute(
+        address,
+        (key, known) ->
+            known != null && known.isUsable() ? known : WireConnection.open(bootstrap, group, key));
+  }
+
+  private Envelope request(Method method, byte[] payload, Duration timeout, long callId) {
+    return Envelope.newBuilder()
+        .setVersion(WireLimits.VERSION)
+        .setRegion(group.region())
+        .setGroup(group.group())
+        .setKind(EnvelopeKind.REQUEST)
+        .setCallId(callId)
+        .setMethod(method.number())
+        .setTimeoutMillis((int) Math.min(Integer.MAX_VALUE, timeout.toMillis()))
+        .setPayload(ByteString.copyFrom(payload))
+        .build();
+  }
+
+  @Override
+  public void stop() {
+    if (loops == null) {
+      return;
+    }
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    loops = null;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/wire/WireConnection.java
@@ -0,0 +1,118 @@
+package org.cuminrack.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cuminrack.generated.wire.Envelope;
+import org.cuminrack.generated.wire.EnvelopeKind;
+
+/** One connection to one process, with the calls that wait on it. */
+final class WireConnection {
+  private final String address;
+  private final Map<Long, CompletableFuture<Either<WireFailure, byte[]>>> waiting =
+      new ConcurrentHashMap<>();
+  private ChannelFuture connecting;
+  private volatile boolean closed;
+
+  private WireConnection(String address) {
+    this.address = address;
+  }
+
+  /** Begins to connect; calls may be sent at once. */
+  static WireConnection open(Bootstrap bootstrap, WireGroup group, String address) {
+    WireConnection connection = new WireConnection(address);
+    Bootstrap own = bootstrap.clone();
+    own.handler(
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            WirePipeline.addCodecs(channel);
+            channel.pipeline().addLast(new HeartbeatHandler(group));
+            channel.pipeline().addLast(connection.new AnswerHandler());
+          }
+        });
+    connection.connecting = own.connect(socketAddress(address));
+    connection.connecting.addListener(done -> connection.connected(done.cause()));
+    return connection;
+  }
+
+  boolean isUsable() {
+    return !closed;
+  }
+
+  CompletableFuture<Either<WireFailure, byte[]>> send(Envelope request) {
+    CompletableFuture<Either<WireFailure, byte[]>> answer = new CompletableFuture<>();
+    waiting.put(request.getCallId(), answer);
+    connecting.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            connecting.channel().writeAndFlush(request);
+          } else {
+            answer.complete(
+                Either.left(new WireFailure.Unreachable(address, done.cause().toString())));
+          }
+        });
+    if (closed) {
+      failAll("connection closed");
+    }
+    return answer;
+  }
+
+  void forget(long callId) {
+    waiting.remove(callId);
+  }
+
+  private void connected(Throwable failure) {
+    if (failure != null) {
+      closed = true;
+    }
+  }
+
+  private void failAll(String detail) {
+    waiting
+        .values()
+        .forEach(each -> each.complete(Either.left(new WireFailure.NoAnswer(address, detail))));
+  }
+
+  private static InetSocketAddress socketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    String host = address.substring(0, colon);
+    return new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  /** Pairs answers with the calls that wait; late ones are dropped. */
+  private final class AnswerHandler extends SimpleChannelInboundHandler<Envelope> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+      CompletableFuture<Either<WireFailure, byte[]>> answer = waiting.remove(message.getCallId());
+      if (answer == null) {
+        return;
+      }
+      if (message.getKind() == EnvelopeKind.RESPONSE) {
+        answer.complete(Either.right(message.getPayload().toByteArray()));
+      } else {
+        answer.complete(Either.left(new WireFailure.Rejected(address, message.getFailure())));
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      closed = true;
+      failAll("connection lost");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/wire/WireServer.java
@@ -0,0 +1,70 @@
+package org.cuminrack.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cuminrack.lifecycle.ManagedService;
+
+/** Listens for calls of other cuminrack processes and hands them to the method's handler. */
+public final class WireServer implements ManagedService {
+  private static final int THREADS = 2;
+
+  private final InetSocketAddress address;
+  private final WireGroup group;
+  private final Map<Integer, WireHandler> handlers = new ConcurrentHashMap<>();
+  private MultiThreadIoEventLoopGroup loops;
+  private Channel listener;
+
+  public WireServer(InetSocketAddress address, WireGroup group) {
+    this.address = address;
+    this.group = group;
+  }
+
+  /** Serves a method; set before {@link #start()}. */
+  public WireServer serve(Method method, WireHandler handler) {
+    handlers.put(method.number(), handler);
+    return this;
+  }
+
+  @Override
+  public void start() {
+    loops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    ServerBootstrap bootstrap = new ServerBootstrap();
+    bootstrap.group(loops).channel(NioServerSocketChannel.class);
+    bootstrap.option(ChannelOption.SO_REUSEADDR, true);
+    bootstrap.childOption(ChannelOption.TCP_NODELAY, true);
+    bootstrap.childHandler(
+        new ChannelInitializer<SocketChannel>() {
+          @Override
+          protected void initChannel(SocketChannel channel) {
+            WirePipeline.addCodecs(channel);
+            channel.pipeline().addLast(new HeartbeatHandler(group));
+            channel.pipeline().addLast(new ServerCallHandler(group, handlers));
+          }
+        });
+    listener = bootstrap.bind(address).syncUninterruptibly().channel();
+  }
+
+  /** Returns the port that was taken; useful where the settings asked for any free one. */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  @Override
+  public void stop() {
+    if (loops == null) {
+      return;
+    }
+    listener.close().syncUninterruptibly();
+    loops.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+    loops = null;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/time/ManualClock.java
@@ -0,0 +1,26 @@
+package org.cuminrack.time;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** A clock that stands still until a test moves it. */
+public final class ManualClock implements Clock {
+  private static final Instant START = Instant.parse("2026-01-31T08:00:00Z");
+
+  private long nanos;
+
+  /** Moves the clock on. */
+  public synchronized void advance(Duration by) {
+    nanos += by.toNanos();
+  }
+
+  @Override
+  public synchronized long nanoTime() {
+    return nanos;
+  }
+
+  @Override
+  public synchronized Instant now() {
+    return START.plusNanos(nanos);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/wire/WireClientTest.java
@@ -0,0 +1,96 @@
+package org.cuminrack.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class WireClientTest {
+  private static final WireGroup GROUP = new WireGroup("eu", "main");
+  private static final Duration LONG = Duration.ofSeconds(10);
+  private static final byte[] HELLO = "hello".getBytes(StandardCharsets.UTF_8);
+
+  private final WireServer server =
+      new WireServer(new InetSocketAddress("127.0.0.1", 0), GROUP)
+          .serve(Method.DUMP, CompletableFuture::completedFuture)
+          .serve(Method.CHANGE, payload -> new CompletableFuture<>())
+          .serve(Method.ADMIT, payload -> failed("full"));
+  private final WireClient client = new WireClient(GROUP);
+
+  @BeforeEach
+  void start() {
+    server.start();
+    client.start();
+  }
+
+  @AfterEach
+  void stop() {
+    client.stop();
+    server.stop();
+  }
+
+  @Test
+  void shouldBringTheAnswerBack() {
+    Either<WireFailure, byte[]> answer = call(Method.DUMP, LONG);
+
+    assertThat(answer.get()).isEqualTo(HELLO);
+  }
+
+  @Test
+  void shouldNameTheRefusalOfTheOtherSide() {
+    assertThat(call(Method.ADMIT, LONG).getLeft())
+        .isEqualTo(new WireFailure.Rejected(address(), "full"));
+  }
+
+  @Test
+  void shouldRefuseAMethodThatIsNotServed() {
+    assertThat(call(Method.HAND_OVER, LONG).getLeft())
+        .isEqualTo(new WireFailure.Rejected(address(), "no method 32 here"));
+  }
+
+  @Test
+  void shouldGiveUpWhenTheTimeoutHasPassed() {
+    assertThat(call(Method.CHANGE, Duration.ofMillis(20)).getLeft())
+        .isEqualTo(new WireFailure.NoAnswer(address(), "no answer in 20 ms"));
+  }
+
+  @Test
+  void shouldSayThatNothingWasSentWhereNobodyListens() {
+    String closed = address();
+    server.stop();
+
+    assertThat(client.call(closed, Method.DUMP, HELLO, LONG).join().getLeft())
+        .isInstanceOf(WireFailure.Unreachable.class);
+  }
+
+  @Test
+  void shouldRefuseAnotherGroup() {
+    WireClient stranger = new WireClient(new WireGroup("us", "main"));
+    stranger.start();
+    try {
+      WireFailure failure = stranger.call(address(), Method.DUMP, HELLO, LONG).join().getLeft();
+
+      assertThat(failure).isInstanceOf(WireFailure.Rejected.class);
+    } finally {
+      stranger.stop();
+    }
+  }
+
+  private Either<WireFailure, byte[]> call(Method method, Duration timeout) {
+    return client.call(address(), method, HELLO, timeout).join();
+  }
+
+  private String address() {
+    return "127.0.0.1:" + server.port();
+  }
+
+  private static CompletableFuture<byte[]> failed(String detail) {
+    return CompletableFuture.failedFuture(new IllegalStateException(detail));
+  }
+}
