--- a/src/test/java/org/cuminrack/wire/WireClientTest.java
+++ b/src/test/java/org/cuminrack/wire/WireClientTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.vavr.control.Either;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -17,7 +18,7 @@
   private static final byte[] HELLO = "hello".getBytes(StandardCharsets.UTF_8);
 
   private final WireServer server =
-      new WireServer(new InetSocketAddress("127.0.0.1", 0), GROUP)
+      new WireServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), GROUP)
           .serve(Method.DUMP, CompletableFuture::completedFuture)
           .serve(Method.CHANGE, payload -> new CompletableFuture<>())
           .serve(Method.ADMIT, payload -> failed("full"));
