Add whole-body HTTP client and server, JSON and problem documents

Cause: callers, upstreams and operators speak HTTP, and the parts built side by side need one form of it.

--- /dev/null
+++ b/src/main/java/org/cuminrack/http/HttpClient.java
@@ -0,0 +1,88 @@
+package org.cuminrack.http;
+
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cuminrack.lifecycle.ManagedService;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Sends whole requests, each over a connection of its own, and reads whole answers. */
+public final class HttpClient implements ManagedService {
+  private static final int IO_THREADS = 2;
+  private static final int BUFFER_BYTES = 8 << 10;
+
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+  private XnioWorker worker;
+
+  @Override
+  public void start() {
+    OptionMap options =
+        OptionMap.builder()
+            .set(Options.WORKER_IO_THREADS, IO_THREADS)
+            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+            .set(Options.TCP_NODELAY, true)
+            .set(Options.THREAD_DAEMON, true)
+            .getMap();
+    try {
+      worker = Xnio.getInstance().createWorker(options);
+    } catch (IOException e) {
+      throw new IllegalStateException("no HTTP worker could be made", e);
+    }
+  }
+
+  /**
+   * Sends a request. The future always completes normally, at the latest when the call's timeout
+   * has passed; the connection is closed then.
+   */
+  public CompletableFuture<Either<HttpFailure, HttpAnswer>> send(HttpCall call) {
+    HttpExchange exchange = new HttpExchange(call);
+    IoFuture<ClientConnection> connecting =
+        UndertowClient.getInstance()
+            .connect(
+                URI.create("http://" + call.address()),
+                worker,
+                buffers,
+                OptionMap.create(Options.TCP_NODELAY, true));
+    connecting.addNotifier(
+        (done, ignored) -> {
+          if (done.getStatus() == IoFuture.Status.DONE) {
+            exchange.connected(getInterrupted(done));
+          } else {
+            exchange.unreachable(String.valueOf(done.getException()));
+          }
+        },
+        null);
+    CompletableFuture<Either<HttpFailure, HttpAnswer>> answer = exchange.answer();
+    long timeoutMillis = call.timeout().toMillis();
+    HttpFailure late =
+        new HttpFailure.NoAnswer(call.address(), "no answer in " + timeoutMillis + " ms");
+    return answer.completeOnTimeout(Either.left(late), timeoutMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private static ClientConnection getInterrupted(IoFuture<? extends ClientConnection> done) {
+    try {
+      return done.get();
+    } catch (IOException e) {
+      throw new IllegalStateException("a future that is done has its value", e);
+    }
+  }
+
+  @Override
+  public void stop() {
+    if (worker != null) {
+      worker.shutdownNow();
+      worker = null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/http/HttpExchange.java
@@ -0,0 +1,148 @@
+package org.cuminrack.http;
+
+import com.google.protobuf.ByteString;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One request on its way and its answer on the way back. */
+final class HttpExchange {
+  private static final int READ_BYTES = 8 << 10;
+
+  private final HttpCall call;
+  private final CompletableFuture<Either<HttpFailure, HttpAnswer>> answer =
+      new CompletableFuture<>();
+  private final ByteBuffer toSend;
+  private final ByteString.Output received = ByteString.newOutput();
+  private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BYTES);
+
+  HttpExchange(HttpCall call) {
+    this.call = call;
+    this.toSend = call.body().asReadOnlyByteBuffer();
+  }
+
+  CompletableFuture<Either<HttpFailure, HttpAnswer>> answer() {
+    return answer;
+  }
+
+  void unreachable(String detail) {
+    answer.complete(Either.left(new HttpFailure.Unreachable(call.address(), detail)));
+  }
+
+  void connected(ClientConnection connection) {
+    answer.whenComplete((result, failure) -> IoUtils.safeClose(connection));
+    if (answer.isDone()) {
+      return;
+    }
+    connection.sendRequest(request(), callback(this::sending));
+  }
+
+  private ClientRequest request() {
+    ClientRequest request = new ClientRequest();
+    request.setMethod(call.method()).setPath(call.path());
+    request.getRequestHeaders().putAll(Headers.HOST, java.util.List.of(call.address()));
+    copy(call.headers(), request.getRequestHeaders());
+    request.getRequestHeaders().put(Headers.CONNECTION, "close");
+    if (!call.body().isEmpty()) {
+      request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().size());
+    }
+    return request;
+  }
+
+  private static void copy(HeaderMap from, HeaderMap to) {
+    from.forEach(values -> to.putAll(values.getHeaderName(), values));
+  }
+
+  private void sending(ClientExchange exchange) {
+    exchange.setResponseListener(callback(this::responding));
+    StreamSinkChannel sink = exchange.getRequestChannel();
+    sink.getWriteSetter().set(this::write);
+    write(sink);
+  }
+
+  private void write(StreamSinkChannel sink) {
+    try {
+      while (toSend.hasRemaining()) {
+        if (sink.write(toSend) == 0) {
+          sink.resumeWrites();
+          return;
+        }
+      }
+      sink.shutdownWrites();
+      flush(sink);
+    } catch (IOException e) {
+      failed(e);
+    }
+  }
+
+  private void flush(StreamSinkChannel sink) throws IOException {
+    if (sink.flush()) {
+      sink.suspendWrites();
+    } else {
+      sink.resumeWrites();
+    }
+  }
+
+  private void responding(ClientExchange exchange) {
+    StreamSourceChannel source = exchange.getResponseChannel();
+    source.getReadSetter().set(channel -> read(exchange, channel));
+    read(exchange, source);
+  }
+
+  private void read(ClientExchange exchange, StreamSourceChannel source) {
+    try {
+      int count = source.read(readBuffer);
+      while (count > 0) {
+        readBuffer.flip();
+        received.write(readBuffer.array(), 0, readBuffer.limit());
+        readBuffer.clear();
+        count = source.read(readBuffer);
+      }
+      if (count < 0) {
+        finished(exchange);
+      } else {
+        source.resumeReads();
+      }
+    } catch (IOException e) {
+      failed(e);
+    }
+  }
+
+  private void finished(ClientExchange exchange) {
+    answer.complete(
+        Either.right(
+            new HttpAnswer(
+                exchange.getResponse().getResponseCode(),
+                exchange.getResponse().getResponseHeaders(),
+                received.toByteString())));
+  }
+
+  private void failed(IOException cause) {
+    answer.complete(Either.left(new HttpFailure.NoAnswer(call.address(), cause.toString())));
+  }
+
+  private ClientCallback<ClientExchange> callback(
+      java.util.function.Consumer<ClientExchange> next) {
+    return new ClientCallback<>() {
+      @Override
+      public void completed(ClientExchange result) {
+        next.accept(result);
+      }
+
+      @Override
+      public void failed(IOException cause) {
+        HttpExchange.this.failed(cause);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/http/HttpServer.java
@@ -0,0 +1,55 @@
+package org.cuminrack.http;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import java.net.InetSocketAddress;
+import org.cuminrack.lifecycle.ManagedService;
+
+/** Listens for HTTP on one address. */
+public final class HttpServer implements ManagedService {
+  private static final int IO_THREADS = 2;
+  private static final int WORKER_THREADS = 4;
+  private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
+  private static final int NO_REQUEST_TIMEOUT_MILLIS = 60_000;
+  private static final int MAX_HEADER_BYTES = 16 << 10;
+
+  private final InetSocketAddress address;
+  private final HttpHandler handler;
+  private final long maxBodyBytes;
+  private Undertow undertow;
+
+  public HttpServer(InetSocketAddress address, HttpHandler handler, long maxBodyBytes) {
+    this.address = address;
+    this.handler = handler;
+    this.maxBodyBytes = maxBodyBytes;
+  }
+
+  @Override
+  public void start() {
+    undertow =
+        Undertow.builder()
+            .addHttpListener(address.getPort(), address.getHostString(), handler)
+            .setIoThreads(IO_THREADS)
+            .setWorkerThreads(WORKER_THREADS)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
+            .build();
+    undertow.start();
+  }
+
+  /** Returns the port that was taken; useful where the settings asked for any free one. */
+  public int port() {
+    return ((InetSocketAddress) undertow.getListenerInfo().get(0).getAddress()).getPort();
+  }
+
+  @Override
+  public void stop() {
+    if (undertow != null) {
+      undertow.stop();
+      undertow = null;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/http/HttpClientTest.java
@@ -0,0 +1,110 @@
+package org.cuminrack.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpClientTest {
+  private static final int MAX_BODY_BYTES = 1 << 20;
+
+  record Greeting(String firstName) {}
+
+  private final HttpServer server =
+      new HttpServer(
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+          HttpClientTest::route,
+          MAX_BODY_BYTES);
+  private final HttpClient client = new HttpClient();
+
+  @BeforeEach
+  void start() {
+    server.start();
+    client.start();
+  }
+
+  @AfterEach
+  void stop() {
+    client.stop();
+    server.stop();
+  }
+
+  @Test
+  void shouldSendAndBringBackJson() {
+    HttpCall call = HttpCall.of(Methods.POST, address(), "/greet").withJson(new Greeting("Eva"));
+
+    HttpAnswer answer =
+        client.send(call).join().getOrElseThrow(f -> new AssertionError(f.toString()));
+
+    assertThat(answer.status()).isEqualTo(200);
+    assertThat(answer.text()).isEqualTo("{\"first_name\":\"Hello Eva\"}");
+  }
+
+  @Test
+  void shouldBringALargeBodyThereAndBack() {
+    ByteString body = ByteString.copyFrom(new byte[500_000]);
+
+    HttpAnswer answer =
+        client.send(HttpCall.of(Methods.POST, address(), "/echo").withBody(body)).join().get();
+
+    assertThat(answer.body()).isEqualTo(body);
+  }
+
+  @Test
+  void shouldRefuseABodyThatIsNotTheExpectedJson() {
+    HttpCall call = HttpCall.of(Methods.POST, address(), "/greet").withJson("Eva");
+
+    HttpAnswer answer =
+        client.send(call).join().getOrElseThrow(f -> new AssertionError(f.toString()));
+
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(answer.text()).contains("urn:cuminrack:problem:bad-request");
+  }
+
+  @Test
+  void shouldGiveUpOnASilentServer() {
+    HttpCall call =
+        HttpCall.of(Methods.GET, address(), "/silent").withTimeout(Duration.ofMillis(50));
+
+    assertThat(client.send(call).join().getLeft())
+        .isEqualTo(new HttpFailure.NoAnswer(address(), "no answer in 50 ms"));
+  }
+
+  @Test
+  void shouldSayThatNothingWasSentWhereNobodyListens() {
+    String closed = address();
+    server.stop();
+
+    HttpFailure failure = client.send(HttpCall.of(Methods.GET, closed, "/")).join().getLeft();
+
+    assertThat(failure).isInstanceOf(HttpFailure.Unreachable.class);
+  }
+
+  private String address() {
+    return "127.0.0.1:" + server.port();
+  }
+
+  private static void route(HttpServerExchange exchange) throws Exception {
+    switch (exchange.getRequestPath()) {
+      case "/greet" ->
+          JsonBodyHandler.reading(
+                  Greeting.class,
+                  (each, body) ->
+                      HttpAnswers.json(each, 200, new Greeting("Hello " + body.firstName())))
+              .handleRequest(exchange);
+      case "/echo" ->
+          exchange
+              .getRequestReceiver()
+              .receiveFullBytes(
+                  (each, body) -> each.getResponseSender().send(java.nio.ByteBuffer.wrap(body)));
+      default -> exchange.dispatch(() -> {});
+    }
+  }
+}
