--- /dev/null
+++ b/src/test/java/org/cuminrack/settings/SettingsFileTest.java
@@ -0,0 +1,93 @@
+package org.cuminrack.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.cuminrack.yaml.YamlError;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsFileTest {
+  private static final String CONTROL =
+      """
+      vm: control-1
+      region: eu-1
+      data_centre: dc-a
+      wire_address: 127.0.0.1:7101
+      http_address: 127.0.0.1:7201
+      data_folder: data
+      voters:
+        control-1: 127.0.0.1:7101
+        control-2: 127.0.0.1:7102
+      """;
+
+  @TempDir Path folder;
+
+  @Test
+  void shouldReadTheSettingsOfAControlProcess() throws IOException {
+    ControlSettings settings = SettingsFile.control(file(CONTROL)).get();
+
+    assertThat(settings.node().vm()).isEqualTo("control-1");
+    assertThat(settings.voters()).containsEntry("control-2", "127.0.0.1:7102");
+    assertThat(settings.lease()).isEqualTo(Duration.ofSeconds(2));
+  }
+
+  @Test
+  void shouldNameFileLineKeyExpectedAndFound() throws IOException {
+    assertThat(errors(CONTROL.replace("vm: control-1", "vm: Control 1")).get(0))
+        .endsWith(
+            "settings.yaml:1: vm: expected a name of 1 to 63 of a-z, 0-9, '.', '_' and '-',"
+                + " beginning with a letter or digit, found 'Control 1'");
+  }
+
+  @Test
+  void shouldRefuseAnUnknownKey() throws IOException {
+    assertThat(errors(CONTROL + "lease_milis: 5\n").get(0))
+        .contains("settings.yaml:10: lease_milis: expected one of data_centre, data_folder,");
+  }
+
+  @Test
+  void shouldRefuseAHostName() throws IOException {
+    assertThat(errors(CONTROL.replace("127.0.0.1:7201", "localhost:7201"))).hasSize(1);
+  }
+
+  @Test
+  void shouldRefuseANumberOutOfBounds() throws IOException {
+    assertThat(errors(CONTROL + "lease_millis: 5\n").get(0))
+        .endsWith("lease_millis: expected a whole number from 500 to 10000, found '5'");
+  }
+
+  @Test
+  void shouldRefuseAVmThatIsNoVoter() throws IOException {
+    assertThat(errors(CONTROL.replace("vm: control-1", "vm: control-9")).get(0))
+        .endsWith("voters: expected this VM, control-9, found control-1, control-2");
+  }
+
+  @Test
+  void shouldNameEveryErrorAtOnce() throws IOException {
+    assertThat(errors("vm: control-1\n")).hasSize(6);
+  }
+
+  @Test
+  void shouldRefuseAFileThatIsNotThere() {
+    assertThat(SettingsFile.control(folder.resolve("none.yaml")).getLeft().get(0).toString())
+        .endsWith("none.yaml:1: expected a file, found none");
+  }
+
+  @Test
+  void shouldRefuseMalformedYamlByLine() throws IOException {
+    assertThat(errors("vm: a\nregion: [\n").get(0)).contains("expected well-formed YAML");
+  }
+
+  private List<String> errors(String text) throws IOException {
+    return SettingsFile.control(file(text)).getLeft().stream().map(YamlError::toString).toList();
+  }
+
+  private Path file(String text) throws IOException {
+    return Files.writeString(folder.resolve("settings.yaml"), text);
+  }
+}
