Add the operators' library, configuration files and commands

Cause: operators review changes like code, so the configuration is written by a small fluent library, printed as YAML in one order, and read back with errors by line.

--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/ApplyCommand.java
@@ -0,0 +1,47 @@
+package org.cuminrack.cli;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.List;
+import java.util.stream.Collectors;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cuminrack.config.ConfigObject;
+import org.cuminrack.operator.ConfigurationFile;
+import org.cuminrack.yaml.YamlError;
+
+/** Applies a configuration file. */
+final class ApplyCommand extends ChangeCommand {
+
+  ApplyCommand() {
+    super("apply", "brings the objects of a configuration file into force");
+  }
+
+  @Override
+  void describeArguments(Subparser parser) {
+    parser.addArgument("file").help("the configuration, as YAML");
+    parser
+        .addArgument("--prune")
+        .action(Arguments.storeTrue())
+        .help("remove every object that the file does not have");
+  }
+
+  @Override
+  Either<String, Collection<ConfigObject>> wanted(Namespace arguments) {
+    return ConfigurationFile.read(Path.of(arguments.getString("file")))
+        .<Collection<ConfigObject>>map(objects -> objects)
+        .mapLeft(ApplyCommand::text);
+  }
+
+  @Override
+  boolean prunes(Namespace arguments) {
+    return arguments.getBoolean("prune");
+  }
+
+  /** Returns one line an error. */
+  static String text(List<YamlError> errors) {
+    return errors.stream().map(YamlError::toString).collect(Collectors.joining("\n"));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/CheckCommand.java
@@ -0,0 +1,49 @@
+package org.cuminrack.cli;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.operator.ConfigurationFile;
+import org.cuminrack.settings.SettingsFile;
+import org.cuminrack.yaml.YamlError;
+
+/** Checks a settings or configuration file without doing anything with it. */
+final class CheckCommand implements Command {
+
+  @Override
+  public String name() {
+    return "check";
+  }
+
+  @Override
+  public void describe(Subparsers subparsers) {
+    String help = "checks a settings or configuration file: file, line, key, expected, found";
+    Subparser parser = subparsers.addParser(name()).help(help).description(help);
+    parser
+        .addArgument("--kind")
+        .choices("control", "entry", "configuration")
+        .setDefault("configuration")
+        .help("what the file is (default: %(default)s)");
+    parser.addArgument("file").help("the file");
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments) {
+    Path file = Path.of(arguments.getString("file"));
+    Either<List<YamlError>, ?> result =
+        switch (arguments.getString("kind")) {
+          case "control" -> SettingsFile.control(file);
+          case "entry" -> SettingsFile.entry(file);
+          default -> ConfigurationFile.read(file);
+        };
+    if (result.isLeft()) {
+      System.err.println(ApplyCommand.text(result.getLeft()));
+      return ExitCode.USAGE;
+    }
+    System.out.println(file + ": no errors");
+    return ExitCode.DONE;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/DumpCommand.java
@@ -0,0 +1,55 @@
+package org.cuminrack.cli;
+
+import io.undertow.util.Methods;
+import io.vavr.control.Either;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.http.HttpAnswer;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.http.HttpFailure;
+import org.cuminrack.http.Json;
+
+/** Prints the state of any process. */
+final class DumpCommand implements Command {
+
+  @Override
+  public String name() {
+    return "dump";
+  }
+
+  @Override
+  public void describe(Subparsers subparsers) {
+    String help = "prints the state of a process";
+    Subparser parser = subparsers.addParser(name()).help(help).description(help);
+    parser
+        .addArgument("--address")
+        .required(true)
+        .metavar("HOST:PORT")
+        .help("the process's HTTP address");
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments) {
+    HttpClient client = new HttpClient();
+    client.start();
+    try {
+      HttpCall call = HttpCall.of(Methods.GET, arguments.getString("address"), "/dump");
+      Either<HttpFailure, HttpAnswer> answer = client.send(call).join();
+      if (answer.isLeft()) {
+        System.err.println("no answer: " + answer.getLeft());
+        return ExitCode.FAILED;
+      }
+      System.out.println(pretty(answer.get()));
+      return ExitCode.DONE;
+    } finally {
+      client.stop();
+    }
+  }
+
+  private static String pretty(HttpAnswer answer) {
+    return Json.readTree(answer.body().toByteArray())
+        .fold(failure -> answer.text(), tree -> tree.toPrettyString());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/GetCommand.java
@@ -0,0 +1,33 @@
+package org.cuminrack.cli;
+
+import io.vavr.control.Either;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.cuminrack.config.Configuration;
+import org.cuminrack.http.Json;
+import org.cuminrack.operator.OperatorClient;
+import org.cuminrack.operator.Plan;
+
+/** Prints the configuration, in the form that {@code apply} takes. */
+final class GetCommand extends QueryCommand {
+
+  GetCommand() {
+    super("get", "prints the configuration that control has accepted");
+  }
+
+  @Override
+  Either<String, String> answer(OperatorClient client, Namespace arguments) {
+    return client
+        .configuration()
+        .map(each -> OperatorArguments.json(arguments) ? json(each) : yaml(each));
+  }
+
+  private static String json(Configuration configuration) {
+    return Json.text(configuration.objects());
+  }
+
+  private static String yaml(Configuration configuration) {
+    Plan plan = Plan.empty();
+    configuration.objects().forEach(each -> plan.with(each.object()));
+    return "# revision " + configuration.revision() + "\n" + plan.toYaml();
+  }
+}
--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -13,7 +13,19 @@
 public final class Main {
   private static final String COMMAND = "command";
 
-  private static final List<Command> COMMANDS = List.of();
+  private static final List<Command> COMMANDS =
+      List.of(
+          new ApplyCommand(),
+          new DiffCommand(),
+          new GetCommand(),
+          new StatusCommand(),
+          NamedChangeCommand.drain(),
+          NamedChangeCommand.undrain(),
+          NamedChangeCommand.retire(),
+          NamedChangeCommand.reinstate(),
+          new RolloutCommand(),
+          new DumpCommand(),
+          new CheckCommand());
 
   private Main() {}
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/OperatorArguments.java
@@ -0,0 +1,71 @@
+package org.cuminrack.cli;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.UUID;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cuminrack.operator.OperatorClient;
+import org.cuminrack.time.Clock;
+
+/** The arguments that operators' commands share. */
+final class OperatorArguments {
+  private static final int DEFAULT_TIMEOUT_MILLIS = 10_000;
+  private static final int DEFAULT_WAIT_MILLIS = 20_000;
+
+  private OperatorArguments() {}
+
+  /** Describes where control is. */
+  static void describeControl(Subparser parser) {
+    parser
+        .addArgument("--control")
+        .required(true)
+        .metavar("HOST:PORT,…")
+        .help("HTTP addresses of the control VMs");
+    parser
+        .addArgument("--timeout-millis")
+        .type(Integer.class)
+        .setDefault(DEFAULT_TIMEOUT_MILLIS)
+        .help("how long to ask them for an answer (default: %(default)s)");
+    parser
+        .addArgument("--output")
+        .choices("text", "json")
+        .setDefault("text")
+        .help("the form of the answer (default: %(default)s)");
+  }
+
+  /** Describes how a change is sent. */
+  static void describeChange(Subparser parser) {
+    describeControl(parser);
+    parser
+        .addArgument("--change-id")
+        .metavar("ID")
+        .help("makes a resend safe: the same id gets the first verdict (default: a new one)");
+    parser
+        .addArgument("--at-revision")
+        .type(Long.class)
+        .metavar("R")
+        .help("refuse if an object of the change has been changed after this revision");
+    parser
+        .addArgument("--wait-millis")
+        .type(Integer.class)
+        .setDefault(DEFAULT_WAIT_MILLIS)
+        .help("how long to wait until it is in force everywhere; 0 doesn't (default: %(default)s)");
+  }
+
+  static OperatorClient client(Namespace arguments) {
+    List<String> addresses = Arrays.asList(arguments.getString("control").split(","));
+    Duration timeout = Duration.ofMillis(arguments.getInt("timeout_millis"));
+    return new OperatorClient(addresses, timeout, Clock.system());
+  }
+
+  static boolean json(Namespace arguments) {
+    return "json".equals(arguments.getString("output"));
+  }
+
+  static String changeId(Namespace arguments) {
+    String given = arguments.getString("change_id");
+    return given != null ? given : UUID.randomUUID().toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/QueryCommand.java
@@ -0,0 +1,59 @@
+package org.cuminrack.cli;
+
+import io.vavr.control.Either;
+import java.io.PrintStream;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.operator.OperatorClient;
+
+/** A command that asks control and prints the answer. */
+abstract class QueryCommand implements Command {
+  private final String name;
+  private final String help;
+
+  QueryCommand(String name, String help) {
+    this.name = name;
+    this.help = help;
+  }
+
+  @Override
+  public final String name() {
+    return name;
+  }
+
+  @Override
+  public final void describe(Subparsers subparsers) {
+    Subparser parser = subparsers.addParser(name).help(help).description(help);
+    describeArguments(parser);
+    OperatorArguments.describeControl(parser);
+  }
+
+  @Override
+  public final ExitCode run(Namespace arguments) {
+    OperatorClient client = OperatorArguments.client(arguments);
+    client.start();
+    try {
+      return answer(client, arguments)
+          .fold(failure -> failed(System.err, failure), text -> printed(System.out, text));
+    } finally {
+      client.stop();
+    }
+  }
+
+  private static ExitCode failed(PrintStream err, String failure) {
+    err.println("control can't be reached: " + failure);
+    return ExitCode.FAILED;
+  }
+
+  private static ExitCode printed(PrintStream out, String text) {
+    out.print(text.endsWith("\n") || text.isEmpty() ? text : text + "\n");
+    return ExitCode.DONE;
+  }
+
+  /** Adds the command's own arguments. */
+  void describeArguments(Subparser parser) {}
+
+  /** Returns what to print, or why there is no answer. */
+  abstract Either<String, String> answer(OperatorClient client, Namespace arguments);
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/operator/LowerCaseSerializer.java
@@ -0,0 +1,18 @@
+package org.cuminrack.operator;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import java.io.IOException;
+import java.util.Locale;
+import org.cuminrack.config.ServiceKind;
+
+/** Writes a kind of service as the word that configuration files use. */
+final class LowerCaseSerializer extends JsonSerializer<ServiceKind> {
+
+  @Override
+  public void serialize(ServiceKind value, JsonGenerator generator, SerializerProvider provider)
+      throws IOException {
+    generator.writeString(value.name().toLowerCase(Locale.ROOT));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/operator/OperatorClient.java
@@ -0,0 +1,160 @@
+package org.cuminrack.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.Methods;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.cuminrack.config.ConfigKind;
+import org.cuminrack.config.ConfigObject;
+import org.cuminrack.config.Configuration;
+import org.cuminrack.config.VersionedObject;
+import org.cuminrack.http.HttpAnswer;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.http.HttpFailure;
+import org.cuminrack.http.Json;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.time.Clock;
+
+/**
+ * Speaks to the control VMs for an operator. Each call goes to one control VM after the other until
+ * one answers, for as long as the timeout lasts. Errors are texts for people.
+ */
+public final class OperatorClient implements ManagedService {
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+  private static final Duration PAUSE_BETWEEN_ROUNDS = Duration.ofMillis(200);
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int CONFLICT = 409;
+
+  private record ChangeBody(String changeId, List<ObjectChange> changes) {}
+
+  private final List<String> addresses;
+  private final Duration timeout;
+  private final Clock clock;
+  private final HttpClient http = new HttpClient();
+
+  /**
+   * Returns a client of a control group.
+   *
+   * @param addresses HTTP addresses of the control VMs
+   * @param timeout how long one operation may take over all of them
+   */
+  public OperatorClient(List<String> addresses, Duration timeout, Clock clock) {
+    this.addresses = List.copyOf(addresses);
+    this.timeout = timeout;
+    this.clock = clock;
+  }
+
+  @Override
+  public void start() {
+    http.start();
+  }
+
+  @Override
+  public void stop() {
+    http.stop();
+  }
+
+  /** Sends a change; sent again with the same id it gets the first verdict. */
+  public ChangeReply change(String changeId, List<ObjectChange> changes) {
+    ChangeBody body = new ChangeBody(changeId, changes);
+    return ask(
+            address -> HttpCall.of(Methods.POST, address, "/v1/changes").withJson(body),
+            OperatorClient::changeReply)
+        .getOrElseGet(ChangeReply.Unknown::new);
+  }
+
+  /** Returns the whole configuration. */
+  public Either<String, Configuration> configuration() {
+    return ask(
+        address -> HttpCall.of(Methods.GET, address, "/v1/configuration"),
+        answer -> answer.status() == OK ? OperatorClient.configuration(answer) : null);
+  }
+
+  /** Returns how far a revision is in force, after waiting for it a while. */
+  public Either<String, InForce> inForce(long revision, Duration wait) {
+    String path = "/v1/in-force?revision=" + revision + "&wait_millis=" + wait.toMillis();
+    return ask(
+        address -> HttpCall.of(Methods.GET, address, path).withTimeout(CALL_TIMEOUT.plus(wait)),
+        answer ->
+            answer.status() == OK
+                ? Json.read(answer.body().toByteArray(), InForce.class).getOrNull()
+                : null);
+  }
+
+  /** Returns the state of the control group and the entries, as JSON. */
+  public Either<String, JsonNode> status() {
+    return ask(
+        address -> HttpCall.of(Methods.GET, address, "/v1/status"),
+        answer ->
+            answer.status() == OK ? Json.readTree(answer.body().toByteArray()).getOrNull() : null);
+  }
+
+  private <T> Either<String, T> ask(Function<String, HttpCall> call, Function<HttpAnswer, T> read) {
+    long endNanos = clock.nanoTime() + timeout.toNanos();
+    String lastFailure = "no control address given";
+    do {
+      for (String address : addresses) {
+        Either<HttpFailure, HttpAnswer> answer = http.send(call.apply(address)).join();
+        T value = answer.isRight() ? read.apply(answer.get()) : null;
+        if (value != null) {
+          return Either.right(value);
+        }
+        lastFailure = address + ": " + answer.fold(Object::toString, OperatorClient::describe);
+      }
+    } while (clock.nanoTime() < endNanos && pause());
+    return Either.left(lastFailure);
+  }
+
+  private static boolean pause() {
+    try {
+      Thread.sleep(PAUSE_BETWEEN_ROUNDS.toMillis());
+      return true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private static String describe(HttpAnswer answer) {
+    return "status " + answer.status() + " " + answer.text();
+  }
+
+  private static ChangeReply changeReply(HttpAnswer answer) {
+    JsonNode body = Json.readTree(answer.body().toByteArray()).getOrNull();
+    if (body == null) {
+      return null;
+    }
+    return switch (answer.status()) {
+      case OK -> new ChangeReply.Accepted(body.path("revision").asLong());
+      case CONFLICT ->
+          new ChangeReply.Conflict(
+              body.path("key").asText(),
+              body.path("expected").asLong(),
+              body.path("found").asLong(),
+              body.path("present").toString());
+      case BAD_REQUEST ->
+          new ChangeReply.Invalid(
+              body.hasNonNull("detail") ? body.get("detail").asText() : body.toString());
+      default -> null;
+    };
+  }
+
+  private static Configuration configuration(HttpAnswer answer) {
+    JsonNode body = Json.readTree(answer.body().toByteArray()).getOrNull();
+    if (body == null) {
+      return null;
+    }
+    List<VersionedObject> objects = new ArrayList<>();
+    for (JsonNode each : body.path("objects")) {
+      ConfigKind kind = ConfigKind.valueOf(each.path("kind").asText());
+      ConfigObject object = Json.read(Json.bytes(each.path("object")), kind.type()).get();
+      objects.add(new VersionedObject(object, each.path("revision").asLong()));
+    }
+    return Configuration.of(body.path("revision").asLong(), objects);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/operator/Services.java
@@ -0,0 +1,37 @@
+package org.cuminrack.operator;
+
+import org.cuminrack.config.Service;
+import org.cuminrack.config.ServiceKind;
+
+/** Describes a service: {@code Services.generations("meal-planner")}. */
+public final class Services implements ConfigBuilder {
+  private final String name;
+  private final ServiceKind kind;
+  private boolean interactive;
+
+  private Services(String name, ServiceKind kind) {
+    this.name = Names.check("name", name);
+    this.kind = kind;
+  }
+
+  /** Begins a service of model engines. */
+  public static Services generations(String name) {
+    return new Services(name, ServiceKind.GENERATION);
+  }
+
+  /** Begins a service of plain calls. */
+  public static Services plain(String name) {
+    return new Services(name, ServiceKind.PLAIN);
+  }
+
+  /** Says that its requests are short and are answered before long ones. */
+  public Services interactive() {
+    interactive = true;
+    return this;
+  }
+
+  @Override
+  public Service build() {
+    return new Service(name, kind, interactive);
+  }
+}
