--- /dev/null
+++ b/src/main/java/org/cuminrack/metrics/Metrics.java
@@ -0,0 +1,48 @@
+package org.cuminrack.metrics;
+
+import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.function.ToDoubleFunction;
+import org.cuminrack.lifecycle.ManagedService;
+
+/** The metrics of one process. Names begin with {@code cuminrack.} and end with their unit. */
+public final class Metrics implements ManagedService {
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final JvmGcMetrics gcMetrics = new JvmGcMetrics();
+
+  @Override
+  public void start() {
+    new JvmMemoryMetrics().bindTo(registry);
+    new ProcessorMetrics().bindTo(registry);
+    gcMetrics.bindTo(registry);
+  }
+
+  /** Shows a value that is read from an object at each scrape. */
+  public <T> Metrics gauge(String name, T object, ToDoubleFunction<T> value) {
+    io.micrometer.core.instrument.Gauge.builder(name, object, value)
+        .strongReference(true)
+        .register(registry);
+    return this;
+  }
+
+  /** Shows a value that only grows. */
+  public <T> Metrics counter(String name, T object, ToDoubleFunction<T> value) {
+    io.micrometer.core.instrument.FunctionCounter.builder(name, object, value).register(registry);
+    return this;
+  }
+
+  /** Returns all metrics in the Prometheus text form. */
+  public String scrape() {
+    return registry.scrape();
+  }
+
+  @Override
+  public void stop() {
+    gcMetrics.close();
+    registry.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/process/ProcessApi.java
@@ -0,0 +1,32 @@
+package org.cuminrack.process;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import org.cuminrack.http.HttpAnswers;
+import org.cuminrack.metrics.Metrics;
+
+/** What every process answers: its state, its metrics, and that it serves. */
+final class ProcessApi implements HttpHandler {
+  private static final int OK = 200;
+
+  private final StateDump dump;
+  private final Metrics metrics;
+  private final HttpHandler next;
+
+  /** Returns a handler that passes every other path on. */
+  ProcessApi(StateDump dump, Metrics metrics, HttpHandler next) {
+    this.dump = dump;
+    this.metrics = metrics;
+    this.next = next;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) throws Exception {
+    switch (exchange.getRequestPath()) {
+      case "/dump" -> HttpAnswers.json(exchange, OK, dump.gather());
+      case "/metrics" -> HttpAnswers.text(exchange, OK, metrics.scrape());
+      case "/health" -> HttpAnswers.text(exchange, OK, "serving\n");
+      default -> next.handleRequest(exchange);
+    }
+  }
+}
