Add stand-in engine and shop as processes of their own

The relay, the pool and the tests need upstreams that speak docs/PROTOCOL.md and can be told to misbehave.

Ruled out: Undertow's ServerSentEventHandler, which makes every connection non-persistent, so that pooled connections would never be exercised. Jackson's refusal of absent primitives made a partial behaviour an error; Behaviour now fills in what is absent.

--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -25,7 +25,8 @@
           NamedChangeCommand.reinstate(),
           new RolloutCommand(),
           new DumpCommand(),
-          new CheckCommand());
+          new CheckCommand(),
+          new StandInCommand());
 
   private Main() {}
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/StandInCommand.java
@@ -0,0 +1,154 @@
+package org.cuminrack.cli;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.standin.EngineOptions;
+import org.cuminrack.standin.EngineProfile;
+import org.cuminrack.standin.EngineServer;
+import org.cuminrack.standin.FallOver;
+import org.cuminrack.standin.OutputLengths;
+import org.cuminrack.standin.ReportLag;
+import org.cuminrack.standin.ShopOptions;
+import org.cuminrack.standin.ShopServer;
+import org.cuminrack.standin.StandIn;
+import org.cuminrack.standin.StandInProcess;
+import org.cuminrack.time.Clock;
+
+/** {@code cuminrack stand-in engine|shop}: an emulated upstream as a process of its own. */
+public final class StandInCommand implements Command {
+  private static final String KIND = "stand_in";
+  private static final String ENGINE = "engine";
+  private static final String SHOP = "shop";
+
+  @Override
+  public String name() {
+    return "stand-in";
+  }
+
+  @Override
+  public void describe(Subparsers subparsers) {
+    Subparser parser = subparsers.addParser(name());
+    parser.help("runs an emulated engine or shop");
+    Subparsers kinds = parser.addSubparsers().dest(KIND).metavar("KIND");
+    describeEngine(kinds.addParser(ENGINE).help("an emulated model engine"));
+    describeShop(kinds.addParser(SHOP).help("an emulated shop service"));
+  }
+
+  private static void describeEngine(Subparser parser) {
+    describeUpstream(parser, "meal-planner");
+    EngineProfile profile = EngineProfile.standard();
+    parser.addArgument("--model").setDefault("planner").help("the model it begins with");
+    parser.addArgument("--model-version").setDefault("1").help("the model's version");
+    integer(parser, "--cold-limit", profile.coldLimit(), "requests it carries just started");
+    integer(parser, "--warm-limit", profile.warmLimit(), "requests it carries warm");
+    integer(parser, "--memory-tokens", profile.memoryTokens(), "key-value memory in tokens");
+    integer(parser, "--median-tokens", 200, "median length of its outputs");
+    parser
+        .addArgument("--fall-over")
+        .type(Arguments.caseInsensitiveEnumType(FallOver.class))
+        .setDefault(FallOver.CRASH)
+        .help("what it does under too much load while cold");
+    flag(parser, "--warm", "begins warm");
+    flag(parser, "--ignores-fencing", "takes orders with an old fencing number");
+    flag(parser, "--distinct-per-boot", "answers differ from one life to the next");
+  }
+
+  private static void describeShop(Subparser parser) {
+    describeUpstream(parser, "shop");
+    integer(parser, "--cold-limit", 16, "calls it carries just started");
+    integer(parser, "--warm-limit", 64, "calls it carries warm");
+    integer(parser, "--service-millis", 5, "how long a call takes");
+  }
+
+  private static void describeUpstream(Subparser parser, String service) {
+    parser.addArgument("--name").required(true).help("the upstream's name");
+    parser.addArgument("--data-centre").required(true).help("where it is");
+    parser.addArgument("--service").setDefault(service).help("the service it offers");
+    parser.addArgument("--listen").setDefault("127.0.0.1:0").help("HOST:PORT; port 0 takes any");
+    parser.addArgument("--entries").setDefault("").help("HOST:PORT,… to announce itself to");
+    integer(parser, "--seed", 1, "chooses which cache events are lost");
+    flag(parser, "--prompt-reports", "reports without a lag or gaps");
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments) {
+    InetSocketAddress listen = HostAndPort.parse(arguments.getString("listen"));
+    if (listen == null) {
+      System.err.printf(
+          "cuminrack: --listen: expected HOST:PORT, found %s%n", arguments.getString("listen"));
+      return ExitCode.USAGE;
+    }
+    boolean engine = arguments.getString(KIND).equals(ENGINE);
+    StandInProcess.of(engine ? engine(arguments, listen) : shop(arguments, listen)).run();
+    return ExitCode.DONE;
+  }
+
+  private static StandIn engine(Namespace arguments, InetSocketAddress listen) {
+    EngineProfile profile =
+        EngineProfile.standard()
+            .withLimits(arguments.getInt("cold_limit"), arguments.getInt("warm_limit"))
+            .withMemoryTokens(arguments.getInt("memory_tokens"))
+            .withFallOver(arguments.get("fall_over"));
+    OutputLengths standard = OutputLengths.standard();
+    OutputLengths lengths =
+        new OutputLengths(
+            arguments.getInt("median_tokens"), standard.sigma(), standard.maxTokens());
+    EngineOptions options =
+        new EngineOptions(
+            arguments.getString("name"),
+            arguments.getString("data_centre"),
+            arguments.getString("service"),
+            listen,
+            entries(arguments),
+            EngineOptions.newBootId(),
+            arguments.getString("model"),
+            arguments.getString("model_version"),
+            profile,
+            arguments.getBoolean("warm"),
+            !arguments.getBoolean("ignores_fencing"),
+            arguments.getBoolean("distinct_per_boot"),
+            lengths,
+            lag(arguments));
+    return EngineServer.of(options, Clock.system(), StandInProcess::crash);
+  }
+
+  private static StandIn shop(Namespace arguments, InetSocketAddress listen) {
+    ShopOptions options =
+        new ShopOptions(
+            arguments.getString("name"),
+            arguments.getString("data_centre"),
+            arguments.getString("service"),
+            listen,
+            entries(arguments),
+            EngineOptions.newBootId(),
+            arguments.getInt("cold_limit"),
+            arguments.getInt("warm_limit"),
+            arguments.getInt("service_millis"),
+            lag(arguments));
+    return ShopServer.of(options, Clock.system(), StandInProcess::crash);
+  }
+
+  private static List<String> entries(Namespace arguments) {
+    String entries = arguments.getString("entries");
+    return entries.isEmpty() ? List.of() : List.of(entries.split(",", -1));
+  }
+
+  private static ReportLag lag(Namespace arguments) {
+    if (arguments.getBoolean("prompt_reports")) {
+      return ReportLag.none();
+    }
+    return ReportLag.standard(arguments.getInt("seed"));
+  }
+
+  private static void integer(Subparser parser, String name, int otherwise, String help) {
+    parser.addArgument(name).type(Integer.class).setDefault(otherwise).help(help);
+  }
+
+  private static void flag(Subparser parser, String name, String help) {
+    parser.addArgument(name).action(Arguments.storeTrue()).help(help);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/standin/Announcement.java
@@ -0,0 +1,21 @@
+package org.cuminrack.standin;
+
+/**
+ * What an upstream tells an entry of itself; the fields are those of docs/PROTOCOL.md.
+ *
+ * @param memoryTokens 0 for a plain service
+ * @param model null for a plain service
+ * @param version null for a plain service
+ */
+public record Announcement(
+    String upstream,
+    String bootId,
+    String dataCentre,
+    String service,
+    String address,
+    int coldLimit,
+    int warmLimit,
+    int memoryTokens,
+    boolean checksFencing,
+    String model,
+    String version) {}
--- /dev/null
+++ b/src/main/java/org/cuminrack/standin/Announcer.java
@@ -0,0 +1,181 @@
+package org.cuminrack.standin;
+
+import com.google.common.flogger.FluentLogger;
+import io.undertow.util.Methods;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cuminrack.http.HttpAnswer;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.http.HttpFailure;
+import org.cuminrack.http.Json;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.time.Clock;
+
+/**
+ * Announces an upstream to the entries and reports its load to the one that it is sent to. All
+ * state but the leaving flags belongs to its one thread.
+ */
+final class Announcer implements ManagedService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int OK = 200;
+  private static final int DEFAULT_INTERVAL_MILLIS = 200;
+  private static final Duration LEAVE_UNHEARD_AFTER = Duration.ofSeconds(10);
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+  private final Announcement announcement;
+  private final List<String> entries;
+  private final UpstreamState state;
+  private final Clock clock;
+  private final LaggingLoad laggingLoad;
+  private final LaggingCacheEvents laggingCacheEvents;
+  private final HttpClient client = new HttpClient();
+  private final ScheduledExecutorService thread =
+      Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("announcer"));
+  private String reportTo;
+  private int intervalMillis = DEFAULT_INTERVAL_MILLIS;
+  private int nextEntry;
+  private long sequence;
+  private volatile boolean leaving;
+  private volatile boolean leavingKnown;
+  private volatile long leavingSinceNanos;
+
+  Announcer(
+      Announcement announcement,
+      List<String> entries,
+      UpstreamState state,
+      ReportLag lag,
+      Clock clock) {
+    this.announcement = announcement;
+    this.entries = List.copyOf(entries);
+    this.state = state;
+    this.clock = clock;
+    this.laggingLoad = new LaggingLoad(lag.load());
+    this.laggingCacheEvents =
+        new LaggingCacheEvents(lag.cacheEvents(), lag.cacheLossPercent(), lag.seed());
+  }
+
+  @Override
+  public void start() {
+    client.start();
+    if (!entries.isEmpty()) {
+      thread.execute(this::tick);
+    }
+  }
+
+  /** Reports from now on that the upstream leaves. */
+  void leave() {
+    leavingSinceNanos = clock.nanoTime();
+    leaving = true;
+    if (!entries.isEmpty()) {
+      thread.execute(this::speak);
+    }
+  }
+
+  /** Tells whether an entry has taken a report that the upstream leaves, or none could be told. */
+  boolean leavingIsKnown() {
+    long sinceNanos = clock.nanoTime() - leavingSinceNanos;
+    boolean unheard = leaving && sinceNanos > LEAVE_UNHEARD_AFTER.toNanos();
+    return leavingKnown || entries.isEmpty() || unheard;
+  }
+
+  @Override
+  public void stop() {
+    thread.shutdownNow();
+    client.stop();
+  }
+
+  private void tick() {
+    if (state.reports()) {
+      speak();
+    }
+    if (!thread.isShutdown()) {
+      thread.schedule(this::tick, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void speak() {
+    if (reportTo == null) {
+      announce();
+    }
+    if (reportTo != null) {
+      report();
+    }
+    if (reportTo != null) {
+      sendCacheEvents();
+    }
+  }
+
+  private void announce() {
+    String entry = entries.get(nextEntry % entries.size());
+    nextEntry++;
+    if (post(entry, "/v1/announce", announcement)) {
+      logger.atInfo().log("%s", LogEvent.named("announced").with("entry", entry));
+    }
+  }
+
+  private void report() {
+    boolean saysLeaving = leaving;
+    EngineLoad load = laggingLoad.sample(clock.nanoTime(), state.load());
+    sequence++;
+    LoadReport report =
+        new LoadReport(
+            announcement.upstream(),
+            announcement.bootId(),
+            sequence,
+            load.running(),
+            load.waiting(),
+            load.usedTokens(),
+            load.preemptions(),
+            saysLeaving);
+    boolean taken = post(reportTo, "/v1/report", report);
+    if (taken && saysLeaving) {
+      leavingKnown = true;
+    }
+  }
+
+  private void sendCacheEvents() {
+    laggingCacheEvents.add(clock.nanoTime(), state.drainCacheChange());
+    Optional<LaggingCacheEvents.Batch> batch = laggingCacheEvents.next(clock.nanoTime());
+    while (batch.isPresent() && reportTo != null) {
+      post(reportTo, "/v1/cache-events", cacheEvents(batch.get()));
+      batch = laggingCacheEvents.next(clock.nanoTime());
+    }
+  }
+
+  private CacheEvents cacheEvents(LaggingCacheEvents.Batch batch) {
+    return new CacheEvents(
+        announcement.upstream(),
+        announcement.bootId(),
+        batch.sequence(),
+        batch.change().stored(),
+        batch.change().removed());
+  }
+
+  /** Sends a value; on any failure the upstream is to announce itself anew. */
+  private boolean post(String entry, String path, Object value) {
+    HttpCall call = HttpCall.of(Methods.POST, entry, path).withJson(value);
+    Either<HttpFailure, HttpAnswer> answer = client.send(call.withTimeout(CALL_TIMEOUT)).join();
+    if (answer.isLeft() || answer.get().status() != OK) {
+      reportTo = null;
+      return false;
+    }
+    obey(answer.get());
+    return true;
+  }
+
+  private void obey(HttpAnswer answer) {
+    Json.read(answer.body().toByteArray(), ReportAnswer.class)
+        .peek(
+            next -> {
+              reportTo = next.reportTo() == null ? reportTo : next.reportTo();
+              intervalMillis = next.intervalMillis() > 0 ? next.intervalMillis() : intervalMillis;
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/standin/DaemonThreads.java
@@ -0,0 +1,17 @@
+package org.cuminrack.standin;
+
+import java.util.concurrent.ThreadFactory;
+
+/** Makes threads that don't keep a process alive. */
+final class DaemonThreads {
+
+  private DaemonThreads() {}
+
+  static ThreadFactory named(String name) {
+    return task -> {
+      Thread thread = new Thread(task, name);
+      thread.setDaemon(true);
+      return thread;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/standin/EngineHandlers.java
@@ -0,0 +1,201 @@
+package org.cuminrack.standin;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.cuminrack.http.HttpAnswers;
+import org.cuminrack.http.JsonBodyHandler;
+import org.cuminrack.http.ProblemDocument;
+import org.cuminrack.time.Clock;
+
+/** What a stand-in engine answers to each HTTP request. */
+final class EngineHandlers {
+  private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+  private static final HttpString GENERATION_ID = new HttpString("X-Generation-Id");
+  private static final HttpString BOOT_ID = new HttpString("X-Boot-Id");
+  private static final String RETRY_SECONDS = "1";
+
+  private final EngineOptions options;
+  private final EngineLoop loop;
+  private final OrderBook orders;
+  private final BehaviourHolder behaviour;
+  private final Clock clock;
+  private final BooleanSupplier leaving;
+
+  EngineHandlers(
+      EngineOptions options,
+      EngineLoop loop,
+      OrderBook orders,
+      BehaviourHolder behaviour,
+      Clock clock,
+      BooleanSupplier leaving) {
+    this.options = options;
+    this.loop = loop;
+    this.orders = orders;
+    this.behaviour = behaviour;
+    this.clock = clock;
+    this.leaving = leaving;
+  }
+
+  /** Returns the handler of every path. */
+  HttpHandler root() {
+    RoutingHandler engine = new RoutingHandler();
+    engine.post(
+        "/v1/completions", JsonBodyHandler.reading(CompletionRequest.class, this::complete));
+    engine.get("/v1/generations/{id}/events", this::resume);
+    engine.delete("/v1/generations/{id}", this::cancel);
+    engine.post("/v1/orders", JsonBodyHandler.reading(EngineOrder.class, this::order));
+    engine.get("/v1/status", this::status);
+    RoutingHandler all = new RoutingHandler();
+    all.post("/stand-in/behaviour", JsonBodyHandler.reading(Behaviour.class, this::behave));
+    all.get("/stand-in/state", this::state);
+    all.setFallbackHandler(new MisbehavingHandler(behaviour, engine));
+    return all;
+  }
+
+  private void complete(HttpServerExchange exchange, CompletionRequest request) {
+    Optional<String> fault = request.fault();
+    if (fault.isPresent()) {
+      ProblemDocument.of(StatusCodes.BAD_REQUEST, "bad-request", fault.get()).send(exchange);
+      return;
+    }
+    String requestId =
+        behaviour.now().crossed() ? "crossed-" + request.requestId() : request.requestId();
+    exchange.getResponseHeaders().put(REQUEST_ID, requestId);
+    answer(
+        exchange,
+        loop.submit(request),
+        found -> {
+          if (found.isEmpty()) {
+            refuse(exchange);
+          } else {
+            stream(exchange, found.get(), -1);
+          }
+        });
+  }
+
+  private void resume(HttpServerExchange exchange) {
+    Optional<Integer> after = after(exchange);
+    if (after.isEmpty()) {
+      ProblemDocument.of(StatusCodes.BAD_REQUEST, "bad-request", "after: expected -1 or more")
+          .send(exchange);
+      return;
+    }
+    answer(
+        exchange,
+        loop.find(id(exchange)),
+        found -> {
+          if (found.isEmpty()) {
+            HttpAnswers.text(exchange, StatusCodes.NOT_FOUND, "unknown generation");
+          } else if (found.get().isLost()) {
+            HttpAnswers.text(exchange, StatusCodes.GONE, "lost generation");
+          } else {
+            stream(exchange, found.get(), after.get());
+          }
+        });
+  }
+
+  private void stream(HttpServerExchange exchange, GenerationLog log, int after) {
+    exchange.getResponseHeaders().put(GENERATION_ID, log.id());
+    exchange.getResponseHeaders().put(BOOT_ID, options.bootId());
+    EventWriter writer = new EventWriter(exchange, log, after, behaviour, clock);
+    int lateMillis = behaviour.now().lateMillis();
+    if (lateMillis == 0) {
+      writer.start();
+    } else {
+      exchange.getIoThread().executeAfter(writer::start, lateMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void cancel(HttpServerExchange exchange) {
+    answer(
+        exchange,
+        loop.cancel(id(exchange)),
+        known -> {
+          exchange.setStatusCode(StatusCodes.NO_CONTENT);
+          exchange.endExchange();
+        });
+  }
+
+  private void order(HttpServerExchange exchange, EngineOrder order) {
+    OptionalLong highest = orders.carryOut(order);
+    if (highest.isPresent()) {
+      HttpAnswers.json(exchange, StatusCodes.CONFLICT, Map.of("highest", highest.getAsLong()));
+      return;
+    }
+    HttpAnswers.json(exchange, StatusCodes.ACCEPTED, Map.of());
+  }
+
+  private void status(HttpServerExchange exchange) {
+    answer(
+        exchange,
+        loop.load(),
+        load ->
+            HttpAnswers.json(
+                exchange,
+                StatusCodes.OK,
+                Map.of(
+                    "upstream",
+                    options.name(),
+                    "boot_id",
+                    options.bootId(),
+                    "running",
+                    load.running(),
+                    "waiting",
+                    load.waiting())));
+  }
+
+  private void behave(HttpServerExchange exchange, Behaviour next) {
+    behaviour.set(next);
+    HttpAnswers.json(exchange, StatusCodes.OK, next);
+    loop.act(next);
+  }
+
+  private void state(HttpServerExchange exchange) {
+    answer(
+        exchange,
+        loop.state(leaving.getAsBoolean(), orders.carriedOut()),
+        state -> HttpAnswers.json(exchange, StatusCodes.OK, state));
+  }
+
+  private static void refuse(HttpServerExchange exchange) {
+    exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RETRY_SECONDS);
+    HttpAnswers.text(exchange, StatusCodes.SERVICE_UNAVAILABLE, "no room");
+  }
+
+  /** Goes on with the exchange on its own thread once the future has its value. */
+  private static <T> void answer(
+      HttpServerExchange exchange, CompletableFuture<T> future, Consumer<T> next) {
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE, () -> future.thenAcceptAsync(next, exchange.getIoThread()));
+  }
+
+  private static String id(HttpServerExchange exchange) {
+    return exchange.getQueryParameters().get("id").getFirst();
+  }
+
+  private static Optional<Integer> after(HttpServerExchange exchange) {
+    Deque<String> values = exchange.getQueryParameters().get("after");
+    if (values == null) {
+      return Optional.of(-1);
+    }
+    try {
+      int after = Integer.parseInt(values.getFirst());
+      return after < -1 ? Optional.empty() : Optional.of(after);
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/standin/EngineLoad.java
@@ -0,0 +1,11 @@
+package org.cuminrack.standin;
+
+/**
+ * An engine's load at one instant.
+ *
+ * @param running sequences in the batch
+ * @param waiting sequences queued
+ * @param usedTokens key-value memory held by running sequences, in tokens
+ * @param preemptions sequences put back to be computed anew, since the start
+ */
+public record EngineLoad(int running, int waiting, int usedTokens, long preemptions) {}
--- /dev/null
+++ b/src/main/java/org/cuminrack/standin/OutputText.java
@@ -0,0 +1,50 @@
+package org.cuminrack.standin;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * The words that a stand-in engine answers a prompt with. The word at an index depends on nothing
+ * but the seed, so that a caller can check an answer word by word.
+ *
+ * @param seed stands for the prompt, and for the engine's life where answers differ by it
+ */
+public record OutputText(long seed) {
+  private static final int WORD_BITS = 32;
+
+  /** Returns the answer's words for a prompt, the same on every engine. */
+  public static OutputText of(String prompt) {
+    return of(prompt, "");
+  }
+
+  /** Returns the answer's words for a prompt on one life of an engine. */
+  public static OutputText of(String prompt, String bootId) {
+    MessageDigest digest = sha256();
+    digest.update(bootId.getBytes(StandardCharsets.UTF_8));
+    digest.update((byte) 0);
+    byte[] hash = digest.digest(prompt.getBytes(StandardCharsets.UTF_8));
+    return new OutputText(ByteBuffer.wrap(hash).getLong());
+  }
+
+  /** Returns the word at an index, with a space after it. */
+  public String word(int index) {
+    long mixed = mix(seed + index * 0x9E3779B97F4A7C15L);
+    return "w" + Long.toHexString(mixed >>> WORD_BITS) + " ";
+  }
+
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
