Keep a replicated log over the control VMs

A replica is a VM name and a disk incarnation. An empty disk draws a new incarnation and has no vote; the leader catches it up and then replaces the old voter through a joint voter set. A swap in one entry was ruled out: a disk that comes back after it was replaced could then elect a second leader in the same term with a voter that has not seen the entry.

Acknowledgements carry the synced index instead of waiting behind the sync, so that a slow or full disk does not hold heartbeats and confirmations up.

Three real replicas over loopback: leaders stopped during 300 proposals, restart of all, each disk wiped in turn after the repair of the one before.

--- /dev/null
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -0,0 +1,304 @@
+package org.cuminrack.quorum;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.quorum.internal.CoreView;
+import org.cuminrack.quorum.internal.Effect;
+import org.cuminrack.quorum.internal.Event;
+import org.cuminrack.quorum.internal.LogEntry;
+import org.cuminrack.quorum.internal.Packet;
+import org.cuminrack.quorum.internal.PacketCodec;
+import org.cuminrack.quorum.internal.QuorumCore;
+import org.cuminrack.storage.Disk;
+import org.cuminrack.storage.LogStore;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireHandler;
+
+/**
+ * A replica of the log: one thread for the protocol and the state machine, one for the disk. The
+ * state machine is restored and driven from the first thread, beginning with {@link #start()}.
+ */
+public final class QuorumNode implements ManagedService, ReplicatedLog {
+  /** The largest command, in bytes. */
+  public static final int MAX_COMMAND_BYTES = 4 << 20;
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_QUEUED_EVENTS = 1 << 16;
+  private static final byte[] EMPTY = {};
+
+  private final QuorumSettings settings;
+  private final StateMachine stateMachine;
+  private final Clock clock;
+  private final RandomGenerator random;
+  private final Disk disk;
+  private final PacketSender sender;
+  private final RequestTable requests = new RequestTable();
+  private final LinkedBlockingQueue<Event> queue = new LinkedBlockingQueue<>();
+  private final List<Event> ownEvents = new ArrayList<>();
+  private LogStore store;
+  private DiskWorker diskWorker;
+  private QuorumCore core;
+  private Thread thread;
+  private long voteSynced;
+  private long snapshotIndex;
+  private volatile CoreView view;
+  private volatile boolean stopping;
+  private volatile String broken = "";
+
+  public QuorumNode(
+      QuorumSettings settings,
+      StateMachine stateMachine,
+      WireClient client,
+      Clock clock,
+      RandomGenerator random) {
+    this(settings, stateMachine, client, clock, random, Disk.local());
+  }
+
+  QuorumNode(
+      QuorumSettings settings,
+      StateMachine stateMachine,
+      WireClient client,
+      Clock clock,
+      RandomGenerator random,
+      Disk disk) {
+    this.settings = settings;
+    this.stateMachine = stateMachine;
+    this.clock = clock;
+    this.random = random;
+    this.disk = disk;
+    this.sender = new PacketSender(settings.voters(), client);
+  }
+
+  /** Reads the disk and begins to take part; throws if the data folder can't be used. */
+  @Override
+  public void start() {
+    String vmName = settings.vmName();
+    store = openStore(vmName);
+    logStart();
+    core =
+        new QuorumCore(
+            store.recovered(),
+            settings.voters().keySet(),
+            settings.timing(),
+            random,
+            clock.nanoTime());
+    view = core.view();
+    diskWorker = new DiskWorker(vmName, store, queue::add, sender::send, this::breakDown);
+    diskWorker.start();
+    thread = new Thread(this::run, "quorum-" + vmName);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private LogStore openStore(String vmName) {
+    SecureRandom incarnations = new SecureRandom();
+    LongSupplier nextIncarnation = () -> incarnations.nextLong(1, Long.MAX_VALUE);
+    try {
+      return LogStore.open(disk, settings.dataFolder(), vmName, nextIncarnation);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void logStart() {
+    Optional<String> corruption = store.corruption();
+    corruption.ifPresent(
+        detail ->
+            logger.atSevere().log("%s", LogEvent.named("disk-corrupted").with("detail", detail)));
+    LogEvent event =
+        LogEvent.named("replica-started")
+            .with("replica", store.recovered().self())
+            .with("blank", store.recovered().snapshot() == null)
+            .with("entries", store.recovered().entries().size());
+    logger.atInfo().log("%s", event);
+  }
+
+  @Override
+  public void stop() {
+    if (thread == null) {
+      return;
+    }
+    stopping = true;
+    thread.interrupt();
+    join();
+    diskWorker.stop();
+    requests.failAll(new ProposalFailure.OutcomeUnknown("stopped"));
+    try {
+      store.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    thread = null;
+  }
+
+  private void join() {
+    try {
+      thread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns what the process's wire server serves as {@link Method#QUORUM_MESSAGE}. */
+  public WireHandler handler() {
+    return payload -> {
+      Packet packet = PacketCodec.decode(payload);
+      if (queue.size() < MAX_QUEUED_EVENTS) {
+        queue.add(new Event.Received(packet));
+      }
+      return CompletableFuture.completedFuture(EMPTY);
+    };
+  }
+
+  @Override
+  public CompletableFuture<Either<ProposalFailure, Applied>> propose(
+      byte[] command, Duration timeout) {
+    if (command.length > MAX_COMMAND_BYTES) {
+      throw new IllegalArgumentException(
+          "command: expected up to " + MAX_COMMAND_BYTES + " bytes, found " + command.length);
+    }
+    RequestTable.Opened<Applied> request = requests.openProposal(timeout);
+    queue.add(new Event.Propose(request.id(), command));
+    return request.future();
+  }
+
+  @Override
+  public CompletableFuture<Either<ProposalFailure, Long>> confirmLeadership(Duration timeout) {
+    RequestTable.Opened<Long> request = requests.openRead(timeout);
+    queue.add(new Event.ConfirmLeadership(request.id()));
+    return request.future();
+  }
+
+  @Override
+  public boolean leads() {
+    return isWorking() && view.established();
+  }
+
+  @Override
+  public long term() {
+    return view.term();
+  }
+
+  @Override
+  public String leader() {
+    return isWorking() ? view.leader() : "";
+  }
+
+  private boolean isWorking() {
+    return !stopping && broken.isEmpty();
+  }
+
+  /** Returns the replica's state, for the dump. */
+  public QuorumStatus status() {
+    return StatusFormat.statusOf(view, store.corruption().orElse(""), broken);
+  }
+
+  private void run() {
+    try {
+      while (!stopping) {
+        step(nextEvents());
+      }
+    } catch (InterruptedException e) {
+      logger.atFine().log("%s", LogEvent.named("quorum-stopped"));
+    } catch (RuntimeException e) {
+      breakDown(e);
+    }
+  }
+
+  private List<Event> nextEvents() throws InterruptedException {
+    List<Event> events = new ArrayList<>(ownEvents);
+    ownEvents.clear();
+    if (events.isEmpty()) {
+      long waitNanos = core.nextDeadline() - clock.nanoTime();
+      Event first = queue.poll(Math.max(0, waitNanos), TimeUnit.NANOSECONDS);
+      if (first == null) {
+        return events;
+      }
+      events.add(first);
+    }
+    queue.drainTo(events);
+    return events;
+  }
+
+  private void step(List<Event> events) {
+    for (Event event : events) {
+      if (event instanceof Event.VoteSynced synced) {
+        voteSynced = Math.max(voteSynced, synced.sequence());
+      }
+    }
+    List<Effect> effects = core.step(events, clock.nanoTime());
+    view = core.view();
+    effects.forEach(this::carryOut);
+    takeSnapshotIfDue();
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof Effect.Send send) {
+      if (send.afterVoteSequence() <= voteSynced) {
+        sender.send(send.packet());
+      } else {
+        diskWorker.add(send);
+      }
+    } else if (effect instanceof Effect.Apply apply) {
+      apply(apply);
+    } else if (effect instanceof Effect.Restore restore) {
+      stateMachine.restore(restore.image().index(), restore.image().data());
+      snapshotIndex = restore.image().index();
+    } else if (effect instanceof Effect.Fail fail) {
+      requests.fail(fail.requestId(), fail.failure());
+    } else if (effect instanceof Effect.Confirm confirm) {
+      requests.confirm(confirm.requestId(), confirm.index());
+    } else {
+      diskWorker.add(effect);
+    }
+  }
+
+  private void apply(Effect.Apply apply) {
+    LogEntry entry = apply.entry();
+    switch (entry.kind()) {
+      case COMMAND ->
+          requests.applied(
+              apply.requestId(), entry.index(), stateMachine.apply(entry.index(), entry.data()));
+      case VOTERS ->
+          logger.atInfo().log(
+              "%s", LogEvent.named("voters-changed").with("voters", votersOf(entry)));
+      case NO_OPERATION -> {}
+    }
+  }
+
+  private static String votersOf(LogEntry entry) {
+    return new String(entry.data(), StandardCharsets.UTF_8);
+  }
+
+  private void takeSnapshotIfDue() {
+    long applied = view.appliedIndex();
+    if (applied - snapshotIndex >= settings.snapshotEveryEntries()) {
+      snapshotIndex = applied;
+      ownEvents.add(new Event.SnapshotTaken(applied, stateMachine.snapshot()));
+    }
+  }
+
+  private void breakDown(Throwable cause) {
+    broken = cause.toString();
+    stopping = true;
+    logger.atSevere().withCause(cause).log("%s", LogEvent.named("replica-broken"));
+    requests.failAll(new ProposalFailure.OutcomeUnknown("replica broken: " + broken));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/quorum/internal/CoreView.java
@@ -0,0 +1,22 @@
+package org.cuminrack.quorum.internal;
+
+/**
+ * The core's state at one moment, for dumps and tests.
+ *
+ * @param established leads and has committed an entry of its term
+ * @param voters null while the replica is blank
+ */
+public record CoreView(
+    ReplicaId self,
+    Role role,
+    long term,
+    String leader,
+    boolean established,
+    long lastIndex,
+    long durableIndex,
+    long commitIndex,
+    long appliedIndex,
+    long snapshotIndex,
+    long groupId,
+    boolean diskFull,
+    VoterSet voters) {}
--- /dev/null
+++ b/src/main/java/org/cuminrack/quorum/internal/LogEntry.java
@@ -0,0 +1,10 @@
+package org.cuminrack.quorum.internal;
+
+/**
+ * An entry of the replicated log.
+ *
+ * @param index its place, from 1
+ * @param term the term of the leader that appended it
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record LogEntry(long index, long term, EntryKind kind, byte[] data) {}
--- /dev/null
+++ b/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
@@ -0,0 +1,278 @@
+package org.cuminrack.quorum.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.cuminrack.quorum.ProposalFailure;
+
+/**
+ * The replicated log's protocol without any I/O: events and the time go in, effects come out. Used
+ * by one thread at a time.
+ */
+public final class QuorumCore {
+  /** How many entries before a snapshot are kept for replicas that lag a little. */
+  private static final int KEPT_ENTRIES = 512;
+
+  private final CoreState state;
+  private final Elections elections;
+  private final Leadership leadership;
+  private final Learners learners;
+  private final Replication replication;
+  private final Following following;
+  private final Formation formation;
+
+  /**
+   * Begins with what the disk holds.
+   *
+   * @param vmNames the VMs of the group, this one among them
+   */
+  public QuorumCore(
+      Recovered recovered,
+      Set<String> vmNames,
+      Timing timing,
+      RandomGenerator random,
+      long nowNanos) {
+    if (!vmNames.contains(recovered.self().vmName())) {
+      throw new IllegalArgumentException(
+          "vmNames: expected " + recovered.self().vmName() + " among them, found " + vmNames);
+    }
+    state = new CoreState(recovered, new TreeSet<>(vmNames), timing, random, nowNanos);
+    elections = new Elections(state);
+    leadership = new Leadership(state);
+    learners = new Learners(state, leadership);
+    replication = new Replication(state, leadership);
+    following = new Following(state);
+    formation = new Formation(state);
+  }
+
+  /** Takes events in, in order, and the time; returns what is to be done, in order. */
+  public List<Effect> step(List<Event> events, long nowNanos) {
+    state.now = nowNanos;
+    events.forEach(this::handle);
+    tick();
+    List<Effect> effects = state.effects;
+    state.effects = new ArrayList<>();
+    return effects;
+  }
+
+  /** Returns when {@link #step} has something to do even if no event comes. */
+  public long nextDeadline() {
+    if (state.role == Role.LEADER) {
+      return replication.nextDeadline();
+    }
+    long election = state.isVoter() ? state.electionDeadline : Long.MAX_VALUE;
+    return Math.min(election, formation.nextDeadline());
+  }
+
+  /** Returns what there is to see from outside. */
+  public CoreView view() {
+    return new CoreView(
+        state.self,
+        state.role,
+        state.term,
+        state.leaderName(),
+        leadership.isEstablished(),
+        state.log.lastIndex(),
+        state.durableIndex,
+        state.commitIndex,
+        state.appliedIndex,
+        state.isBlank() ? 0 : state.snapshot.index(),
+        state.groupId(),
+        state.diskFull,
+        state.isBlank() ? null : state.log.voters());
+  }
+
+  private void tick() {
+    formation.onTick();
+    elections.onTick();
+    if (state.role != Role.LEADER) {
+      return;
+    }
+    if (!leadership.hasQuorum()) {
+      follow(null);
+      return;
+    }
+    learners.onTick();
+    leadership.advanceCommit();
+    replication.sendDue();
+    leadership.confirmReads();
+  }
+
+  private void handle(Event event) {
+    if (event instanceof Event.Received received) {
+      receive(received.packet());
+    } else if (event instanceof Event.Propose proposal) {
+      propose(proposal);
+    } else if (event instanceof Event.ConfirmLeadership read) {
+      confirmLeadership(read.requestId());
+    } else if (event instanceof Event.VoteSynced synced) {
+      voteSynced(synced.sequence());
+    } else if (event instanceof Event.LogSynced synced) {
+      logSynced(synced);
+    } else if (event instanceof Event.SnapshotTaken taken) {
+      snapshotTaken(taken);
+    } else if (event instanceof Event.DiskFull disk) {
+      state.diskFull = disk.full();
+    }
+  }
+
+  private void propose(Event.Propose proposal) {
+    if (state.role == Role.LEADER) {
+      leadership.onPropose(proposal);
+    } else {
+      failNotLeader(proposal.requestId());
+    }
+  }
+
+  private void confirmLeadership(long requestId) {
+    if (state.role == Role.LEADER) {
+      leadership.onConfirmLeadership(requestId);
+    } else {
+      failNotLeader(requestId);
+    }
+  }
+
+  private void failNotLeader(long requestId) {
+    ProposalFailure failure = new ProposalFailure.NotLeader(state.leaderName());
+    state.effects.add(new Effect.Fail(requestId, failure));
+  }
+
+  private void voteSynced(long sequence) {
+    state.voteSynced = Math.max(state.voteSynced, sequence);
+    if (elections.onVoteSynced()) {
+      leadership.begin();
+    }
+  }
+
+  private void logSynced(Event.LogSynced synced) {
+    if (synced.epoch() != state.epoch) {
+      return;
+    }
+    state.durableIndex = Math.max(state.durableIndex, synced.index());
+    following.onLogSynced();
+  }
+
+  private void snapshotTaken(Event.SnapshotTaken taken) {
+    boolean isNewer = !state.isBlank() && taken.index() > state.snapshot.index();
+    if (!isNewer || taken.index() > state.appliedIndex) {
+      return;
+    }
+    long index = taken.index();
+    state.snapshot =
+        new SnapshotImage(
+            index,
+            state.log.termAt(index),
+            state.groupId(),
+            state.log.votersAt(index),
+            taken.data());
+    state.log.compactTo(index - KEPT_ENTRIES);
+    state.effects.add(new Effect.SaveSnapshot(state.epoch, state.snapshot, false));
+  }
+
+  private void receive(Packet packet) {
+    if (!isForThisReplica(packet)) {
+      return;
+    }
+    if (isAboutMembership(packet.message())) {
+      receiveWithoutTerm(packet);
+      return;
+    }
+    if (state.isBlank() && !(packet.message() instanceof Message.SnapshotPart)) {
+      return;
+    }
+    if (packet.term() > state.term) {
+      follow(null);
+      state.adoptTerm(packet.term());
+    }
+    boolean dependsOnTerm = !(packet.message() instanceof Message.PreVoteReply);
+    if (dependsOnTerm && packet.term() < state.term) {
+      refuseOldTerm(packet);
+      return;
+    }
+    receiveInTerm(packet.from(), packet.message());
+  }
+
+  private boolean isForThisReplica(Packet packet) {
+    boolean knownVm = state.vmNames.contains(packet.from().vmName());
+    boolean fromOther = !packet.from().vmName().equals(state.self.vmName());
+    long to = packet.toIncarnation();
+    boolean toThis = to == Packet.ANY || to == state.self.incarnation();
+    long group = packet.groupId();
+    boolean sameGroup = group == 0 || state.isBlank() || group == state.groupId();
+    return knownVm && fromOther && toThis && sameGroup;
+  }
+
+  private static boolean isAboutMembership(Message message) {
+    return message instanceof Message.Hello
+        || message instanceof Message.HelloReply
+        || message instanceof Message.Form
+        || message instanceof Message.PreVote;
+  }
+
+  private void receiveWithoutTerm(Packet packet) {
+    ReplicaId from = packet.from();
+    if (packet.message() instanceof Message.Hello hello) {
+      formation.onHello(from, hello);
+      if (state.role == Role.LEADER) {
+        learners.onHello(from, hello.blank());
+      }
+    } else if (packet.message() instanceof Message.HelloReply reply) {
+      formation.onHelloReply(from, reply);
+    } else if (packet.message() instanceof Message.Form form) {
+      formation.onForm(packet.groupId(), form);
+    } else if (packet.message() instanceof Message.PreVote question) {
+      elections.onPreVote(from, question);
+    }
+  }
+
+  private void refuseOldTerm(Packet packet) {
+    if (packet.message() instanceof Message.Append append) {
+      long previous = append.previousIndex();
+      state.send(packet.from(), new Message.AppendReply(false, previous, 0, 0, 0, false));
+    } else if (packet.message() instanceof Message.SnapshotPart) {
+      state.send(packet.from(), new Message.AppendReply(false, 0, 0, 0, 0, false));
+    } else if (packet.message() instanceof Message.Vote) {
+      state.send(packet.from(), new Message.VoteReply(false));
+    }
+  }
+
+  private void receiveInTerm(ReplicaId from, Message message) {
+    if (message instanceof Message.Append append) {
+      following.onAppend(from, append);
+    } else if (message instanceof Message.SnapshotPart part) {
+      following.onSnapshotPart(from, part);
+    } else if (message instanceof Message.Vote question) {
+      elections.onVote(from, question);
+    } else if (message instanceof Message.PreVoteReply reply) {
+      elections.onPreVoteReply(from, reply);
+    } else if (message instanceof Message.VoteReply reply) {
+      if (elections.onVoteReply(from, reply)) {
+        leadership.begin();
+      }
+    } else if (state.role == Role.LEADER) {
+      receiveAsLeader(from, message);
+    }
+  }
+
+  private void receiveAsLeader(ReplicaId from, Message message) {
+    if (message instanceof Message.AppendReply reply) {
+      leadership.onAppendReply(from, reply);
+    } else if (message instanceof Message.SnapshotReply reply) {
+      replication.onSnapshotReply(from, reply);
+    }
+  }
+
+  private void follow(ReplicaId leader) {
+    boolean led = state.role == Role.LEADER;
+    if (state.role != Role.BLANK) {
+      state.role = Role.FOLLOWER;
+    }
+    state.leader = leader;
+    if (led) {
+      state.resetElectionDeadline();
+      leadership.end();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/storage/AtomicFile.java
@@ -0,0 +1,42 @@
+package org.cuminrack.storage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** A file of one frame that is there as a whole or not at all. */
+final class AtomicFile {
+  static final String UNFINISHED = ".unfinished";
+
+  private AtomicFile() {}
+
+  static void write(Disk disk, Path file, byte[] frame) throws IOException {
+    Path unfinished = file.resolveSibling(file.getFileName() + UNFINISHED);
+    try {
+      writeUnfinished(disk, unfinished, frame);
+    } catch (IOException e) {
+      Files.deleteIfExists(unfinished);
+      throw e;
+    }
+    disk.move(unfinished, file);
+    disk.syncFolder(file.getParent());
+  }
+
+  private static void writeUnfinished(Disk disk, Path file, byte[] frame) throws IOException {
+    try (DiskFile open = disk.open(file)) {
+      open.truncate(0);
+      open.write(0, frame);
+      open.sync();
+    }
+  }
+
+  static byte[] read(Disk disk, Path file) throws IOException {
+    try (DiskFile open = disk.open(file)) {
+      Frame.Result result = Frame.read(open.readAll(), 0);
+      if (result instanceof Frame.Result.Good good) {
+        return good.payload();
+      }
+      throw new CorruptionException(file, 0, result.toString());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/storage/LogStore.java
@@ -0,0 +1,195 @@
+package org.cuminrack.storage;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.cuminrack.generated.quorum.VoteStateRecord;
+import org.cuminrack.quorum.internal.LogEntry;
+import org.cuminrack.quorum.internal.RecordCodec;
+import org.cuminrack.quorum.internal.Recovered;
+import org.cuminrack.quorum.internal.ReplicaId;
+import org.cuminrack.quorum.internal.SnapshotImage;
+
+/**
+ * All that a replica keeps on disk, in one folder. Every method that writes has synced when it
+ * returns. A disk that can't be read back as it was written is set aside, and the replica begins on
+ * a blank one under a new incarnation. Used by one thread at a time.
+ */
+public final class LogStore implements AutoCloseable {
+  private static final int PROBE_BYTES = 64 << 10;
+  private static final String PROBE = "probe" + AtomicFile.UNFINISHED;
+
+  private final Disk disk;
+  private final Path folder;
+  private final FolderLock lock;
+  private VoteFile votes;
+  private SegmentedLog log;
+  private SnapshotFiles snapshots;
+  private Recovered recovered;
+  private String corruption;
+
+  private LogStore(Disk disk, Path folder, FolderLock lock) {
+    this.disk = disk;
+    this.folder = folder;
+    this.lock = lock;
+  }
+
+  /**
+   * Opens a data folder, or makes it.
+   *
+   * @param vmName the VM that the folder must belong to
+   * @param incarnations draws the incarnation of a new disk; must never repeat
+   */
+  public static LogStore open(Disk disk, Path folder, String vmName, LongSupplier incarnations)
+      throws IOException {
+    Files.createDirectories(folder);
+    LogStore store = new LogStore(disk, folder, FolderLock.take(folder));
+    try {
+      store.recover(vmName, incarnations);
+    } catch (IOException | RuntimeException e) {
+      store.close();
+      throw e;
+    }
+    return store;
+  }
+
+  /** Returns what was on the disk when it was opened. */
+  public Recovered recovered() {
+    return recovered;
+  }
+
+  /** Names what could not be read back, if the disk was set aside for that. */
+  public Optional<String> corruption() {
+    return Optional.ofNullable(corruption);
+  }
+
+  private void recover(String vmName, LongSupplier incarnations) throws IOException {
+    try {
+      recovered = readOrBegin(vmName, incarnations);
+    } catch (CorruptionException | InvalidProtocolBufferException | IllegalArgumentException e) {
+      corruption = e.getMessage();
+      closeFiles();
+      DamagedFiles.setAside(folder);
+      recovered = begin(vmName, incarnations);
+    }
+  }
+
+  private Recovered readOrBegin(String vmName, LongSupplier incarnations) throws IOException {
+    if (IdentityFile.exists(folder)) {
+      return read(vmName);
+    }
+    boolean hasLog = !NumberedFiles.list(folder, SegmentedLog.PREFIX).isEmpty();
+    if (hasLog) {
+      throw new CorruptionException(folder.resolve(IdentityFile.NAME), 0, "missing");
+    }
+    return begin(vmName, incarnations);
+  }
+
+  private Recovered begin(String vmName, LongSupplier incarnations) throws IOException {
+    openFiles();
+    votes.write(0, null);
+    ReplicaId self = new ReplicaId(vmName, incarnations.getAsLong());
+    IdentityFile.write(disk, folder, self);
+    return Recovered.blank(self);
+  }
+
+  private Recovered read(String vmName) throws IOException {
+    ReplicaId self = IdentityFile.read(disk, folder);
+    if (!self.vmName().equals(vmName)) {
+      throw new IllegalStateException(
+          "data folder " + folder + ": expected VM " + vmName + ", found " + self.vmName());
+    }
+    openFiles();
+    VoteStateRecord vote = votes.read();
+    ReplicaId votedFor = vote.hasVotedFor() ? RecordCodec.fromRecord(vote.getVotedFor()) : null;
+    SnapshotImage snapshot = snapshots.readNewest();
+    List<LogEntry> entries = EntriesAfter.snapshot(snapshot, log.recover(), folder);
+    return new Recovered(self, vote.getTerm(), votedFor, snapshot, entries);
+  }
+
+  private void openFiles() throws IOException {
+    votes = VoteFile.open(disk, folder);
+    log = new SegmentedLog(disk, folder);
+    snapshots = new SnapshotFiles(disk, folder);
+  }
+
+  /** Writes the term and the vote in it; works on a full disk too. */
+  public void saveVote(long term, ReplicaId votedFor) throws IOException {
+    votes.write(term, votedFor);
+  }
+
+  /**
+   * Writes entries; they replace all from the first one's index on.
+   *
+   * @throws DiskFullException if there is no room
+   */
+  public void append(List<LogEntry> entries) throws IOException {
+    try {
+      log.write(entries);
+    } catch (IOException e) {
+      throw new DiskFullException(e);
+    }
+    log.sync();
+  }
+
+  /**
+   * Writes a snapshot and drops what it makes needless.
+   *
+   * @param resetsLog drops all entries, also those after the snapshot
+   * @throws DiskFullException if there is no room
+   */
+  public void saveSnapshot(SnapshotImage image, boolean resetsLog) throws IOException {
+    try {
+      snapshots.write(image);
+    } catch (IOException e) {
+      throw new DiskFullException(e);
+    }
+    if (resetsLog) {
+      log.clear();
+    } else {
+      log.dropUpTo(image.index());
+    }
+  }
+
+  /** Tells whether there is room to write. */
+  public boolean hasRoom() {
+    Path probe = folder.resolve(PROBE);
+    try {
+      try (DiskFile file = disk.open(probe)) {
+        file.write(0, new byte[PROBE_BYTES]);
+      }
+      return true;
+    } catch (IOException e) {
+      return false;
+    } finally {
+      deleteQuietly(probe);
+    }
+  }
+
+  private static void deleteQuietly(Path file) {
+    try {
+      Files.deleteIfExists(file);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  private void closeFiles() throws IOException {
+    if (votes != null) {
+      votes.close();
+    }
+    if (log != null) {
+      log.close();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closeFiles();
+    lock.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/storage/SnapshotFiles.java
@@ -0,0 +1,42 @@
+package org.cuminrack.storage;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.cuminrack.generated.quorum.SnapshotRecord;
+import org.cuminrack.quorum.internal.RecordCodec;
+import org.cuminrack.quorum.internal.SnapshotImage;
+
+/** The snapshot files of a data folder; the one with the highest index counts. */
+final class SnapshotFiles {
+  private static final String PREFIX = "snapshot-";
+
+  private final Disk disk;
+  private final Path folder;
+
+  SnapshotFiles(Disk disk, Path folder) {
+    this.disk = disk;
+    this.folder = folder;
+  }
+
+  /** Returns the newest snapshot; null if there is none. */
+  SnapshotImage readNewest() throws IOException {
+    List<Path> files = NumberedFiles.list(folder, PREFIX);
+    if (files.isEmpty()) {
+      return null;
+    }
+    byte[] payload = AtomicFile.read(disk, files.get(files.size() - 1));
+    return RecordCodec.fromRecord(SnapshotRecord.parseFrom(payload));
+  }
+
+  /** Writes a snapshot, syncs it, and then drops the older ones. */
+  void write(SnapshotImage image) throws IOException {
+    Path file = folder.resolve(NumberedFiles.name(PREFIX, image.index()));
+    AtomicFile.write(disk, file, Frame.wrap(RecordCodec.toRecord(image).toByteArray()));
+    for (Path other : NumberedFiles.list(folder, PREFIX)) {
+      if (NumberedFiles.number(other, PREFIX) < image.index()) {
+        disk.delete(other);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/storage/VoteFile.java
@@ -0,0 +1,80 @@
+package org.cuminrack.storage;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import org.cuminrack.generated.quorum.VoteStateRecord;
+import org.cuminrack.quorum.internal.RecordCodec;
+import org.cuminrack.quorum.internal.ReplicaId;
+
+/**
+ * Term and vote, written over in place, so that it works on a full disk. Two copies, synced one
+ * after the other: whatever happens in between, one of them is whole.
+ */
+final class VoteFile implements AutoCloseable {
+  static final String NAME = "vote";
+  private static final int SLOT_BYTES = 4096;
+  private static final int SLOTS = 2;
+
+  private final Path path;
+  private final DiskFile file;
+  private long sequence;
+
+  private VoteFile(Path path, DiskFile file) {
+    this.path = path;
+    this.file = file;
+  }
+
+  static VoteFile open(Disk disk, Path folder) throws IOException {
+    Path path = folder.resolve(NAME);
+    return new VoteFile(path, disk.open(path));
+  }
+
+  boolean isEmpty() throws IOException {
+    return file.size() == 0;
+  }
+
+  void write(long term, ReplicaId votedFor) throws IOException {
+    sequence++;
+    VoteStateRecord.Builder record =
+        VoteStateRecord.newBuilder().setTerm(term).setSequence(sequence);
+    if (votedFor != null) {
+      record.setVotedFor(RecordCodec.toRecord(votedFor));
+    }
+    byte[] slot = Arrays.copyOf(Frame.wrap(record.build().toByteArray()), SLOT_BYTES);
+    for (int i = 0; i < SLOTS; i++) {
+      file.write((long) i * SLOT_BYTES, slot);
+      file.sync();
+    }
+  }
+
+  VoteStateRecord read() throws IOException {
+    byte[] bytes = file.readAll();
+    VoteStateRecord newest = null;
+    for (int i = 0; i < SLOTS; i++) {
+      VoteStateRecord slot = readSlot(bytes, i * SLOT_BYTES);
+      if (slot != null && (newest == null || slot.getSequence() > newest.getSequence())) {
+        newest = slot;
+      }
+    }
+    if (newest == null) {
+      throw new CorruptionException(path, 0, "no copy of the vote can be read");
+    }
+    sequence = newest.getSequence();
+    return newest;
+  }
+
+  private static VoteStateRecord readSlot(byte[] bytes, int offset) throws IOException {
+    if (offset >= bytes.length) {
+      return null;
+    }
+    return Frame.read(bytes, offset) instanceof Frame.Result.Good good
+        ? VoteStateRecord.parseFrom(good.payload())
+        : null;
+  }
+
+  @Override
+  public void close() throws IOException {
+    file.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/TestGroup.java
@@ -0,0 +1,110 @@
+package org.cuminrack.quorum;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+
+/** Real replicas in one process that talk over loopback. */
+final class TestGroup implements AutoCloseable {
+  static final Duration PATIENCE = Duration.ofSeconds(20);
+  private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration POLL = Duration.ofMillis(2);
+
+  final Map<String, TestVm> vms = new TreeMap<>();
+  private final Map<String, String> voters = new TreeMap<>();
+
+  TestGroup(Path folder, String... names) {
+    for (String name : names) {
+      TestVm vm = new TestVm(name, folder.resolve(name));
+      vms.put(name, vm);
+      voters.put(name, vm.address());
+    }
+  }
+
+  TestGroup startAll() {
+    vms.values().forEach(this::start);
+    return this;
+  }
+
+  void start(TestVm vm) {
+    vm.start(voters);
+  }
+
+  TestVm vm(String name) {
+    return vms.get(name);
+  }
+
+  TestVm awaitLeader() {
+    await("a leader", () -> leaderOrNull() != null);
+    return leaderOrNull();
+  }
+
+  TestVm leaderOrNull() {
+    return running().filter(vm -> vm.node.leads()).findFirst().orElse(null);
+  }
+
+  Stream<TestVm> running() {
+    return vms.values().stream().filter(vm -> vm.node != null && !vm.cutOff);
+  }
+
+  List<TestVm> others(TestVm vm) {
+    return vms.values().stream().filter(each -> each != vm).toList();
+  }
+
+  /** Proposes on whoever leads until a proposal is applied. */
+  Applied proposeUntilApplied(String line) {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (System.nanoTime() < end) {
+      TestVm leader = awaitLeader();
+      QuorumNode node = leader.node;
+      if (node != null) {
+        Either<ProposalFailure, Applied> outcome =
+            node.propose(TextList.bytes(line), PROPOSAL_TIMEOUT).join();
+        if (outcome.isRight()) {
+          return outcome.get();
+        }
+      }
+    }
+    throw new AssertionError("proposal: expected applied in " + PATIENCE + ", found none: " + line);
+  }
+
+  void awaitLine(TestVm vm, String line) {
+    await(vm.name + " has " + line, () -> vm.list.lines().contains(line));
+  }
+
+  void awaitSameLines() {
+    await("same lines", () -> running().map(vm -> vm.list.lines()).distinct().count() == 1);
+  }
+
+  static void wipe(TestVm vm) throws IOException {
+    try (Stream<Path> files = Files.walk(vm.folder)) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+
+  static void await(String what, BooleanSupplier condition) {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.getAsBoolean() && System.nanoTime() < end) {
+      LockSupport.parkNanos(POLL.toNanos());
+    }
+    assertWithMessage(what).that(condition.getAsBoolean()).isTrue();
+  }
+
+  @Override
+  public void close() {
+    vms.values().forEach(TestVm::close);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/TestVm.java
@@ -0,0 +1,83 @@
+package org.cuminrack.quorum;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.storage.Disk;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireGroup;
+import org.cuminrack.wire.WireServer;
+
+/** A VM of a test group: its port stays, its replica comes and goes. */
+final class TestVm {
+  private static final WireGroup GROUP = new WireGroup("eu", "main");
+
+  final String name;
+  final Path folder;
+  private final WireServer server;
+  private final WireClient client = new WireClient(GROUP);
+  volatile QuorumNode node;
+  volatile boolean cutOff;
+  TextList list;
+  Disk disk = Disk.local();
+  int snapshotEveryEntries = 100;
+
+  TestVm(String name, Path folder) {
+    this.name = name;
+    this.folder = folder;
+    this.server =
+        new WireServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), GROUP)
+            .serve(Method.QUORUM_MESSAGE, this::receive);
+    server.start();
+    client.start();
+  }
+
+  private CompletableFuture<byte[]> receive(byte[] payload) {
+    QuorumNode present = node;
+    if (present == null || cutOff) {
+      return CompletableFuture.failedFuture(new IllegalStateException("down"));
+    }
+    return present.handler().handle(payload);
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.port();
+  }
+
+  void start(Map<String, String> voters) {
+    list = new TextList();
+    QuorumSettings settings =
+        new QuorumSettings(
+            name,
+            voters,
+            folder,
+            Duration.ofMillis(30),
+            Duration.ofMillis(150),
+            Duration.ofMillis(300),
+            snapshotEveryEntries);
+    Random random = new Random(name.hashCode());
+    QuorumNode started = new QuorumNode(settings, list, client, Clock.system(), random, disk);
+    started.start();
+    node = started;
+  }
+
+  void stopNode() {
+    QuorumNode stopped = node;
+    node = null;
+    if (stopped != null) {
+      stopped.stop();
+    }
+  }
+
+  void close() {
+    stopNode();
+    client.stop();
+    server.stop();
+  }
+}
