--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/EngineLink.java
@@ -0,0 +1,95 @@
+package org.cuminrack.relay;
+
+import io.undertow.util.HeaderMap;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+/** One connection that a generation is read over. */
+final class EngineLink implements UpstreamListener {
+  private static final int MAX_EVENT_BYTES = 64 << 10;
+
+  private final EngineStream stream;
+  private final boolean first;
+  private final EventStreamParser parser;
+  private UpstreamExchange exchange;
+
+  EngineLink(EngineStream stream, boolean first) {
+    this.stream = stream;
+    this.first = first;
+    this.parser = new EventStreamParser(MAX_EVENT_BYTES, this::event);
+  }
+
+  void attach(UpstreamExchange opened) {
+    exchange = opened;
+  }
+
+  @Override
+  public boolean maySend() {
+    return !first || stream.maySend();
+  }
+
+  @Override
+  public void sent() {
+    if (first) {
+      stream.sent();
+    }
+  }
+
+  @Override
+  public void notSent(NotSent reason) {
+    if (stream.isCurrent(this)) {
+      stream.notSent(reason);
+    }
+  }
+
+  @Override
+  public void answered(int status, HeaderMap headers) {
+    if (stream.isCurrent(this)) {
+      stream.answered(status, headers);
+    }
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    if (!stream.isCurrent(this)) {
+      return;
+    }
+    Optional<String> malformed = parser.feed(bytes);
+    if (malformed.isPresent() && stream.isCurrent(this)) {
+      stream.broken();
+    }
+    stream.turnEnded();
+  }
+
+  private void event(UpstreamEvent event) {
+    if (stream.isCurrent(this)) {
+      stream.event(event);
+    }
+  }
+
+  @Override
+  public void completed() {
+    broken("ended early");
+  }
+
+  @Override
+  public void broken(String detail) {
+    if (stream.isCurrent(this)) {
+      stream.broken();
+    }
+  }
+
+  void suspend() {
+    exchange.suspend();
+  }
+
+  void resume() {
+    exchange.resume();
+  }
+
+  void close() {
+    if (exchange != null) {
+      exchange.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/EventIds.java
@@ -0,0 +1,111 @@
+package org.cuminrack.relay;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.Base64;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Writes and reads event ids: {@code PREFIX.INDEX.MAC}. The prefix holds what stays the same through
+ * a generation; the MAC is the first 16 bytes of HMAC-SHA-256 over organisation, prefix and index,
+ * so that an id is worth nothing to another organisation.
+ */
+final class EventIds {
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final int MAC_BYTES = 16;
+  private static final int FIELDS = 5;
+  private static final int PARTS = 3;
+  private static final int MAX_LENGTH = 2048;
+  private static final char FIELD_SEPARATOR = '\n';
+  private static final Base64.Encoder ENCODER = Base64.getUrlEncoder().withoutPadding();
+  private static final Base64.Decoder DECODER = Base64.getUrlDecoder();
+
+  private final ThreadLocal<Mac> macs;
+
+  EventIds(ByteString key) {
+    SecretKeySpec secret = new SecretKeySpec(key.toByteArray(), ALGORITHM);
+    this.macs = ThreadLocal.withInitial(() -> newMac(secret));
+  }
+
+  /** Returns a writer of the ids of one generation. */
+  Writer writer(String organisation, EventId first) {
+    String fields =
+        String.join(
+            String.valueOf(FIELD_SEPARATOR),
+            first.upstream(),
+            first.address(),
+            first.bootId(),
+            first.generation(),
+            first.fingerprint());
+    return new Writer(organisation, ENCODER.encodeToString(fields.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** Reads an id that this organisation presents; the error says why it is refused. */
+  Either<String, EventId> read(String organisation, String text) {
+    String[] parts = text.length() > MAX_LENGTH ? new String[0] : text.split("\\.", -1);
+    if (parts.length != PARTS) {
+      return Either.left("Last-Event-ID: expected an id of this service");
+    }
+    try {
+      byte[] expected = mac(organisation, parts[0], parts[1]);
+      if (!MessageDigest.isEqual(expected, DECODER.decode(parts[2]))) {
+        return Either.left("Last-Event-ID: not an id that was given to this organisation");
+      }
+      return Either.right(decode(parts[0], Integer.parseInt(parts[1])));
+    } catch (IllegalArgumentException e) {
+      return Either.left("Last-Event-ID: expected an id of this service");
+    }
+  }
+
+  private static EventId decode(String prefix, int index) {
+    String fields = new String(DECODER.decode(prefix), StandardCharsets.UTF_8);
+    String[] field = fields.split(String.valueOf(FIELD_SEPARATOR), -1);
+    if (field.length != FIELDS) {
+      throw new IllegalArgumentException("expected " + FIELDS + " fields, found " + field.length);
+    }
+    return new EventId(field[0], field[1], field[2], field[3], field[4], index);
+  }
+
+  private byte[] mac(String organisation, String prefix, String index) {
+    Mac mac = macs.get();
+    mac.update(organisation.getBytes(StandardCharsets.UTF_8));
+    mac.update((byte) 0);
+    mac.update(prefix.getBytes(StandardCharsets.US_ASCII));
+    mac.update((byte) 0);
+    mac.update(index.getBytes(StandardCharsets.US_ASCII));
+    return Arrays.copyOf(mac.doFinal(), MAC_BYTES);
+  }
+
+  private static Mac newMac(SecretKeySpec secret) {
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(secret);
+      return mac;
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
+    }
+  }
+
+  /** Writes the ids of one generation. */
+  final class Writer {
+    private final String organisation;
+    private final String prefix;
+
+    private Writer(String organisation, String prefix) {
+      this.organisation = organisation;
+      this.prefix = prefix;
+    }
+
+    /** Returns the id of the token at this index. */
+    String write(int index) {
+      String number = Integer.toString(index);
+      String mac = ENCODER.encodeToString(mac(organisation, prefix, number));
+      return prefix + '.' + number + '.' + mac;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/IgnoredAnswer.java
@@ -0,0 +1,23 @@
+package org.cuminrack.relay;
+
+import io.undertow.util.HeaderMap;
+import java.nio.ByteBuffer;
+
+/** For a request whose answer changes nothing. */
+final class IgnoredAnswer implements UpstreamListener {
+
+  @Override
+  public void notSent(NotSent reason) {}
+
+  @Override
+  public void answered(int status, HeaderMap headers) {}
+
+  @Override
+  public void received(ByteBuffer bytes) {}
+
+  @Override
+  public void completed() {}
+
+  @Override
+  public void broken(String detail) {}
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/InFlight.java
@@ -0,0 +1,49 @@
+package org.cuminrack.relay;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** The work that a planned stop waits for. Safe for use by many threads. */
+final class InFlight {
+  private final Map<Long, String> work = new ConcurrentHashMap<>();
+  private final AtomicLong nextId = new AtomicLong();
+  private volatile CountDownLatch idle = new CountDownLatch(0);
+
+  /** Counts a piece of work until the returned handle is run; running it again does nothing. */
+  Runnable begin(String description) {
+    long id = nextId.incrementAndGet();
+    work.put(id, description);
+    return () -> end(id);
+  }
+
+  private void end(long id) {
+    work.remove(id);
+    if (work.isEmpty()) {
+      idle.countDown();
+    }
+  }
+
+  int size() {
+    return work.size();
+  }
+
+  /** Returns a description of each piece of work. */
+  Collection<String> descriptions() {
+    return List.copyOf(work.values());
+  }
+
+  /** Waits until nothing is in flight; false where something still is at the end of the wait. */
+  boolean awaitIdle(Duration timeout) throws InterruptedException {
+    idle = new CountDownLatch(1);
+    if (work.isEmpty()) {
+      return true;
+    }
+    return idle.await(timeout.toNanos(), TimeUnit.NANOSECONDS) || work.isEmpty();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/Refusals.java
@@ -0,0 +1,160 @@
+package org.cuminrack.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.http.ProblemDocument;
+import org.cuminrack.http.Ran;
+import org.cuminrack.member.EntryMember;
+import org.cuminrack.member.Membership;
+
+/** Words every refusal of the data path. */
+final class Refusals {
+  private static final Duration SOON = Duration.ofSeconds(1);
+  private static final int BAD_REQUEST = 400;
+  private static final int UNAUTHORISED = 401;
+  private static final int FORBIDDEN = 403;
+  private static final int NOT_FOUND = 404;
+  private static final int REQUEST_TIMEOUT = 408;
+  private static final int CONFLICT = 409;
+  private static final int TOO_LARGE = 413;
+  private static final int UNPROCESSABLE = 422;
+  private static final int BAD_GATEWAY = 502;
+  private static final int UNAVAILABLE = 503;
+  private static final int GATEWAY_TIMEOUT = 504;
+
+  private final Membership membership;
+  private final RelaySettings settings;
+
+  Refusals(Membership membership, RelaySettings settings) {
+    this.membership = membership;
+    this.settings = settings;
+  }
+
+  /** Returns the addresses of the entries that take callers, the nearest first. */
+  List<String> entries() {
+    String dataCentre = ownDataCentre();
+    return membership.view().members().stream()
+        .filter(each -> !each.stopping())
+        .sorted(java.util.Comparator.comparing(each -> !each.dataCentre().equals(dataCentre)))
+        .map(EntryMember::httpAddress)
+        .toList();
+  }
+
+  /** Returns the addresses of the entries that take callers, without this one. */
+  List<String> otherEntries() {
+    return entries().stream().filter(each -> !each.equals(settings.httpAddress())).toList();
+  }
+
+  private String ownDataCentre() {
+    return membership.view().members().stream()
+        .filter(each -> each.name().equals(settings.entryName()))
+        .map(EntryMember::dataCentre)
+        .findFirst()
+        .orElse("");
+  }
+
+  /** A request that was given up before a byte of it was sent, unless {@code ran} says otherwise. */
+  ProblemDocument refused(RefusalReason reason, Duration retryAfter, Ran ran) {
+    String name = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    ProblemDocument problem =
+        ProblemDocument.of(reason.httpStatus(), name, title(reason))
+            .withRan(ran)
+            .withRetryAfter(retryAfter);
+    return otherEntriesHelp(reason) ? problem.withEntries(otherEntries()) : problem;
+  }
+
+  private static boolean otherEntriesHelp(RefusalReason reason) {
+    return switch (reason) {
+      case NO_LEASE, OWNER_MOVING, STOPPING -> true;
+      default -> false;
+    };
+  }
+
+  private static String title(RefusalReason reason) {
+    return switch (reason) {
+      case OVERLOADED -> "the wait would be longer than the request's timeout";
+      case ORGANISATION_LIMIT -> "the organisation's share is in use";
+      case NO_UPSTREAM -> "no upstream of the service takes work";
+      case DEADLINE -> "the request's timeout has passed";
+      case RETRY_BUDGET -> "too many requests are being repeated";
+      case POISON -> "the request crashed upstreams that ran it";
+      case NO_LEASE -> "this entry has no lease; ask another one";
+      case OWNER_MOVING -> "the pool is between two owners";
+      case STOPPING -> "this entry is stopping; ask another one";
+    };
+  }
+
+  ProblemDocument badRequest(String detail) {
+    return ProblemDocument.of(BAD_REQUEST, "bad-request", detail).withRan(Ran.NO);
+  }
+
+  ProblemDocument unauthorised(String detail) {
+    return ProblemDocument.of(UNAUTHORISED, "unauthorised", detail).withRan(Ran.NO);
+  }
+
+  ProblemDocument forbidden(String detail) {
+    return ProblemDocument.of(FORBIDDEN, "unauthorised", detail).withRan(Ran.NO);
+  }
+
+  ProblemDocument unknownRoute(String detail) {
+    return ProblemDocument.of(NOT_FOUND, "unknown-route", detail).withRan(Ran.NO);
+  }
+
+  ProblemDocument slowSender() {
+    String title = "the body was not sent in " + settings.bounds().slowSender().toMillis() + " ms";
+    return ProblemDocument.of(REQUEST_TIMEOUT, "bad-request", title).withRan(Ran.NO);
+  }
+
+  ProblemDocument bodyTooLarge(int maxBytes) {
+    String title = "expected a body of at most " + maxBytes + " bytes";
+    return ProblemDocument.of(TOO_LARGE, "body-too-large", title).withRan(Ran.NO);
+  }
+
+  ProblemDocument keyMissing(String method) {
+    String title = "Idempotency-Key: expected on " + method + ", which may not be repeated";
+    return ProblemDocument.of(BAD_REQUEST, "idempotency-key-missing", title).withRan(Ran.NO);
+  }
+
+  ProblemDocument keyReused() {
+    String title = "Idempotency-Key: used before with another request";
+    return ProblemDocument.of(UNPROCESSABLE, "key-reused", title).withRan(Ran.NO);
+  }
+
+  ProblemDocument inProgress(Duration retryAfter) {
+    String title = "a request with this Idempotency-Key is in progress";
+    Duration wait = retryAfter.isZero() ? SOON : retryAfter;
+    return ProblemDocument.of(CONFLICT, "in-progress", title)
+        .withRan(Ran.UNKNOWN)
+        .withRetryAfter(wait);
+  }
+
+  ProblemDocument outcomeUnknown() {
+    String title = "the request may have run; it will not be sent again under this key";
+    return ProblemDocument.of(BAD_GATEWAY, "outcome-unknown", title).withRan(Ran.UNKNOWN);
+  }
+
+  ProblemDocument ledgerUnavailable(Duration retryAfter) {
+    Duration wait = retryAfter.isZero() ? SOON : retryAfter;
+    return ProblemDocument.of(UNAVAILABLE, "ledger-unavailable", "the ledger can't be reached")
+        .withRan(Ran.NO)
+        .withRetryAfter(wait);
+  }
+
+  ProblemDocument upstreamFailed(String detail, Ran ran) {
+    return ProblemDocument.of(BAD_GATEWAY, "upstream-failed", detail).withRan(ran);
+  }
+
+  ProblemDocument timedOut(Ran ran) {
+    return ProblemDocument.of(GATEWAY_TIMEOUT, "deadline", title(RefusalReason.DEADLINE))
+        .withRan(ran);
+  }
+
+  ProblemDocument generationLost(int lastIndex) {
+    String title = "the engine lost the generation";
+    return ProblemDocument.of(BAD_GATEWAY, "generation-lost", title)
+        .withRan(Ran.UNKNOWN)
+        .withLastIndex(lastIndex);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/RelayContext.java
@@ -0,0 +1,27 @@
+package org.cuminrack.relay;
+
+import org.cuminrack.admission.Admission;
+import org.cuminrack.ledger.Ledger;
+import org.cuminrack.member.CrashReports;
+import org.cuminrack.member.Membership;
+import org.cuminrack.time.Clock;
+
+/** What all exchanges of one entry share. */
+record RelayContext(
+    Membership membership,
+    Admission admission,
+    Ledger ledger,
+    CrashReports crashReports,
+    RelaySettings settings,
+    Clock clock,
+    RelayCounters.Table counters,
+    EventIds eventIds,
+    RunningRequests running,
+    InFlight inFlight,
+    Refusals refusals,
+    RequestIds requestIds) {
+
+  RelayBounds bounds() {
+    return settings.bounds();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/UpstreamExchange.java
@@ -0,0 +1,240 @@
+package org.cuminrack.relay;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One request to an upstream over a connection of its own, its answer handed on as it arrives. The
+ * connection is never used again, so one that went silent harms nothing but this exchange.
+ *
+ * <p>Lives on one I/O thread; exactly one of {@code notSent}, {@code completed} and {@code broken}
+ * is called, unless {@link #close} comes first.
+ */
+final class UpstreamExchange {
+  private static final int READ_BYTES = 16 << 10;
+
+  /** Reads before other exchanges of the thread get their turn. */
+  private static final int READS_A_TURN = 4;
+
+  private final UpstreamRequest request;
+  private final UpstreamListener listener;
+  private final XnioIoThread ioThread;
+  private final ByteBuffer toSend;
+  private XnioExecutor.Key connectTimer;
+  private ClientConnection connection;
+  private StreamSourceChannel source;
+  private boolean suspended;
+  private boolean sent;
+  private boolean ended;
+
+  private UpstreamExchange(
+      UpstreamRequest request, UpstreamListener listener, XnioIoThread ioThread) {
+    this.request = request;
+    this.listener = listener;
+    this.ioThread = ioThread;
+    this.toSend = request.body().asReadOnlyByteBuffer();
+  }
+
+  /** Begins an exchange; to be called on the I/O thread it is to live on. */
+  static UpstreamExchange open(
+      UpstreamRequest request,
+      UpstreamListener listener,
+      XnioIoThread ioThread,
+      ByteBufferPool buffers,
+      Duration connectTimeout) {
+    UpstreamExchange exchange = new UpstreamExchange(request, listener, ioThread);
+    exchange.connect(buffers, connectTimeout);
+    return exchange;
+  }
+
+  private void connect(ByteBufferPool buffers, Duration timeout) {
+    connectTimer =
+        ioThread.executeAfter(
+            () -> notSent(NotSent.NO_CONNECTION), timeout.toMillis(), TimeUnit.MILLISECONDS);
+    UndertowClient.getInstance()
+        .connect(
+            callback(this::connected, this::connectFailed),
+            URI.create("http://" + request.address()),
+            ioThread,
+            buffers,
+            OptionMap.create(Options.TCP_NODELAY, true));
+  }
+
+  private void connectFailed(IOException cause) {
+    notSent(cause instanceof ConnectException ? NotSent.REFUSED : NotSent.NO_CONNECTION);
+  }
+
+  private void connected(ClientConnection made) {
+    connectTimer.remove();
+    if (ended) {
+      IoUtils.safeClose(made);
+      return;
+    }
+    connection = made;
+    if (!listener.maySend()) {
+      notSent(NotSent.VETOED);
+      return;
+    }
+    sent = true;
+    made.sendRequest(clientRequest(), callback(this::sending, this::failed));
+  }
+
+  private ClientRequest clientRequest() {
+    ClientRequest head = new ClientRequest();
+    head.setMethod(request.method()).setPath(request.path());
+    request.headers().forEach(each -> head.getRequestHeaders().putAll(each.getHeaderName(), each));
+    head.getRequestHeaders().put(Headers.HOST, request.address());
+    head.getRequestHeaders().put(Headers.CONNECTION, "close");
+    head.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.body().size());
+    return head;
+  }
+
+  private void sending(ClientExchange exchange) {
+    exchange.setResponseListener(callback(this::responding, this::failed));
+    StreamSinkChannel sink = exchange.getRequestChannel();
+    sink.getWriteSetter().set(this::write);
+    write(sink);
+    if (!ended) {
+      listener.sent();
+    }
+  }
+
+  private void write(StreamSinkChannel sink) {
+    try {
+      while (toSend.hasRemaining()) {
+        if (sink.write(toSend) == 0) {
+          sink.resumeWrites();
+          return;
+        }
+      }
+      sink.shutdownWrites();
+      if (sink.flush()) {
+        sink.suspendWrites();
+      } else {
+        sink.resumeWrites();
+      }
+    } catch (IOException e) {
+      failed(e);
+    }
+  }
+
+  private void responding(ClientExchange exchange) {
+    if (ended) {
+      return;
+    }
+    source = exchange.getResponseChannel();
+    source.getReadSetter().set(channel -> read());
+    listener.answered(
+        exchange.getResponse().getResponseCode(), exchange.getResponse().getResponseHeaders());
+    if (!ended && !suspended) {
+      read();
+    }
+  }
+
+  private void read() {
+    ByteBuffer buffer = ReadBuffers.take(READ_BYTES);
+    try {
+      for (int i = 0; i < READS_A_TURN && !ended && !suspended; i++) {
+        buffer.clear();
+        int count = source.read(buffer);
+        if (count < 0) {
+          completed();
+          return;
+        }
+        if (count == 0) {
+          break;
+        }
+        listener.received(buffer.flip());
+      }
+      if (!ended && !suspended) {
+        source.resumeReads();
+      }
+    } catch (IOException e) {
+      failed(e);
+    }
+  }
+
+  /** Takes no more of the answer for now. */
+  void suspend() {
+    suspended = true;
+    if (source != null) {
+      source.suspendReads();
+    }
+  }
+
+  /** Goes on taking the answer. */
+  void resume() {
+    if (suspended) {
+      suspended = false;
+      if (source != null && !ended) {
+        source.wakeupReads();
+      }
+    }
+  }
+
+  /** Drops the connection; nothing is called any more. */
+  void close() {
+    ended = true;
+    connectTimer.remove();
+    IoUtils.safeClose(connection);
+  }
+
+  private void notSent(NotSent reason) {
+    if (!ended) {
+      close();
+      listener.notSent(reason);
+    }
+  }
+
+  private void completed() {
+    if (!ended) {
+      close();
+      listener.completed();
+    }
+  }
+
+  private void failed(IOException cause) {
+    if (!ended) {
+      close();
+      listener.broken(cause.toString());
+    }
+  }
+
+  /** Tells whether a byte of the request may have left. */
+  boolean isSent() {
+    return sent;
+  }
+
+  private static <T> ClientCallback<T> callback(Consumer<T> done, Consumer<IOException> failed) {
+    return new ClientCallback<>() {
+      @Override
+      public void completed(T result) {
+        done.accept(result);
+      }
+
+      @Override
+      public void failed(IOException cause) {
+        failed.accept(cause);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/UpstreamRequest.java
@@ -0,0 +1,25 @@
+package org.cuminrack.relay;
+
+import com.google.protobuf.ByteString;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+
+/**
+ * A request to an upstream.
+ *
+ * @param address host and port
+ * @param path path and query
+ * @param headers sent as they are, with {@code Host}, {@code Connection} and the body's length added
+ */
+record UpstreamRequest(
+    String address, HttpString method, String path, HeaderMap headers, ByteString body) {
+
+  static UpstreamRequest get(String address, String path) {
+    return new UpstreamRequest(address, Methods.GET, path, new HeaderMap(), ByteString.EMPTY);
+  }
+
+  static UpstreamRequest delete(String address, String path) {
+    return new UpstreamRequest(address, Methods.DELETE, path, new HeaderMap(), ByteString.EMPTY);
+  }
+}
