Relay generations and plain calls from callers to upstreams

Each caller's exchange lives on the I/O thread that took it, and opens its upstream connections there, each for one request only. Streams: duplicates dropped, gaps asked for again, silent and broken connections replaced, one attempt elsewhere before the first token, a typed end after it. Calls: claimed before the first byte, never sent twice.

--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/CallerRequest.java
@@ -0,0 +1,74 @@
+package org.cuminrack.relay;
+
+import com.google.protobuf.ByteString;
+import io.undertow.server.HttpServerExchange;
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.cuminrack.config.Organisation;
+import org.cuminrack.config.Route;
+import org.cuminrack.config.Service;
+import org.cuminrack.config.ServiceKind;
+import org.cuminrack.http.ProblemDocument;
+import org.cuminrack.http.Ran;
+
+/**
+ * A request whose body is there.
+ *
+ * @param exchange the caller's exchange
+ * @param organisation whose caller it is
+ */
+record CallerRequest(HttpServerExchange exchange, Organisation organisation, ByteString body) {
+
+  /** A route and the service that it leads to. */
+  record RoutedService(Route route, Service service) {}
+
+  String header(io.undertow.util.HttpString name) {
+    return exchange.getRequestHeaders().getFirst(name);
+  }
+
+  /** Finds the route and its service, or says why the request goes nowhere. */
+  Either<ProblemDocument, RoutedService> route(
+      RelayContext context, String name, ServiceKind kind) {
+    var configuration = context.membership().view().configuration();
+    Route route = configuration.route(name).orElse(null);
+    Service service = route == null ? null : configuration.service(route.service()).orElse(null);
+    if (service == null || service.serviceKind() != kind) {
+      return Either.left(
+          context.refusals().unknownRoute("expected the name of a route, found " + name));
+    }
+    if (body.size() > route.maxBodyBytes()) {
+      return Either.left(context.refusals().bodyTooLarge(route.maxBodyBytes()));
+    }
+    return Either.right(new RoutedService(route, service));
+  }
+
+  /** Returns when the answer must have begun, on the monotonic clock. */
+  Either<ProblemDocument, Long> deadlineNanos(RelayContext context, Route route) {
+    String text = header(RelayHeaders.TIMEOUT_MILLIS);
+    long millis = route.timeoutMillis();
+    if (text != null) {
+      try {
+        millis = Math.min(millis, Integer.parseInt(text));
+      } catch (NumberFormatException e) {
+        millis = 0;
+      }
+    }
+    if (millis <= 0) {
+      String detail = "X-Timeout-Millis: expected a whole number above 0, found " + text;
+      return Either.left(context.refusals().badRequest(detail));
+    }
+    return Either.right(context.clock().nanoTime() + Duration.ofMillis(millis).toNanos());
+  }
+
+  /** Answers with a refusal; one that may have been sent before under its key never says "no". */
+  void refuse(RelayContext context, ProblemDocument problem) {
+    boolean mayHaveRun = header(RelayHeaders.IDEMPOTENCY_KEY) != null && problem.ran() == Ran.NO;
+    answer(context, mayHaveRun ? problem.withRan(Ran.UNKNOWN) : problem);
+  }
+
+  /** Answers with a refusal as it stands. */
+  void answer(RelayContext context, ProblemDocument problem) {
+    context.counters().add(RelayCounters.REFUSALS);
+    problem.send(exchange);
+  }
+}
--- a/src/main/java/org/cuminrack/relay/CallerStream.java
+++ b/src/main/java/org/cuminrack/relay/CallerStream.java
@@ -10,9 +10,9 @@
 import org.xnio.channels.StreamSinkChannel;
 
 /**
- * The answer of a generation on its way to the caller, as server-sent events. Holds at most what one
- * read of the engine's stream brought; while any of it waits, the owner is told to read no more.
- * Lives on the exchange's I/O thread.
+ * The answer of a generation on its way to the caller, as server-sent events. Holds at most what
+ * one read of the engine's stream brought; while any of it waits, the owner is told to read no
+ * more. Lives on the exchange's I/O thread.
  */
 final class CallerStream {
   private static final HttpString CACHE_CONTROL = Headers.CACHE_CONTROL;
--- a/src/main/java/org/cuminrack/relay/EngineLink.java
+++ b/src/main/java/org/cuminrack/relay/EngineLink.java
@@ -61,9 +61,9 @@
     stream.turnEnded();
   }
 
-  private void event(UpstreamEvent event) {
+  private void event(String id, byte[] data) {
     if (stream.isCurrent(this)) {
-      stream.event(event);
+      stream.event(id, data);
     }
   }
 
--- a/src/main/java/org/cuminrack/relay/EngineStream.java
+++ b/src/main/java/org/cuminrack/relay/EngineStream.java
@@ -156,7 +156,7 @@
       listener.late();
     } else if (isOtherLife(headers)) {
       cancel();
-      listener.lost(EngineLoss.PROCESS_DIED);
+      listener.lost(EngineLoss.GENERATION_GONE);
     }
   }
 
@@ -165,14 +165,14 @@
     return bootId != null && !bootId.equals(target.bootId());
   }
 
-  void event(UpstreamEvent event) {
+  void event(String id, byte[] json) {
     lastHeardNanos = clock.nanoTime();
-    Optional<TokenData> data = TokenData.read(event.data());
+    Optional<TokenData> data = TokenData.read(json);
     if (data.isEmpty()) {
       return;
     }
     TokenData token = data.get();
-    if (!event.id().equals(generation + ":" + token.index())) {
+    if (!id.equals(generation + ":" + token.index())) {
       counters.add(RelayCounters.CROSSED_ANSWERS);
       replace();
     } else if (token.index() <= lastIndex) {
@@ -180,7 +180,7 @@
     } else if (token.index() > lastIndex + 1) {
       gap();
     } else {
-      deliver(token, event.data());
+      deliver(token, json);
     }
   }
 
--- a/src/main/java/org/cuminrack/relay/EventId.java
+++ b/src/main/java/org/cuminrack/relay/EventId.java
@@ -9,6 +9,7 @@
  * @param generation the engine's id of the generation
  * @param fingerprint the request's fingerprint, as hex
  * @param index the token's index
+ * @param last true where no token follows
  */
 record EventId(
     String upstream,
@@ -16,4 +17,5 @@
     String bootId,
     String generation,
     String fingerprint,
-    int index) {}
+    int index,
+    boolean last) {}
--- a/src/main/java/org/cuminrack/relay/EventIds.java
+++ b/src/main/java/org/cuminrack/relay/EventIds.java
@@ -9,11 +9,13 @@
 import java.util.Base64;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
+import org.cuminrack.admission.Fingerprint;
 
 /**
- * Writes and reads event ids: {@code PREFIX.INDEX.MAC}. The prefix holds what stays the same through
- * a generation; the MAC is the first 16 bytes of HMAC-SHA-256 over organisation, prefix and index,
- * so that an id is worth nothing to another organisation.
+ * Writes and reads event ids: {@code PREFIX.INDEX.MAC}. The prefix holds what stays the same
+ * through a generation; the index of the last token ends in an {@code e}; the MAC is the first 16
+ * bytes of HMAC-SHA-256 over organisation, prefix and index, so that an id is worth nothing to
+ * another organisation.
  */
 final class EventIds {
   private static final String ALGORITHM = "HmacSHA256";
@@ -21,6 +23,7 @@
   private static final int FIELDS = 5;
   private static final int PARTS = 3;
   private static final int MAX_LENGTH = 2048;
+  private static final String LAST = "e";
   private static final char FIELD_SEPARATOR = '\n';
   private static final Base64.Encoder ENCODER = Base64.getUrlEncoder().withoutPadding();
   private static final Base64.Decoder DECODER = Base64.getUrlDecoder();
@@ -33,16 +36,18 @@
   }
 
   /** Returns a writer of the ids of one generation. */
-  Writer writer(String organisation, EventId first) {
+  Writer writer(
+      String organisation, EngineTarget target, String generation, Fingerprint fingerprint) {
     String fields =
         String.join(
             String.valueOf(FIELD_SEPARATOR),
-            first.upstream(),
-            first.address(),
-            first.bootId(),
-            first.generation(),
-            first.fingerprint());
-    return new Writer(organisation, ENCODER.encodeToString(fields.getBytes(StandardCharsets.UTF_8)));
+            target.upstream(),
+            target.address(),
+            target.bootId(),
+            generation,
+            fingerprint.hex());
+    return new Writer(
+        organisation, ENCODER.encodeToString(fields.getBytes(StandardCharsets.UTF_8)));
   }
 
   /** Reads an id that this organisation presents; the error says why it is refused. */
@@ -56,19 +61,21 @@
       if (!MessageDigest.isEqual(expected, DECODER.decode(parts[2]))) {
         return Either.left("Last-Event-ID: not an id that was given to this organisation");
       }
-      return Either.right(decode(parts[0], Integer.parseInt(parts[1])));
+      return Either.right(decode(parts[0], parts[1]));
     } catch (IllegalArgumentException e) {
       return Either.left("Last-Event-ID: expected an id of this service");
     }
   }
 
-  private static EventId decode(String prefix, int index) {
+  private static EventId decode(String prefix, String number) {
+    boolean last = number.endsWith(LAST);
+    int index = Integer.parseInt(last ? number.substring(0, number.length() - 1) : number);
     String fields = new String(DECODER.decode(prefix), StandardCharsets.UTF_8);
     String[] field = fields.split(String.valueOf(FIELD_SEPARATOR), -1);
     if (field.length != FIELDS) {
       throw new IllegalArgumentException("expected " + FIELDS + " fields, found " + field.length);
     }
-    return new EventId(field[0], field[1], field[2], field[3], field[4], index);
+    return new EventId(field[0], field[1], field[2], field[3], field[4], index, last);
   }
 
   private byte[] mac(String organisation, String prefix, String index) {
@@ -101,9 +108,9 @@
       this.prefix = prefix;
     }
 
-    /** Returns the id of the token at this index. */
-    String write(int index) {
-      String number = Integer.toString(index);
+    /** Returns the id of a token. */
+    String write(TokenData token) {
+      String number = token.index() + (token.finished() ? LAST : "");
       String mac = ENCODER.encodeToString(mac(organisation, prefix, number));
       return prefix + '.' + number + '.' + mac;
     }
--- a/src/main/java/org/cuminrack/relay/EventStreamParser.java
+++ b/src/main/java/org/cuminrack/relay/EventStreamParser.java
@@ -4,24 +4,25 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 /**
- * Takes server-sent events out of bytes as they arrive. Comments and unknown fields are passed over;
- * an event counts once its empty line has come, so a cut one is never delivered.
+ * Takes server-sent events out of bytes as they arrive. Comments and unknown fields are passed
+ * over; an event counts once its empty line has come, so a cut one is never delivered. The listener
+ * gets an event's id, empty where it has none, and its data, one line.
  */
 final class EventStreamParser {
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DATA = "data:".getBytes(StandardCharsets.US_ASCII);
 
   private final int maxEventBytes;
-  private final Consumer<UpstreamEvent> listener;
+  private final BiConsumer<String, byte[]> listener;
   private final LineBuffer line = new LineBuffer();
   private String id = "";
   private byte[] data;
   private int eventBytes;
 
-  EventStreamParser(int maxEventBytes, Consumer<UpstreamEvent> listener) {
+  EventStreamParser(int maxEventBytes, BiConsumer<String, byte[]> listener) {
     this.maxEventBytes = maxEventBytes;
     this.listener = listener;
   }
@@ -56,12 +57,13 @@
   }
 
   private void endOfEvent() {
-    UpstreamEvent event = data == null ? null : new UpstreamEvent(id, data);
+    String endedId = id;
+    byte[] endedData = data;
     id = "";
     data = null;
     eventBytes = 0;
-    if (event != null) {
-      listener.accept(event);
+    if (endedData != null) {
+      listener.accept(endedId, endedData);
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/Generation.java
@@ -0,0 +1,317 @@
+package org.cuminrack.relay;
+
+import java.time.Duration;
+import org.cuminrack.admission.AdmissionOutcome;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.admission.TicketOutcome.Result;
+import org.cuminrack.http.Json;
+import org.cuminrack.http.ProblemDocument;
+import org.cuminrack.http.Ran;
+import org.xnio.XnioExecutor;
+
+/**
+ * One caller's exchange for a generation, from admission to the last token. Until a token has
+ * reached the caller, a lost engine is made good by one attempt elsewhere; after that the answer is
+ * of one generation, or ends with a typed error. Lives on the exchange's I/O thread.
+ */
+final class Generation implements EngineStreamListener, CallerStream.Listener {
+  private static final int STATUS_UNAVAILABLE = 503;
+  private static final long TICKS_A_SILENCE = 4;
+
+  private final RelayContext context;
+  private final CallerRequest caller;
+  private final GenerationRequest request;
+  private final IoContext io;
+  private final CallerStream callerStream;
+  private final AdmissionClient admission;
+  private XnioExecutor.Key ticker;
+  private Dispatch dispatch;
+  private EngineStream engine;
+  private EventIds.Writer ids;
+  private Ran ran = Ran.NO;
+  private int tokens;
+  private int lastIndexSent = -1;
+  private long blockedSinceNanos;
+  private boolean resumed;
+  private boolean ended;
+
+  Generation(RelayContext context, CallerRequest caller, GenerationRequest request) {
+    this.context = context;
+    this.caller = caller;
+    this.request = request;
+    this.io = IoContext.of(caller.exchange(), context.bounds());
+    this.callerStream = new CallerStream(caller.exchange(), this);
+    this.admission = new AdmissionClient(context, io, shape());
+  }
+
+  private AdmissionClient.Shape shape() {
+    return new AdmissionClient.Shape(
+        request.service(),
+        request.organisation(),
+        request.fingerprint(),
+        PromptBlocks.of(request.prompt()),
+        request.maxTokens(),
+        request.priority(),
+        request.deadlineNanos());
+  }
+
+  /** Begins a new generation. */
+  void start() {
+    startTicker();
+    admission.ask(this::admitted);
+  }
+
+  /** Goes on with one that the caller has read a part of. */
+  void goOn(EventId id) {
+    resumed = true;
+    ran = Ran.UNKNOWN;
+    lastIndexSent = id.index();
+    startTicker();
+    if (id.last()) {
+      stop();
+      callerStream.endWhole();
+      return;
+    }
+    EngineTarget target = new EngineTarget(id.upstream(), id.address(), id.bootId());
+    context.running().add(target, request.fingerprint());
+    engine = new EngineStream(target, io, context.clock(), context.counters(), this);
+    engine.goOn(id.generation(), id.index());
+  }
+
+  private void startTicker() {
+    long silenceMillis = context.bounds().silence().toMillis();
+    ticker = io.every(Math.max(1, silenceMillis / TICKS_A_SILENCE), this::tick);
+  }
+
+  private void admitted(AdmissionOutcome outcome) {
+    if (outcome instanceof AdmissionOutcome.Admitted admitted) {
+      dispatch(admitted.ticket());
+    } else if (outcome instanceof AdmissionOutcome.Refused refused) {
+      refuse(refused.reason(), refused.retryAfter());
+    }
+  }
+
+  private void dispatch(Ticket ticket) {
+    dispatch = new Dispatch(context, ticket, request.fingerprint());
+    if (ended) {
+      dispatch.finish(Result.NOT_SENT, 0);
+      return;
+    }
+    engine = new EngineStream(dispatch.target(), io, context.clock(), context.counters(), this);
+    engine.begin(request, context.requestIds().next());
+  }
+
+  @Override
+  public boolean maySend() {
+    return dispatch.maySend();
+  }
+
+  @Override
+  public void sent() {
+    ran = Ran.UNKNOWN;
+  }
+
+  @Override
+  public void notSent(NotSent reason) {
+    boolean vetoed = reason == NotSent.VETOED;
+    dispatch.finish(vetoed ? Result.NOT_SENT : Result.UNREACHABLE, 0);
+    if (vetoed && !context.membership().hasFreshLease()) {
+      refuse(RefusalReason.NO_LEASE, Duration.ZERO);
+      return;
+    }
+    if (!vetoed) {
+      admission.exclude(engine.target().upstream());
+    }
+    tryElsewhere("no connection to " + engine.target().upstream());
+  }
+
+  @Override
+  public void late() {
+    dispatch.finish(Result.CANCELLED, 0);
+    if (context.membership().hasFreshLease()) {
+      tryElsewhere("the ticket ran out");
+    } else {
+      refuse(RefusalReason.NO_LEASE, Duration.ZERO);
+    }
+  }
+
+  @Override
+  public void refused(int status, Duration retryAfter) {
+    if (status == STATUS_UNAVAILABLE) {
+      dispatch.finish(Result.OVERLOADED, 0);
+      refuse(RefusalReason.OVERLOADED, retryAfter);
+    } else {
+      dispatch.finish(Result.LOST, 0);
+      String detail = engine.target().upstream() + " answered with status " + status;
+      end(context.refusals().upstreamFailed(detail, ran));
+    }
+  }
+
+  @Override
+  public void token(TokenData token, byte[] data) {
+    if (ids == null) {
+      ids =
+          context
+              .eventIds()
+              .writer(
+                  request.organisation(),
+                  engine.target(),
+                  engine.generation(),
+                  request.fingerprint());
+    }
+    if (dispatch != null) {
+      dispatch.answerBegan();
+    }
+    tokens++;
+    lastIndexSent = token.index();
+    context.counters().add(RelayCounters.TOKENS);
+    callerStream.event(ids.write(token), data);
+    if (token.finished()) {
+      finish(Result.COMPLETED);
+      callerStream.endWhole();
+    }
+  }
+
+  @Override
+  public void turnEnded() {
+    if (!ended && tokens > 0) {
+      callerStream.flush();
+    }
+  }
+
+  @Override
+  public void lost(EngineLoss loss) {
+    if (loss == EngineLoss.PROCESS_DIED) {
+      context
+          .running()
+          .died(engine.target(), request.fingerprint())
+          .thenAccept(known -> io.execute(() -> lost(known)));
+    } else {
+      lost(true);
+    }
+  }
+
+  /**
+   * Answers a loss, once every entry knows of a crash; where that can't be said, nothing reruns.
+   */
+  private void lost(boolean crashIsKnown) {
+    if (ended) {
+      return;
+    }
+    if (dispatch != null) {
+      dispatch.finish(Result.LOST, tokens);
+    }
+    if (resumed || tokens > 0) {
+      context.counters().add(RelayCounters.GENERATIONS_LOST);
+      end(context.refusals().generationLost(lastIndexSent));
+    } else if (crashIsKnown) {
+      admission.exclude(engine.target().upstream());
+      tryElsewhere(engine.target().upstream() + " was lost");
+    } else {
+      end(context.refusals().upstreamFailed(engine.target().upstream() + " was lost", ran));
+    }
+  }
+
+  private void tryElsewhere(String detail) {
+    engine = null;
+    if (ended) {
+      return;
+    }
+    if (admission.mayAskAgain()) {
+      admission.ask(this::admitted);
+    } else if (admission.remaining().isZero()) {
+      end(context.refusals().timedOut(ran));
+    } else {
+      end(context.refusals().upstreamFailed(detail, ran));
+    }
+  }
+
+  private void refuse(RefusalReason reason, Duration retryAfter) {
+    if (!ended) {
+      end(context.refusals().refused(reason, retryAfter, ran));
+    }
+  }
+
+  private void tick() {
+    if (ended && !callerStream.isBlocked()) {
+      ticker.remove();
+      return;
+    }
+    boolean waiting = !resumed && tokens == 0 && engine != null;
+    if (callerStream.isBlocked()) {
+      checkSlowCaller();
+    } else if (waiting && admission.remaining().isZero()) {
+      engine.cancel();
+      end(context.refusals().timedOut(ran));
+    } else if (engine != null) {
+      engine.tick();
+    }
+  }
+
+  private void checkSlowCaller() {
+    Duration blocked = Duration.ofNanos(context.clock().nanoTime() - blockedSinceNanos);
+    if (blocked.compareTo(context.bounds().slowCaller()) > 0) {
+      context.counters().add(RelayCounters.SLOW_CALLERS);
+      if (!ended) {
+        engine.cancel();
+      }
+      finish(Result.CANCELLED);
+      callerStream.abort();
+    }
+  }
+
+  @Override
+  public void blocked() {
+    blockedSinceNanos = context.clock().nanoTime();
+    if (!ended) {
+      engine.suspend();
+    }
+  }
+
+  @Override
+  public void drained() {
+    if (!ended) {
+      engine.resume();
+    }
+  }
+
+  @Override
+  public void gone() {
+    if (ended) {
+      return;
+    }
+    context.counters().add(RelayCounters.CALLERS_GONE);
+    engine.detach();
+    stop();
+    io.after(context.bounds().orphan().toMillis(), () -> release(Result.CANCELLED));
+  }
+
+  private void finish(Result result) {
+    stop();
+    release(result);
+  }
+
+  private void release(Result result) {
+    if (dispatch != null) {
+      dispatch.finish(result, tokens);
+    } else if (resumed && engine != null) {
+      context.running().remove(engine.target(), request.fingerprint());
+    }
+  }
+
+  private void end(ProblemDocument problem) {
+    stop();
+    release(Result.CANCELLED);
+    if (tokens > 0) {
+      context.counters().add(RelayCounters.REFUSALS);
+      callerStream.endWithError(Json.bytes(problem));
+    } else {
+      caller.answer(context, problem);
+    }
+  }
+
+  private void stop() {
+    ended = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/HopByHopHeaders.java
@@ -0,0 +1,37 @@
+package org.cuminrack.relay;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.util.Set;
+
+/** Headers that concern one connection, or that each hop writes itself. */
+final class HopByHopHeaders {
+  private static final Set<HttpString> NAMES =
+      Set.of(
+          Headers.CONNECTION,
+          HttpString.tryFromString("Keep-Alive"),
+          Headers.PROXY_AUTHENTICATE,
+          Headers.PROXY_AUTHORIZATION,
+          Headers.TE,
+          Headers.TRAILER,
+          Headers.TRANSFER_ENCODING,
+          Headers.UPGRADE,
+          Headers.HOST,
+          Headers.CONTENT_LENGTH,
+          Headers.EXPECT,
+          Headers.DATE,
+          RelayHeaders.REQUEST_ID);
+
+  private HopByHopHeaders() {}
+
+  /** Copies every header that is meant for the other end. */
+  static void copyOthers(HeaderMap from, HeaderMap to) {
+    from.forEach(
+        values -> {
+          if (!NAMES.contains(values.getHeaderName())) {
+            to.putAll(values.getHeaderName(), values);
+          }
+        });
+  }
+}
--- a/src/main/java/org/cuminrack/relay/IoContext.java
+++ b/src/main/java/org/cuminrack/relay/IoContext.java
@@ -7,8 +7,8 @@
 import org.xnio.XnioIoThread;
 
 /**
- * The I/O thread that a caller's exchange lives on, and what is needed to open upstream exchanges on
- * it.
+ * The I/O thread that a caller's exchange lives on, and what is needed to open upstream exchanges
+ * on it.
  */
 record IoContext(XnioIoThread thread, ByteBufferPool buffers, RelayBounds bounds) {
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/PlainAnswer.java
@@ -0,0 +1,36 @@
+package org.cuminrack.relay;
+
+import com.google.protobuf.ByteString;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import org.cuminrack.ledger.StoredAnswer;
+
+/** A whole answer of a plain call. */
+record PlainAnswer(int status, HeaderMap headers, ByteString body) {
+
+  static PlainAnswer of(StoredAnswer stored) {
+    HeaderMap headers = new HeaderMap();
+    if (!stored.contentType().isEmpty()) {
+      headers.put(Headers.CONTENT_TYPE, stored.contentType());
+    }
+    return new PlainAnswer(stored.httpStatus(), headers, stored.body());
+  }
+
+  /** Returns what the ledger keeps, which is what a resend gets. */
+  StoredAnswer stored() {
+    String contentType = headers.getFirst(Headers.CONTENT_TYPE);
+    return new StoredAnswer(status, contentType == null ? "" : contentType, body);
+  }
+
+  void send(HttpServerExchange exchange) {
+    exchange.setStatusCode(status);
+    HopByHopHeaders.copyOthers(headers, exchange.getResponseHeaders());
+    if (exchange.getRequestMethod().equals(Methods.HEAD)) {
+      exchange.endExchange();
+    } else {
+      exchange.getResponseSender().send(body.asReadOnlyByteBuffer());
+    }
+  }
+}
--- a/src/main/java/org/cuminrack/relay/Refusals.java
+++ b/src/main/java/org/cuminrack/relay/Refusals.java
@@ -55,7 +55,9 @@
         .orElse("");
   }
 
-  /** A request that was given up before a byte of it was sent, unless {@code ran} says otherwise. */
+  /**
+   * A request that was given up before a byte of it was sent, unless {@code ran} says otherwise.
+   */
   ProblemDocument refused(RefusalReason reason, Duration retryAfter, Ran ran) {
     String name = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
     ProblemDocument problem =
@@ -138,7 +140,7 @@
   ProblemDocument ledgerUnavailable(Duration retryAfter) {
     Duration wait = retryAfter.isZero() ? SOON : retryAfter;
     return ProblemDocument.of(UNAVAILABLE, "ledger-unavailable", "the ledger can't be reached")
-        .withRan(Ran.NO)
+        .withRan(Ran.UNKNOWN)
         .withRetryAfter(wait);
   }
 
--- a/src/main/java/org/cuminrack/relay/RelayBounds.java
+++ b/src/main/java/org/cuminrack/relay/RelayBounds.java
@@ -9,10 +9,13 @@
  * @param silence how long an engine may say nothing before its connection counts as dead
  * @param engineLoss how long an engine may be out of reach before its generation counts as lost
  * @param stall how long a generation in progress may bring no token before it is cancelled
- * @param slowCaller how long a caller may take nothing of a stream before it is cancelled
+ * @param slowCaller how long a caller may leave what was sent to it before its stream is cancelled
  * @param slowSender how long a caller may take to send its body
  * @param orphan how long an engine goes on with a generation that nobody reads
  * @param crashReport how long an answer waits for a crash report to be durable
+ * @param lateAnswer how long a call that may not be repeated is waited for after its caller's
+ *     timeout, so that a resend finds its answer
+ * @param ledgerWait how long an answer waits for the ledger to have recorded it
  * @param maxBodyBytes the largest request body, whatever its route allows
  * @param maxAnswerBytes the largest answer of a plain call
  */
@@ -25,6 +28,8 @@
     Duration slowSender,
     Duration orphan,
     Duration crashReport,
+    Duration lateAnswer,
+    Duration ledgerWait,
     int maxBodyBytes,
     int maxAnswerBytes) {
 
@@ -39,6 +44,8 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(30),
         Duration.ofSeconds(2),
+        Duration.ofSeconds(10),
+        Duration.ofSeconds(1),
         4 << 20,
         1 << 20);
   }
@@ -53,6 +60,8 @@
         slowSender,
         orphan,
         crashReport,
+        lateAnswer,
+        ledgerWait,
         maxBodyBytes,
         maxAnswerBytes);
   }
@@ -67,6 +76,8 @@
         slowSender,
         orphan,
         crashReport,
+        lateAnswer,
+        ledgerWait,
         maxBodyBytes,
         maxAnswerBytes);
   }
--- a/src/main/java/org/cuminrack/relay/RelayCounters.java
+++ b/src/main/java/org/cuminrack/relay/RelayCounters.java
@@ -1,5 +1,9 @@
 package org.cuminrack.relay;
 
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
 
 /** Counts what the data path met; read by metrics and by the dump. */
@@ -31,21 +35,29 @@
 
   /** The counts of one entry. */
   public static final class Table {
-    private final LongAdder[] counts = new LongAdder[values().length];
+    private final Map<RelayCounters, LongAdder> counts = new EnumMap<>(RelayCounters.class);
 
     Table() {
-      for (int i = 0; i < counts.length; i++) {
-        counts[i] = new LongAdder();
+      for (RelayCounters each : values()) {
+        counts.put(each, new LongAdder());
       }
     }
 
     void add(RelayCounters counter) {
-      counts[counter.ordinal()].increment();
+      counts.get(counter).increment();
     }
 
     /** Returns how often this was met. */
     public long get(RelayCounters counter) {
-      return counts[counter.ordinal()].sum();
+      return counts.get(counter).sum();
+    }
+
+    Map<String, Long> asMap() {
+      Map<String, Long> map = new LinkedHashMap<>();
+      for (RelayCounters each : values()) {
+        map.put(each.name().toLowerCase(Locale.ROOT), get(each));
+      }
+      return map;
     }
   }
 }
--- a/src/main/java/org/cuminrack/relay/UpstreamRequest.java
+++ b/src/main/java/org/cuminrack/relay/UpstreamRequest.java
@@ -10,7 +10,8 @@
  *
  * @param address host and port
  * @param path path and query
- * @param headers sent as they are, with {@code Host}, {@code Connection} and the body's length added
+ * @param headers sent as they are, with {@code Host}, {@code Connection} and the body's length
+ *     added
  */
 record UpstreamRequest(
     String address, HttpString method, String path, HeaderMap headers, ByteString body) {
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/CallerMessage.java
@@ -0,0 +1,49 @@
+package org.cuminrack.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A request as a caller sends it. */
+record CallerMessage(String method, String path, Map<String, String> headers, String body) {
+  static final String PROMPT = "{\"model\":\"planner\",\"prompt\":\"a week of menus\"}";
+
+  static CallerMessage generation() {
+    return of("POST", "/v1/completions").withBody(PROMPT);
+  }
+
+  static CallerMessage order(String key) {
+    return of("POST", "/orders/new").withHeader("Idempotency-Key", key).withBody("{\"pouches\":3}");
+  }
+
+  static CallerMessage of(String method, String path) {
+    return new CallerMessage(method, path, Map.of("X-Organisation", "lyzicka"), "");
+  }
+
+  CallerMessage withHeader(String name, String value) {
+    Map<String, String> more = new TreeMap<>(headers);
+    more.put(name, value);
+    return new CallerMessage(method, path, more, body);
+  }
+
+  CallerMessage withoutHeader(String name) {
+    Map<String, String> fewer = new TreeMap<>(headers);
+    fewer.remove(name);
+    return new CallerMessage(method, path, fewer, body);
+  }
+
+  CallerMessage withBody(String text) {
+    return new CallerMessage(method, path, headers, text);
+  }
+
+  /** Returns head and body; the body is not counted where a header already counts it. */
+  byte[] bytes() {
+    StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\n");
+    head.append("Host: entry\r\n");
+    headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+    if (!headers.containsKey("Content-Length")) {
+      head.append("Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n");
+    }
+    return (head + "\r\n" + body).getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/CallerSession.java
@@ -0,0 +1,125 @@
+package org.cuminrack.relay;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A caller's connection to an entry: one request, and its answer as it arrives. */
+final class CallerSession implements Closeable {
+  private static final int READ_TIMEOUT_MILLIS = 15_000;
+
+  private final Socket socket;
+  private final InputStream in;
+  private final Map<String, String> headers = new LinkedHashMap<>();
+  private String status = "";
+  private String chunk = "";
+
+  private CallerSession(Socket socket) throws IOException {
+    this.socket = socket;
+    this.in = new BufferedInputStream(socket.getInputStream());
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    socket.setTcpNoDelay(true);
+  }
+
+  static CallerSession send(int port, CallerMessage message) throws IOException {
+    return sendWithReceiveBuffer(port, message, 0);
+  }
+
+  static CallerSession sendWithReceiveBuffer(int port, CallerMessage message, int receiveBytes)
+      throws IOException {
+    Socket socket = new Socket();
+    if (receiveBytes > 0) {
+      socket.setReceiveBufferSize(receiveBytes);
+    }
+    socket.connect(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    CallerSession session = new CallerSession(socket);
+    socket.getOutputStream().write(message.bytes());
+    return session;
+  }
+
+  /** Reads status line and headers. */
+  CallerSession readHead() throws IOException {
+    status = readLine();
+    for (String line = readLine(); !line.isEmpty(); line = readLine()) {
+      int colon = line.indexOf(':');
+      headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
+    }
+    return this;
+  }
+
+  int status() {
+    return Integer.parseInt(status.substring(9, 12));
+  }
+
+  String header(String name) {
+    return headers.get(name);
+  }
+
+  Map<String, String> headers() {
+    return headers;
+  }
+
+  /** Reads the rest of the body. */
+  String readBody() throws IOException {
+    if (headers.containsKey("Content-Length")) {
+      int length = Integer.parseInt(headers.get("Content-Length"));
+      return new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+    StringBuilder body = new StringBuilder(chunk);
+    while (readChunk()) {
+      body.append(chunk);
+    }
+    return body.toString();
+  }
+
+  /** Reads until the body so far holds this text; returns it. */
+  String readUntil(String text) throws IOException {
+    StringBuilder body = new StringBuilder();
+    while (body.indexOf(text) < 0 && readChunk()) {
+      body.append(chunk);
+    }
+    chunk = "";
+    return body.toString();
+  }
+
+  private boolean readChunk() throws IOException {
+    String size = readLine();
+    int length = size.isEmpty() ? 0 : Integer.parseInt(size, 16);
+    chunk = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    readLine();
+    return length > 0;
+  }
+
+  private String readLine() throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
+      if (next != '\r') {
+        line.write(next);
+      }
+    }
+    return line.toString(StandardCharsets.UTF_8);
+  }
+
+  /** Leaves as a caller does whose machine is gone. */
+  void vanish() throws IOException {
+    try {
+      socket.setSoLinger(true, 0);
+    } catch (SocketException e) {
+      // It has ended already.
+    }
+    socket.close();
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/FakeAdmission.java
@@ -0,0 +1,78 @@
+package org.cuminrack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cuminrack.admission.Admission;
+import org.cuminrack.admission.AdmissionOutcome;
+import org.cuminrack.admission.AdmissionRequest;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.admission.TicketOutcome;
+
+/** Admits every request to the first upstream that it does not exclude. */
+final class FakeAdmission implements Admission {
+  private final List<EngineTarget> upstreams = new CopyOnWriteArrayList<>();
+  private final AtomicLong nextId = new AtomicLong();
+  private final FakeCrashReports crashReports;
+  final List<AdmissionRequest> asked = new CopyOnWriteArrayList<>();
+  final List<TicketOutcome> outcomes = new CopyOnWriteArrayList<>();
+  volatile RefusalReason refuseWith;
+
+  FakeAdmission(FakeCrashReports crashReports) {
+    this.crashReports = crashReports;
+  }
+
+  void upstreams(ScriptedUpstream... all) {
+    upstreams.clear();
+    for (ScriptedUpstream each : all) {
+      upstreams.add(new EngineTarget(each.name(), each.address(), each.bootId()));
+    }
+  }
+
+  @Override
+  public CompletableFuture<AdmissionOutcome> admit(AdmissionRequest request) {
+    asked.add(request);
+    return CompletableFuture.completedFuture(decide(request));
+  }
+
+  private AdmissionOutcome decide(AdmissionRequest request) {
+    if (refuseWith != null) {
+      return new AdmissionOutcome.Refused(refuseWith, Duration.ofMillis(1200));
+    }
+    int crashes = crashReports.crashes(request.fingerprint());
+    if (crashes >= 2) {
+      return new AdmissionOutcome.Refused(RefusalReason.POISON, Duration.ZERO);
+    }
+    List<EngineTarget> free = new ArrayList<>(upstreams);
+    free.removeIf(each -> request.excludedUpstreams().contains(each.upstream()));
+    if (free.isEmpty()) {
+      return new AdmissionOutcome.Refused(RefusalReason.NO_UPSTREAM, Duration.ofSeconds(1));
+    }
+    return new AdmissionOutcome.Admitted(ticket(free.get(0), crashes > 0));
+  }
+
+  private Ticket ticket(EngineTarget target, boolean alone) {
+    return new Ticket(
+        nextId.incrementAndGet(),
+        "pool-1",
+        1,
+        target.upstream(),
+        target.bootId(),
+        target.address(),
+        Long.MAX_VALUE / 2,
+        alone);
+  }
+
+  @Override
+  public void finished(Ticket ticket, TicketOutcome outcome) {
+    outcomes.add(outcome);
+  }
+
+  List<TicketOutcome.Result> results() {
+    return outcomes.stream().map(TicketOutcome::result).toList();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/FakeCrashReports.java
@@ -0,0 +1,46 @@
+package org.cuminrack.relay;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.member.CrashReports;
+
+/** Counts crashes in memory. */
+final class FakeCrashReports implements CrashReports {
+  private final Map<Fingerprint, Set<String>> lives = new ConcurrentHashMap<>();
+  final List<Fingerprint> cleared = new CopyOnWriteArrayList<>();
+  volatile boolean reachable = true;
+
+  @Override
+  public CompletableFuture<Boolean> reportCrash(
+      String upstream, String bootId, Collection<Fingerprint> running, Duration timeout) {
+    if (!reachable) {
+      return CompletableFuture.completedFuture(false);
+    }
+    for (Fingerprint each : running) {
+      lives.computeIfAbsent(each, key -> ConcurrentHashMap.newKeySet()).add(upstream + bootId);
+    }
+    return CompletableFuture.completedFuture(true);
+  }
+
+  @Override
+  public void clear(Fingerprint fingerprint) {
+    cleared.add(fingerprint);
+    lives.remove(fingerprint);
+  }
+
+  int crashes(Fingerprint fingerprint) {
+    return lives.getOrDefault(fingerprint, new HashSet<>()).size();
+  }
+
+  int suspects() {
+    return lives.size();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/RelayFixture.java
@@ -0,0 +1,102 @@
+package org.cuminrack.relay;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.cuminrack.http.HttpServer;
+import org.cuminrack.time.Clock;
+
+/** Entries on loopback that share fakes of everything around the data path. */
+final class RelayFixture implements AutoCloseable {
+  private static final ByteString KEY = ByteString.copyFromUtf8("key-shared-by-all-entries");
+  private static final long WAIT_BOUND_NANOS = Duration.ofSeconds(15).toNanos();
+  private static final Duration ADDRESS_TTL = Duration.ofSeconds(30);
+
+  final FakeMembership membership = new FakeMembership();
+  final FakeCrashReports crashReports = new FakeCrashReports();
+  final FakeAdmission admission = new FakeAdmission(crashReports);
+  final FakeLedger ledger = new FakeLedger();
+  private final Clock clock;
+  private final RelayBounds bounds;
+  private final List<AutoCloseable> parts = new ArrayList<>();
+
+  private RelayFixture(Clock clock, RelayBounds bounds) {
+    this.clock = clock;
+    this.bounds = bounds;
+  }
+
+  static RelayFixture create() {
+    return with(Clock.system(), RelayBounds.defaults().withSilence(Duration.ofMillis(300)));
+  }
+
+  static RelayFixture with(Clock clock, RelayBounds bounds) {
+    return new RelayFixture(clock, bounds);
+  }
+
+  /** One running entry. */
+  record Entry(CallerApi api, HttpServer server) {
+
+    int port() {
+      return server.port();
+    }
+
+    CallerSession send(CallerMessage message) throws IOException {
+      return CallerSession.send(port(), message);
+    }
+
+    long count(RelayCounters counter) {
+      return api.counters().get(counter);
+    }
+  }
+
+  Entry entry(String name) {
+    RelaySettings settings = new RelaySettings(name, name + ":8081", ADDRESS_TTL, KEY, bounds);
+    CallerApi api =
+        new CallerApi(
+            membership,
+            admission,
+            ledger,
+            crashReports,
+            settings,
+            clock,
+            RequestIds.fixed("request-" + name));
+    HttpServer server =
+        new HttpServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), api, 1 << 20);
+    server.start();
+    parts.add(server::stop);
+    return new Entry(api, server);
+  }
+
+  /** Starts engines or shops; the order is the order of preference. */
+  ScriptedUpstream upstream(String name) {
+    return upstream(name, "boot-" + name);
+  }
+
+  ScriptedUpstream upstream(String name, String bootId) {
+    ScriptedUpstream upstream = ScriptedUpstream.start(name, bootId);
+    parts.add(upstream);
+    return upstream;
+  }
+
+  static void await(BooleanSupplier condition) {
+    long start = System.nanoTime();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - start > WAIT_BOUND_NANOS) {
+        throw new AssertionError("the condition did not come true");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (AutoCloseable each : parts) {
+      each.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/ScriptedUpstream.java
@@ -0,0 +1,128 @@
+package org.cuminrack.relay;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** An upstream on loopback that answers each request as a test scripts it, down to the byte. */
+final class ScriptedUpstream implements AutoCloseable {
+  private final String name;
+  private final String bootId;
+  private final ServerSocket server;
+  private final Map<String, Script> scripts = new ConcurrentHashMap<>();
+  private final List<ScriptedConnection> connections = new CopyOnWriteArrayList<>();
+  final List<String> requests = new CopyOnWriteArrayList<>();
+
+  private ScriptedUpstream(String name, String bootId, ServerSocket server) {
+    this.name = name;
+    this.bootId = bootId;
+    this.server = server;
+  }
+
+  /** Answers one request. */
+  interface Script {
+    void answer(ScriptedConnection connection) throws IOException;
+  }
+
+  static ScriptedUpstream start(String name, String bootId) {
+    return start(name, bootId, 0);
+  }
+
+  static ScriptedUpstream start(String name, String bootId, int port) {
+    try {
+      ServerSocket server = new ServerSocket(port, 512, InetAddress.getLoopbackAddress());
+      ScriptedUpstream upstream = new ScriptedUpstream(name, bootId, server);
+      upstream.run(upstream::accept);
+      return upstream;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  String name() {
+    return name;
+  }
+
+  String bootId() {
+    return bootId;
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  String address() {
+    return "127.0.0.1:" + port();
+  }
+
+  /** Scripts the answer to requests whose line starts so, such as {@code "GET /v1/status"}. */
+  ScriptedUpstream on(String requestLineStart, Script script) {
+    scripts.put(requestLineStart, script);
+    return this;
+  }
+
+  /** Counts the requests whose line starts so. */
+  long count(String requestLineStart) {
+    return requests.stream().filter(each -> each.startsWith(requestLineStart)).count();
+  }
+
+  private void run(Runnable task) {
+    Thread thread = new Thread(task, "scripted-" + name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        run(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (ScriptedConnection connection = new ScriptedConnection(socket)) {
+      connections.add(connection);
+      String line = connection.readRequest();
+      if (line.isEmpty()) {
+        return;
+      }
+      requests.add(line);
+      script(line).answer(connection);
+    } catch (IOException e) {
+      // The entry dropped the connection, as it may.
+    }
+  }
+
+  private Script script(String line) {
+    return scripts.entrySet().stream()
+        .filter(each -> line.startsWith(each.getKey()))
+        .max(Map.Entry.comparingByKey())
+        .map(Map.Entry::getValue)
+        .orElse(connection -> connection.whole(404, Map.of(), ""));
+  }
+
+  /** Ends as a killed process does: the port refuses, every connection is reset. */
+  void crash() {
+    try {
+      server.close();
+      connections.forEach(ScriptedConnection::reset);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    crash();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/Tokens.java
@@ -0,0 +1,32 @@
+package org.cuminrack.relay;
+
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+
+/** What a caller read of a generation. */
+final class Tokens {
+  private static final Pattern INDEX = Pattern.compile("data: \\{\"index\":(\\d+)");
+  private static final Pattern ID = Pattern.compile("id: (\\S+)");
+
+  private Tokens() {}
+
+  static List<Integer> indices(String body) {
+    return INDEX.matcher(body).results().map(each -> Integer.valueOf(each.group(1))).toList();
+  }
+
+  static List<Integer> upTo(int last) {
+    return IntStream.rangeClosed(0, last).boxed().toList();
+  }
+
+  /** Returns the id of the last event. */
+  static String lastId(String body) {
+    Matcher matcher = ID.matcher(body);
+    String last = "";
+    while (matcher.find()) {
+      last = matcher.group(1);
+    }
+    return last;
+  }
+}
