--- /dev/null
+++ b/src/main/java/org/cuminrack/control/CommandHandlers.java
@@ -0,0 +1,62 @@
+package org.cuminrack.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.generated.control.ChangeRequest;
+import org.cuminrack.generated.control.ClaimRequest;
+import org.cuminrack.generated.control.ClearSuspectRequest;
+import org.cuminrack.generated.control.Command;
+import org.cuminrack.generated.control.CrashRequest;
+import org.cuminrack.generated.control.FencingNumberRequest;
+import org.cuminrack.generated.control.FinishRequest;
+
+/** Answers the requests that become one command of the log each. */
+final class CommandHandlers {
+  /** The longest change id, in characters. */
+  static final int MAX_CHANGE_ID_LENGTH = 200;
+
+  private final Proposer proposer;
+
+  CommandHandlers(Proposer proposer) {
+    this.proposer = proposer;
+  }
+
+  CompletableFuture<byte[]> change(byte[] payload) throws InvalidProtocolBufferException {
+    ChangeRequest request = ChangeRequest.parseFrom(payload);
+    int length = request.getChangeId().length();
+    if (length == 0 || length > MAX_CHANGE_ID_LENGTH) {
+      return refused("change_id: expected 1 to " + MAX_CHANGE_ID_LENGTH + " characters");
+    }
+    return proposer.answer(Command.newBuilder().setChange(request));
+  }
+
+  CompletableFuture<byte[]> claim(byte[] payload) throws InvalidProtocolBufferException {
+    ClaimRequest request = ClaimRequest.parseFrom(payload);
+    if (request.getToken().isEmpty()) {
+      return refused("token: expected one, found none");
+    }
+    return proposer.answer(Command.newBuilder().setClaim(request));
+  }
+
+  CompletableFuture<byte[]> finish(byte[] payload) throws InvalidProtocolBufferException {
+    return proposer.answer(Command.newBuilder().setFinish(FinishRequest.parseFrom(payload)));
+  }
+
+  CompletableFuture<byte[]> crash(byte[] payload) throws InvalidProtocolBufferException {
+    return proposer.answer(Command.newBuilder().setCrash(CrashRequest.parseFrom(payload)));
+  }
+
+  CompletableFuture<byte[]> clearSuspect(byte[] payload) throws InvalidProtocolBufferException {
+    return proposer.answer(
+        Command.newBuilder().setClearSuspect(ClearSuspectRequest.parseFrom(payload)));
+  }
+
+  CompletableFuture<byte[]> fencingNumber(byte[] payload) throws InvalidProtocolBufferException {
+    return proposer.answer(
+        Command.newBuilder().setFencingNumber(FencingNumberRequest.parseFrom(payload)));
+  }
+
+  private static CompletableFuture<byte[]> refused(String detail) {
+    return CompletableFuture.completedFuture(Replies.refused(detail));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/control/ConfigState.java
@@ -0,0 +1,127 @@
+package org.cuminrack.control;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cuminrack.config.ConfigKey;
+import org.cuminrack.config.ConfigKind;
+import org.cuminrack.config.ConfigObject;
+import org.cuminrack.config.VersionedObject;
+import org.cuminrack.generated.control.ChangeRequest;
+import org.cuminrack.generated.control.ChangeVerdict;
+import org.cuminrack.generated.control.ConfigObjectData;
+import org.cuminrack.generated.control.ObjectChange;
+import org.cuminrack.generated.control.Verdict;
+
+/** The configuration objects; takes a batch of changes whole or not at all. Not thread-safe. */
+final class ConfigState {
+  private Map<ConfigKey, VersionedObject> objects = new TreeMap<>();
+
+  /** Takes a batch at a log index, or says why not. */
+  ChangeVerdict change(long index, ChangeRequest request) {
+    Either<ChangeVerdict, List<DecodedChange>> decoded = decode(request);
+    if (decoded.isLeft()) {
+      return decoded.getLeft();
+    }
+    Optional<ChangeVerdict> conflict = firstConflict(decoded.get());
+    if (conflict.isPresent()) {
+      return conflict.get();
+    }
+    Map<ConfigKey, VersionedObject> changed = new TreeMap<>(objects);
+    decoded.get().forEach(each -> each.applyTo(changed, index));
+    Optional<String> fault = ConfigValidator.firstFault(changed);
+    if (fault.isPresent()) {
+      return invalid(fault.get());
+    }
+    objects = changed;
+    return ChangeVerdict.newBuilder().setVerdict(Verdict.ACCEPTED).setRevision(index).build();
+  }
+
+  /** Returns every object, ordered by kind and name. */
+  Collection<VersionedObject> objects() {
+    return objects.values();
+  }
+
+  /** Returns the message for an object, present or absent. */
+  ConfigObjectData data(ConfigKey key) {
+    VersionedObject present = objects.get(key);
+    return present == null ? ConfigCodec.absent(key) : ConfigCodec.data(present);
+  }
+
+  /** Replaces every object. */
+  void restore(Collection<ConfigObjectData> restored) {
+    objects = new TreeMap<>();
+    restored.forEach(each -> objects.put(ConfigCodec.key(each), ConfigCodec.object(each)));
+  }
+
+  private Optional<ChangeVerdict> firstConflict(List<DecodedChange> changes) {
+    return changes.stream()
+        .filter(each -> revisionOf(each.key()) != each.expectedRevision())
+        .findFirst()
+        .map(
+            each ->
+                ChangeVerdict.newBuilder()
+                    .setVerdict(Verdict.CONFLICT)
+                    .setExpectedRevision(each.expectedRevision())
+                    .setPresent(data(each.key()))
+                    .build());
+  }
+
+  private long revisionOf(ConfigKey key) {
+    VersionedObject present = objects.get(key);
+    return present == null ? 0 : present.revision();
+  }
+
+  private static Either<ChangeVerdict, List<DecodedChange>> decode(ChangeRequest request) {
+    List<DecodedChange> decoded = new ArrayList<>();
+    for (ObjectChange each : request.getChangesList()) {
+      Either<String, DecodedChange> change = DecodedChange.of(each);
+      if (change.isLeft()) {
+        return Either.left(invalid(change.getLeft()));
+      }
+      decoded.add(change.get());
+    }
+    long keys = decoded.stream().map(DecodedChange::key).distinct().count();
+    if (decoded.isEmpty() || keys != decoded.size()) {
+      return Either.left(invalid("expected one or more changes, each of another object"));
+    }
+    return Either.right(decoded);
+  }
+
+  private static ChangeVerdict invalid(String detail) {
+    return ChangeVerdict.newBuilder().setVerdict(Verdict.INVALID).setDetail(detail).build();
+  }
+
+  /** One change, its object read from JSON; null removes. */
+  private record DecodedChange(ConfigKey key, long expectedRevision, ConfigObject object) {
+
+    static Either<String, DecodedChange> of(ObjectChange change) {
+      Optional<ConfigKind> kind = ConfigCodec.kind(change.getKind());
+      if (kind.isEmpty()) {
+        return Either.left("kind: found '" + change.getKind() + "', which is none");
+      }
+      ConfigKey key = new ConfigKey(kind.get(), change.getName());
+      if (change.getJson().isEmpty()) {
+        return Either.right(new DecodedChange(key, change.getExpectedRevision(), null));
+      }
+      return ConfigCodec.decode(kind.get(), change.getJson().toByteArray())
+          .mapLeft(fault -> key + ": " + fault)
+          .filterOrElse(
+              object -> object.name().equals(change.getName()),
+              object -> key + ": the object's own name is '" + object.name() + "'")
+          .map(object -> new DecodedChange(key, change.getExpectedRevision(), object));
+    }
+
+    void applyTo(Map<ConfigKey, VersionedObject> objects, long index) {
+      if (object == null) {
+        objects.remove(key);
+      } else {
+        objects.put(key, new VersionedObject(object, index));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/control/ConfigValidator.java
@@ -0,0 +1,73 @@
+package org.cuminrack.control;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminrack.config.ConfigKey;
+import org.cuminrack.config.ConfigKind;
+import org.cuminrack.config.ConfigObject;
+import org.cuminrack.config.Organisation;
+import org.cuminrack.config.Rollout;
+import org.cuminrack.config.Route;
+import org.cuminrack.config.Service;
+import org.cuminrack.config.VersionedObject;
+
+/** Checks a whole configuration: each object's own fields, and that what it names exists. */
+public final class ConfigValidator {
+  /** The longest name, in characters. */
+  private static final int MAX_NAME_LENGTH = 200;
+
+  private ConfigValidator() {}
+
+  /** Returns what is wrong with the first faulty object, if one is. */
+  public static Optional<String> firstFault(Map<ConfigKey, VersionedObject> objects) {
+    return objects.values().stream()
+        .map(VersionedObject::object)
+        .flatMap(each -> fault(objects.keySet(), each).map(f -> each.key() + ": " + f).stream())
+        .findFirst();
+  }
+
+  private static Optional<String> fault(Collection<ConfigKey> keys, ConfigObject object) {
+    if (object.name().length() > MAX_NAME_LENGTH) {
+      return Optional.of("name: expected at most " + MAX_NAME_LENGTH + " characters");
+    }
+    if (object instanceof Organisation organisation) {
+      return positive("weight", organisation.weight())
+          .or(() -> positive("maxConcurrentRequests", organisation.maxConcurrentRequests()));
+    }
+    if (object instanceof Service service && service.serviceKind() == null) {
+      return Optional.of("serviceKind: expected GENERATION or PLAIN, found none");
+    }
+    if (object instanceof Route route) {
+      return service(keys, route.service())
+          .or(() -> positive("timeoutMillis", route.timeoutMillis()))
+          .or(() -> positive("maxBodyBytes", route.maxBodyBytes()));
+    }
+    if (object instanceof Rollout rollout) {
+      return service(keys, rollout.service())
+          .or(() -> named("model", rollout.model()))
+          .or(() -> named("version", rollout.version()))
+          .or(() -> positive("maxUnavailable", rollout.maxUnavailable()));
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<String> service(Collection<ConfigKey> keys, String name) {
+    if (name != null && keys.contains(new ConfigKey(ConfigKind.SERVICE, name))) {
+      return Optional.empty();
+    }
+    return Optional.of("service: expected a service that exists, found '" + name + "'");
+  }
+
+  private static Optional<String> positive(String field, int value) {
+    return value > 0
+        ? Optional.empty()
+        : Optional.of(field + ": expected a number above 0, found " + value);
+  }
+
+  private static Optional<String> named(String field, String value) {
+    return value == null || value.isBlank()
+        ? Optional.of(field + ": expected a name, found none")
+        : Optional.empty();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/control/ControlService.java
@@ -0,0 +1,143 @@
+package org.cuminrack.control;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.quorum.ReplicatedLog;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireHandler;
+import org.cuminrack.wire.WireServer;
+
+/**
+ * What a control VM answers to entries and operators, from the replicated state. Only the leader
+ * answers; the others name it.
+ */
+public final class ControlService implements ManagedService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+
+  private final ControlParts parts;
+  private final SessionHandlers sessions;
+  private final CommandHandlers commands;
+  private final SessionExpiry expiry;
+  private ScheduledExecutorService worker;
+
+  public ControlService(
+      ReplicatedLog log, ControlState state, LeaseSettings settings, Clock clock) {
+    parts = ControlParts.of(log, state, settings, clock);
+    sessions = new SessionHandlers(parts, () -> runSoon(this::inForceMayHaveMoved));
+    commands = new CommandHandlers(parts.proposer());
+    expiry = new SessionExpiry(parts, settings);
+    state.onRevision(() -> runSoon(this::revisionMoved));
+  }
+
+  /** Serves this service's methods on a server; call before the server starts. */
+  public void register(WireServer server) {
+    handlers().forEach(server::serve);
+  }
+
+  /** Returns what serves each method. */
+  Map<Method, WireHandler> handlers() {
+    Map<Method, WireHandler> handlers = new EnumMap<>(Method.class);
+    handlers.put(Method.OPEN_SESSION, handler(sessions::open));
+    handlers.put(Method.RENEW_SESSION, handler(sessions::renew));
+    handlers.put(Method.CLOSE_SESSION, handler(sessions::close));
+    handlers.put(Method.FETCH_STATE, handler(sessions::fetch));
+    handlers.put(Method.IN_FORCE, handler(sessions::inForce));
+    handlers.put(Method.CHANGE, handler(commands::change));
+    handlers.put(Method.CLAIM_CALL, handler(commands::claim));
+    handlers.put(Method.FINISH_CALL, handler(commands::finish));
+    handlers.put(Method.REPORT_CRASH, handler(commands::crash));
+    handlers.put(Method.CLEAR_SUSPECT, handler(commands::clearSuspect));
+    handlers.put(Method.TAKE_FENCING_NUMBER, handler(commands::fencingNumber));
+    return handlers;
+  }
+
+  @Override
+  public synchronized void start() {
+    worker =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "control-service");
+              thread.setDaemon(true);
+              return thread;
+            });
+    worker.scheduleWithFixedDelay(
+        this::tickOrLog, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public synchronized void stop() {
+    if (worker != null) {
+      worker.shutdownNow();
+      worker = null;
+    }
+  }
+
+  /** Ends sessions that ran out and answers waits that are over; called by a timer. */
+  void tick() {
+    expiry.tick();
+    sessions.refreshInForce();
+    parts.waiters().check();
+  }
+
+  private void tickOrLog() {
+    try {
+      tick();
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("%s", LogEvent.named("control-tick-failed"));
+    }
+  }
+
+  private void revisionMoved() {
+    sessions.refreshInForce();
+    parts.waiters().check();
+  }
+
+  private void inForceMayHaveMoved() {
+    if (sessions.refreshInForce()) {
+      parts.waiters().check();
+    }
+  }
+
+  private void runSoon(Runnable task) {
+    ExecutorService executor;
+    synchronized (this) {
+      executor = worker;
+    }
+    if (executor == null) {
+      return;
+    }
+    try {
+      executor.execute(task);
+    } catch (RejectedExecutionException e) {
+      // Stopped meanwhile: nobody waits any more.
+    }
+  }
+
+  private static WireHandler handler(Handler handler) {
+    return payload -> {
+      try {
+        return handler.handle(payload);
+      } catch (InvalidProtocolBufferException e) {
+        return CompletableFuture.completedFuture(Replies.refused("unreadable: " + e.getMessage()));
+      }
+    };
+  }
+
+  /** Serves one method from its parsed payload. */
+  private interface Handler {
+    CompletableFuture<byte[]> handle(byte[] payload) throws InvalidProtocolBufferException;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/control/OperatorApi.java
@@ -0,0 +1,177 @@
+package org.cuminrack.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Parser;
+import io.undertow.Handlers;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.cuminrack.generated.control.ChangeRequest;
+import org.cuminrack.generated.control.ChangeVerdict;
+import org.cuminrack.generated.control.FetchReply;
+import org.cuminrack.generated.control.FetchRequest;
+import org.cuminrack.generated.control.InForceReply;
+import org.cuminrack.generated.control.InForceRequest;
+import org.cuminrack.http.Json;
+import org.cuminrack.http.JsonBodyHandler;
+import org.cuminrack.http.ProblemDocument;
+import org.cuminrack.member.ControlCalls;
+import org.cuminrack.member.ControlFailure;
+import org.cuminrack.wire.Method;
+
+/** What operators ask a control VM over HTTP (docs/PROTOCOL.md); passed to the leader. */
+public final class OperatorApi {
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int UNAVAILABLE = 503;
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  private final ControlCalls calls;
+
+  public OperatorApi(ControlCalls calls) {
+    this.calls = calls;
+  }
+
+  /** Returns the handler of every path under {@code /v1} that operators use. */
+  public RoutingHandler handler() {
+    return Handlers.routing()
+        .post("/v1/changes", JsonBodyHandler.reading(ChangeBody.class, this::change))
+        .get("/v1/configuration", this::configuration)
+        .get("/v1/in-force", this::inForce)
+        .get("/v1/status", this::status);
+  }
+
+  private void change(HttpServerExchange exchange, ChangeBody body) {
+    Either<String, ChangeRequest> request = body.toRequest();
+    if (request.isLeft()) {
+      answer(exchange, BAD_REQUEST, OperatorAnswers.invalid(request.getLeft()));
+      return;
+    }
+    send(
+        exchange,
+        calls.call(Method.CHANGE, request.get().toByteArray(), TIMEOUT),
+        ChangeVerdict.parser(),
+        verdict -> answerVerdict(exchange, verdict));
+  }
+
+  private static void answerVerdict(HttpServerExchange exchange, ChangeVerdict verdict) {
+    int status =
+        switch (verdict.getVerdict()) {
+          case ACCEPTED -> OK;
+          case CONFLICT -> 409;
+          default -> BAD_REQUEST;
+        };
+    answer(exchange, status, OperatorAnswers.of(verdict));
+  }
+
+  private void configuration(HttpServerExchange exchange) {
+    FetchRequest request = FetchRequest.newBuilder().setLinearizable(true).build();
+    send(
+        exchange,
+        calls.call(Method.FETCH_STATE, request.toByteArray(), TIMEOUT),
+        FetchReply.parser(),
+        reply -> answer(exchange, OK, OperatorAnswers.configuration(reply)));
+  }
+
+  private void inForce(HttpServerExchange exchange) {
+    Either<String, Long> revision = number(exchange, "revision");
+    Either<String, Long> waitMillis = number(exchange, "wait_millis");
+    if (revision.isLeft() || waitMillis.isLeft()) {
+      String fault = revision.isLeft() ? revision.getLeft() : waitMillis.getLeft();
+      ProblemDocument.of(BAD_REQUEST, "bad-request", fault).send(exchange);
+      return;
+    }
+    long wait = Math.min(waitMillis.get(), SessionHandlers.MAX_WAIT.toMillis());
+    sendInForce(
+        exchange, revision.get(), wait, reply -> OperatorAnswers.inForce(revision.get(), reply));
+  }
+
+  private void status(HttpServerExchange exchange) {
+    sendInForce(exchange, 0, 0, OperatorAnswers::status);
+  }
+
+  private void sendInForce(
+      HttpServerExchange exchange,
+      long revision,
+      long waitMillis,
+      java.util.function.Function<InForceReply, Object> toAnswer) {
+    InForceRequest request =
+        InForceRequest.newBuilder().setRevision(revision).setWaitMillis((int) waitMillis).build();
+    Duration timeout = TIMEOUT.plusMillis(waitMillis);
+    Duration attemptTimeout = Duration.ofSeconds(1).plusMillis(waitMillis);
+    send(
+        exchange,
+        calls.call(Method.IN_FORCE, request.toByteArray(), timeout, attemptTimeout),
+        InForceReply.parser(),
+        reply -> answer(exchange, OK, toAnswer.apply(reply)));
+  }
+
+  private static <T> void send(
+      HttpServerExchange exchange,
+      CompletableFuture<Either<ControlFailure, byte[]>> call,
+      Parser<T> parser,
+      Consumer<T> then) {
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () ->
+            call.whenComplete(
+                (outcome, failure) -> {
+                  if (failure != null) {
+                    answerFailure(exchange, new ControlFailure.Unknown(failure.toString()));
+                  } else if (outcome.isLeft()) {
+                    answerFailure(exchange, outcome.getLeft());
+                  } else {
+                    parse(exchange, parser, outcome.get(), then);
+                  }
+                }));
+  }
+
+  private static <T> void parse(
+      HttpServerExchange exchange, Parser<T> parser, byte[] body, Consumer<T> then) {
+    T reply;
+    try {
+      reply = parser.parseFrom(body);
+    } catch (InvalidProtocolBufferException e) {
+      answerFailure(exchange, new ControlFailure.Unknown("unreadable answer"));
+      return;
+    }
+    then.accept(reply);
+  }
+
+  private static void answerFailure(HttpServerExchange exchange, ControlFailure failure) {
+    if (failure instanceof ControlFailure.Refused) {
+      answer(exchange, BAD_REQUEST, OperatorAnswers.invalid(failure.detail()));
+      return;
+    }
+    String verdict = failure instanceof ControlFailure.Unknown ? "unknown" : "unavailable";
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("verdict", verdict);
+    body.put("detail", failure.detail());
+    answer(exchange, UNAVAILABLE, body);
+  }
+
+  private static void answer(HttpServerExchange exchange, int status, Object body) {
+    exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    exchange.getResponseSender().send(ByteBuffer.wrap(Json.bytes(body)));
+  }
+
+  private static Either<String, Long> number(HttpServerExchange exchange, String name) {
+    Deque<String> values = exchange.getQueryParameters().get(name);
+    String text = values == null ? "0" : values.getFirst();
+    try {
+      return Either.right(Math.max(0, Long.parseLong(text)));
+    } catch (NumberFormatException e) {
+      return Either.left(name + ": expected a number, found '" + text + "'");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/control/SessionHandlers.java
@@ -0,0 +1,208 @@
+package org.cuminrack.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cuminrack.generated.control.CloseSessionRequest;
+import org.cuminrack.generated.control.Command;
+import org.cuminrack.generated.control.EndSession;
+import org.cuminrack.generated.control.FetchRequest;
+import org.cuminrack.generated.control.InForceReply;
+import org.cuminrack.generated.control.InForceRequest;
+import org.cuminrack.generated.control.MarkStopping;
+import org.cuminrack.generated.control.MemberData;
+import org.cuminrack.generated.control.MemberStatus;
+import org.cuminrack.generated.control.OpenSessionRequest;
+import org.cuminrack.generated.control.RenewReply;
+import org.cuminrack.generated.control.RenewRequest;
+import org.cuminrack.quorum.ReplicatedLog;
+import org.cuminrack.time.Clock;
+
+/** Answers what entries ask about their sessions, and how far a revision is in force. */
+final class SessionHandlers {
+  /** The longest wait for a newer state. */
+  static final Duration MAX_WAIT = Duration.ofSeconds(30);
+
+  private final ReplicatedLog log;
+  private final ControlState state;
+  private final Leadership leadership;
+  private final Proposer proposer;
+  private final LeadershipConfirmer confirmer;
+  private final Waiters waiters;
+  private final Clock clock;
+  private final Runnable inForceMayHaveMoved;
+  private final AtomicLong lastWait = new AtomicLong();
+  private volatile long lastInForceRevision;
+
+  SessionHandlers(ControlParts parts, Runnable inForceMayHaveMoved) {
+    this.log = parts.log();
+    this.state = parts.state();
+    this.leadership = parts.leadership();
+    this.proposer = parts.proposer();
+    this.confirmer = parts.confirmer();
+    this.waiters = parts.waiters();
+    this.clock = parts.clock();
+    this.inForceMayHaveMoved = inForceMayHaveMoved;
+  }
+
+  CompletableFuture<byte[]> open(byte[] payload) throws InvalidProtocolBufferException {
+    OpenSessionRequest request = OpenSessionRequest.parseFrom(payload);
+    if (request.getToken().isEmpty() || request.getName().isEmpty()) {
+      return completed(Replies.refused("expected a token and a name"));
+    }
+    return proposer.answer(Command.newBuilder().setOpenSession(request));
+  }
+
+  CompletableFuture<byte[]> close(byte[] payload) throws InvalidProtocolBufferException {
+    CloseSessionRequest request = CloseSessionRequest.parseFrom(payload);
+    long sessionId = request.getSessionId();
+    Command.Builder command = Command.newBuilder();
+    if (request.getOnlyMarkStopping()) {
+      command.setMarkStopping(MarkStopping.newBuilder().setSessionId(sessionId));
+    } else {
+      command.setEndSession(EndSession.newBuilder().setSessionId(sessionId));
+    }
+    return proposer.answer(command);
+  }
+
+  /**
+   * Renews a lease. Control counts the lease from the arrival of the request, the entry from its
+   * send; the answer waits for a confirmation that began after the arrival, so no later leader can
+   * have begun before it.
+   */
+  CompletableFuture<byte[]> renew(byte[] payload) throws InvalidProtocolBufferException {
+    RenewRequest request = RenewRequest.parseFrom(payload);
+    Optional<Leadership.Term> term = leadership.term();
+    if (term.isEmpty()) {
+      return completed(Replies.notLeader(log.leader()));
+    }
+    boolean renewed = state.isOpen(request.getSessionId()) && renew(term.get(), request);
+    return confirmer
+        .confirm()
+        .thenApply(
+            outcome -> outcome.fold(Replies::of, index -> renewed(term.get(), request, renewed)));
+  }
+
+  private boolean renew(Leadership.Term term, RenewRequest request) {
+    LeaseTable.Renewal renewal =
+        term.leases()
+            .renew(request.getSessionId(), request.getAcknowledgedRevision(), clock.nanoTime());
+    if (renewal == LeaseTable.Renewal.NEW_REVISION) {
+      inForceMayHaveMoved.run();
+    }
+    return renewal != LeaseTable.Renewal.REFUSED;
+  }
+
+  private byte[] renewed(Leadership.Term term, RenewRequest request, boolean renewed) {
+    if (!leadership.term().equals(Optional.of(term))) {
+      return Replies.notLeader(log.leader());
+    }
+    return Replies.ok(
+        RenewReply.newBuilder()
+            .setRenewed(renewed && state.isOpen(request.getSessionId()))
+            .setRevision(state.revision())
+            .setInForceRevision(inForceRevision())
+            .build());
+  }
+
+  CompletableFuture<byte[]> fetch(byte[] payload) throws InvalidProtocolBufferException {
+    FetchRequest request = FetchRequest.parseFrom(payload);
+    if (leadership.term().isEmpty()) {
+      return completed(Replies.notLeader(log.leader()));
+    }
+    if (request.getLinearizable()) {
+      return confirmer
+          .confirm()
+          .thenApply(outcome -> outcome.fold(Replies::of, index -> fetched(request)));
+    }
+    String reader =
+        request.getSessionId() == 0
+            ? "wait-" + lastWait.incrementAndGet()
+            : "session-" + request.getSessionId();
+    return waiters.addOrAnswer(
+        reader,
+        deadlineNanos(request.getWaitMillis()),
+        () -> hasNews(request),
+        () -> fetched(request));
+  }
+
+  private boolean hasNews(FetchRequest request) {
+    return state.revision() > request.getAfterRevision()
+        || lastInForceRevision > request.getKnownInForceRevision()
+        || leadership.term().isEmpty();
+  }
+
+  private byte[] fetched(FetchRequest request) {
+    if (leadership.term().isEmpty()) {
+      return Replies.notLeader(log.leader());
+    }
+    return Replies.ok(
+        state.changesAfter(request.getAfterRevision()).toBuilder()
+            .setInForceRevision(inForceRevision())
+            .build());
+  }
+
+  CompletableFuture<byte[]> inForce(byte[] payload) throws InvalidProtocolBufferException {
+    InForceRequest request = InForceRequest.parseFrom(payload);
+    return waiters.addOrAnswer(
+        "wait-" + lastWait.incrementAndGet(),
+        deadlineNanos(request.getWaitMillis()),
+        () -> lastInForceRevision >= request.getRevision() || leadership.term().isEmpty(),
+        () -> inForce(request));
+  }
+
+  private byte[] inForce(InForceRequest request) {
+    Optional<Leadership.Term> term = leadership.term();
+    if (term.isEmpty()) {
+      return Replies.notLeader(log.leader());
+    }
+    InForceReply.Builder reply = InForceReply.newBuilder();
+    reply.setRevision(state.revision()).setInForceRevision(inForceRevision());
+    reply.setInForce(reply.getInForceRevision() >= request.getRevision());
+    reply.setLeader(log.leader()).setTerm(term.get().number());
+    for (MemberData each : state.members()) {
+      MemberStatus status = status(term.get().leases(), each);
+      reply.addMembers(status);
+      if (status.getAcknowledgedRevision() < request.getRevision()) {
+        reply.addWaitingFor(each.getName());
+      }
+    }
+    return Replies.ok(reply.build());
+  }
+
+  private MemberStatus status(LeaseTable leases, MemberData member) {
+    long leftNanos = leases.leftNanos(member.getSessionId(), clock.nanoTime());
+    return MemberStatus.newBuilder()
+        .setMember(member)
+        .setAcknowledgedRevision(leases.acknowledged(member))
+        .setLeaseLeftMillis(Duration.ofNanos(leftNanos).toMillis())
+        .build();
+  }
+
+  /** Works out anew how far the state is in force; true where that moved. */
+  synchronized boolean refreshInForce() {
+    long before = lastInForceRevision;
+    lastInForceRevision = inForceRevision();
+    return lastInForceRevision != before;
+  }
+
+  private long inForceRevision() {
+    return leadership.term().map(this::inForceRevision).orElse(0L);
+  }
+
+  private long inForceRevision(Leadership.Term term) {
+    long revision = state.revision();
+    return term.leases().inForceRevision(revision, state.members());
+  }
+
+  private long deadlineNanos(int waitMillis) {
+    Duration wait = Duration.ofMillis(Math.max(0, waitMillis));
+    return clock.nanoTime() + (wait.compareTo(MAX_WAIT) < 0 ? wait : MAX_WAIT).toNanos();
+  }
+
+  private static CompletableFuture<byte[]> completed(byte[] reply) {
+    return CompletableFuture.completedFuture(reply);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/control/SessionState.java
@@ -0,0 +1,81 @@
+package org.cuminrack.control;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cuminrack.generated.control.MemberData;
+import org.cuminrack.generated.control.OpenSessionRequest;
+import org.cuminrack.generated.control.SessionData;
+
+/** The open sessions of entries, by session id. Not thread-safe. */
+final class SessionState {
+  private final Map<Long, SessionData> sessions = new TreeMap<>();
+  private final Map<String, Long> byToken = new HashMap<>();
+
+  /** Returns the open session that this token opened. */
+  Optional<Long> opened(String token) {
+    return Optional.ofNullable(byToken.get(token));
+  }
+
+  /** Opens a session whose id is the log index. */
+  void open(long index, OpenSessionRequest request) {
+    MemberData member =
+        MemberData.newBuilder()
+            .setName(request.getName())
+            .setSessionId(index)
+            .setDataCentre(request.getDataCentre())
+            .setHttpAddress(request.getHttpAddress())
+            .setWireAddress(request.getWireAddress())
+            .build();
+    put(SessionData.newBuilder().setMember(member).setToken(request.getToken()).build());
+  }
+
+  /** Ends a session; false where it is not open. */
+  boolean end(long sessionId) {
+    SessionData ended = sessions.remove(sessionId);
+    if (ended == null) {
+      return false;
+    }
+    byToken.remove(ended.getToken());
+    return true;
+  }
+
+  /** Marks a session's entry as stopping; false where it is so already or not open. */
+  boolean markStopping(long sessionId) {
+    SessionData session = sessions.get(sessionId);
+    if (session == null || session.getMember().getStopping()) {
+      return false;
+    }
+    MemberData stopping = session.getMember().toBuilder().setStopping(true).build();
+    sessions.put(sessionId, session.toBuilder().setMember(stopping).build());
+    return true;
+  }
+
+  boolean isOpen(long sessionId) {
+    return sessions.containsKey(sessionId);
+  }
+
+  Optional<MemberData> find(long sessionId) {
+    return Optional.ofNullable(sessions.get(sessionId)).map(SessionData::getMember);
+  }
+
+  /** Returns every open session, ordered by id. */
+  Collection<SessionData> all() {
+    return sessions.values();
+  }
+
+  /** Replaces every session. */
+  void restore(List<SessionData> restored) {
+    sessions.clear();
+    byToken.clear();
+    restored.forEach(this::put);
+  }
+
+  private void put(SessionData session) {
+    sessions.put(session.getMember().getSessionId(), session);
+    byToken.put(session.getToken(), session.getMember().getSessionId());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/control/SuspectState.java
@@ -0,0 +1,105 @@
+package org.cuminrack.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminrack.generated.control.CrashData;
+import org.cuminrack.generated.control.CrashRequest;
+import org.cuminrack.generated.control.SuspicionData;
+
+/**
+ * Requests that were running where an upstream died, with the upstream lives they were seen on. Not
+ * thread-safe.
+ */
+final class SuspectState {
+  /** How many requests are suspect at one time; the oldest suspicion makes room. */
+  static final int MAX_SUSPECTS = 10_000;
+
+  /** How many crashes are counted against one request. */
+  static final int MAX_CRASHES = 8;
+
+  /** How long a suspicion lasts after its last crash. */
+  static final Duration RETENTION = Duration.ofHours(1);
+
+  // Ordered by the time of the last crash, the oldest first.
+  private final Map<String, SuspicionData> suspicions = new LinkedHashMap<>();
+
+  /** Counts a crash against each request; returns those whose count changed. */
+  List<String> report(CrashRequest request, long timeMillis) {
+    CrashData crash =
+        CrashData.newBuilder()
+            .setUpstream(request.getUpstream())
+            .setBootId(request.getBootId())
+            .build();
+    List<String> changed = new ArrayList<>();
+    for (String fingerprint : request.getFingerprintsList()) {
+      if (count(fingerprint, crash, timeMillis)) {
+        changed.add(fingerprint);
+      }
+    }
+    while (suspicions.size() > MAX_SUSPECTS) {
+      changed.add(removeOldest());
+    }
+    return changed;
+  }
+
+  /** Takes the suspicion off a request; false where there was none. */
+  boolean clear(String fingerprint) {
+    return suspicions.remove(fingerprint) != null;
+  }
+
+  /** Drops suspicions that ran out; returns them. */
+  List<String> expire(long timeMillis) {
+    List<String> expired = new ArrayList<>();
+    while (hasExpired(timeMillis)) {
+      expired.add(removeOldest());
+    }
+    return expired;
+  }
+
+  boolean hasExpired(long timeMillis) {
+    Iterator<SuspicionData> oldest = suspicions.values().iterator();
+    return oldest.hasNext() && oldest.next().getSinceMillis() + RETENTION.toMillis() <= timeMillis;
+  }
+
+  /** Returns how many crashes are counted against a request. */
+  int crashes(String fingerprint) {
+    SuspicionData suspicion = suspicions.get(fingerprint);
+    return suspicion == null ? 0 : suspicion.getCrashesCount();
+  }
+
+  /** Returns every suspicion, the oldest first. */
+  Collection<SuspicionData> all() {
+    return suspicions.values();
+  }
+
+  /** Replaces every suspicion. */
+  void restore(List<SuspicionData> restored) {
+    suspicions.clear();
+    restored.forEach(each -> suspicions.put(each.getFingerprint(), each));
+  }
+
+  private boolean count(String fingerprint, CrashData crash, long timeMillis) {
+    SuspicionData known = suspicions.get(fingerprint);
+    SuspicionData.Builder suspicion =
+        known == null ? SuspicionData.newBuilder().setFingerprint(fingerprint) : known.toBuilder();
+    boolean counted = suspicion.getCrashesList().contains(crash);
+    if (counted || suspicion.getCrashesCount() >= MAX_CRASHES) {
+      return false;
+    }
+    suspicions.remove(fingerprint);
+    suspicions.put(fingerprint, suspicion.addCrashes(crash).setSinceMillis(timeMillis).build());
+    return true;
+  }
+
+  private String removeOldest() {
+    Iterator<String> oldest = suspicions.keySet().iterator();
+    String fingerprint = oldest.next();
+    oldest.remove();
+    return fingerprint;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/ledger/ReplicatedLedger.java
@@ -0,0 +1,161 @@
+package org.cuminrack.ledger;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.generated.control.AnswerData;
+import org.cuminrack.generated.control.CallKeyData;
+import org.cuminrack.generated.control.ClaimReply;
+import org.cuminrack.generated.control.ClaimRequest;
+import org.cuminrack.generated.control.FinishReply;
+import org.cuminrack.generated.control.FinishRequest;
+import org.cuminrack.generated.control.FinishResult;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.member.ControlCalls;
+import org.cuminrack.member.ControlFailure;
+import org.cuminrack.member.Membership;
+import org.cuminrack.wire.Method;
+
+/**
+ * The ledger that control keeps. A claim carries a token, so that a resend of it to another control
+ * VM gets the same verdict; a claim whose answer was lost is not used, and its token is given back
+ * so that the caller can claim anew.
+ */
+public final class ReplicatedLedger implements Ledger {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** When to come back for a call that is in progress, or for a ledger that can't be reached. */
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  /** How long the end of a call is sent again and again. */
+  private static final Duration FINISH_TIMEOUT = Duration.ofSeconds(10);
+
+  /** How long a token is given back again and again; then the end of the session settles it. */
+  private static final Duration GIVE_BACK_TIMEOUT = Duration.ofSeconds(30);
+
+  /** How many tokens are being given back at one time. */
+  private static final int MAX_GIVING_BACK = 1_000;
+
+  private final ControlCalls calls;
+  private final Membership membership;
+  private final Semaphore givingBack = new Semaphore(MAX_GIVING_BACK);
+
+  public ReplicatedLedger(ControlCalls calls, Membership membership) {
+    this.calls = calls;
+    this.membership = membership;
+  }
+
+  @Override
+  public CompletableFuture<ClaimVerdict> claim(
+      CallKey key, Fingerprint fingerprint, Duration timeout) {
+    long sessionId = membership.sessionId();
+    if (sessionId == 0 || !membership.hasFreshLease()) {
+      return CompletableFuture.completedFuture(unavailable());
+    }
+    ClaimRequest request =
+        ClaimRequest.newBuilder()
+            .setKey(data(key))
+            .setFingerprint(fingerprint.hex())
+            .setSessionId(sessionId)
+            .setToken(UUID.randomUUID().toString())
+            .build();
+    return calls
+        .call(Method.CLAIM_CALL, request.toByteArray(), timeout)
+        .thenApply(outcome -> verdict(request, outcome));
+  }
+
+  @Override
+  public CompletableFuture<Boolean> finish(CallKey key, long claimId, CallResult result) {
+    FinishRequest.Builder request =
+        FinishRequest.newBuilder().setKey(data(key)).setClaimId(claimId);
+    if (result instanceof CallResult.Done done) {
+      request.setResult(FinishResult.FINISH_DONE).setAnswer(data(done.answer()));
+    } else if (result instanceof CallResult.NotRun) {
+      request.setResult(FinishResult.FINISH_NOT_RUN);
+    } else {
+      request.setResult(FinishResult.FINISH_UNKNOWN);
+    }
+    return calls
+        .call(Method.FINISH_CALL, request.build().toByteArray(), FINISH_TIMEOUT)
+        .thenApply(outcome -> outcome.fold(failure -> false, ReplicatedLedger::isRecorded));
+  }
+
+  private ClaimVerdict verdict(ClaimRequest request, Either<ControlFailure, byte[]> outcome) {
+    if (outcome.isRight()) {
+      try {
+        return verdict(ClaimReply.parseFrom(outcome.get()));
+      } catch (InvalidProtocolBufferException e) {
+        giveBack(request);
+        return unavailable();
+      }
+    }
+    if (outcome.getLeft() instanceof ControlFailure.Unknown) {
+      giveBack(request);
+    }
+    return unavailable();
+  }
+
+  private static ClaimVerdict verdict(ClaimReply reply) {
+    return switch (reply.getState()) {
+      case GRANTED -> new ClaimVerdict.Granted(reply.getClaimId());
+      case IN_PROGRESS -> new ClaimVerdict.InProgress(RETRY_AFTER);
+      case DONE -> new ClaimVerdict.Done(answer(reply.getAnswer()));
+      case UNKNOWN -> new ClaimVerdict.Unknown();
+      case KEY_REUSED -> new ClaimVerdict.KeyReused();
+      default -> unavailable();
+    };
+  }
+
+  private void giveBack(ClaimRequest claim) {
+    if (!givingBack.tryAcquire()) {
+      logger.atWarning().log("%s", LogEvent.named("claim-not-given-back"));
+      return;
+    }
+    FinishRequest request =
+        FinishRequest.newBuilder()
+            .setKey(claim.getKey())
+            .setToken(claim.getToken())
+            .setResult(FinishResult.FINISH_NOT_RUN)
+            .build();
+    calls
+        .call(Method.FINISH_CALL, request.toByteArray(), GIVE_BACK_TIMEOUT)
+        .whenComplete((outcome, failure) -> givingBack.release());
+  }
+
+  private static boolean isRecorded(byte[] reply) {
+    try {
+      return FinishReply.parseFrom(reply).getRecorded();
+    } catch (InvalidProtocolBufferException e) {
+      return false;
+    }
+  }
+
+  private static ClaimVerdict unavailable() {
+    return new ClaimVerdict.Unavailable(RETRY_AFTER);
+  }
+
+  private static CallKeyData data(CallKey key) {
+    return CallKeyData.newBuilder()
+        .setOrganisation(key.organisation())
+        .setRoute(key.route())
+        .setIdempotencyKey(key.idempotencyKey())
+        .build();
+  }
+
+  private static AnswerData data(StoredAnswer answer) {
+    return AnswerData.newBuilder()
+        .setHttpStatus(answer.httpStatus())
+        .setContentType(answer.contentType())
+        .setBody(answer.body())
+        .build();
+  }
+
+  private static StoredAnswer answer(AnswerData data) {
+    return new StoredAnswer(data.getHttpStatus(), data.getContentType(), data.getBody());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/member/MembershipThread.java
@@ -0,0 +1,62 @@
+package org.cuminrack.member;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cuminrack.log.LogEvent;
+
+/** The one thread of a membership. Not started, it runs what it is given at once, in the caller. */
+final class MembershipThread {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+
+  private volatile ScheduledExecutorService executor;
+
+  void start(Runnable tick) {
+    executor =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "membership");
+              thread.setDaemon(true);
+              return thread;
+            });
+    executor.scheduleWithFixedDelay(
+        () -> runOrLog(tick), 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  void execute(Runnable task) {
+    ScheduledExecutorService present = executor;
+    if (present == null) {
+      task.run();
+      return;
+    }
+    try {
+      present.execute(() -> runOrLog(task));
+    } catch (RejectedExecutionException e) {
+      // Stopped: what was on its way no longer matters.
+    }
+  }
+
+  void stop() {
+    if (executor == null) {
+      return;
+    }
+    executor.shutdownNow();
+    try {
+      executor.awaitTermination(1, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void runOrLog(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("%s", LogEvent.named("membership-task-failed"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/member/ViewUpdate.java
@@ -0,0 +1,87 @@
+package org.cuminrack.member;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cuminrack.config.ConfigKey;
+import org.cuminrack.config.Configuration;
+import org.cuminrack.config.VersionedObject;
+import org.cuminrack.control.ConfigCodec;
+import org.cuminrack.generated.control.ConfigObjectData;
+import org.cuminrack.generated.control.FetchReply;
+import org.cuminrack.generated.control.MemberData;
+import org.cuminrack.generated.control.SuspectData;
+
+/** Makes the next view out of the present one and what control says has changed. */
+final class ViewUpdate {
+  private static final Comparator<EntryMember> BY_NAME =
+      Comparator.comparing(EntryMember::name).thenComparing(EntryMember::sessionId);
+
+  private ViewUpdate() {}
+
+  /**
+   * Returns the next view; empty where the answer is older than the present one, or begins after
+   * it. Changes carry the values as they stand, so an answer that begins earlier fits too.
+   */
+  static Optional<ClusterView> apply(ClusterView view, FetchReply reply) {
+    boolean newer = reply.getRevision() > view.revision();
+    boolean fits = reply.getWhole() || reply.getBaseRevision() <= view.revision();
+    if (!newer || !fits) {
+      return Optional.empty();
+    }
+    ClusterView base = reply.getWhole() ? ClusterView.empty() : view;
+    return Optional.of(
+        new ClusterView(
+            reply.getRevision(),
+            reply.getEpoch(),
+            configuration(base.configuration(), reply),
+            members(base.members(), reply),
+            suspects(base.suspects(), reply)));
+  }
+
+  private static Configuration configuration(Configuration base, FetchReply reply) {
+    Map<ConfigKey, VersionedObject> objects = new TreeMap<>();
+    base.objects().forEach(each -> objects.put(each.object().key(), each));
+    for (ConfigObjectData each : reply.getObjectsList()) {
+      if (each.getRevision() == 0) {
+        objects.remove(ConfigCodec.key(each));
+      } else {
+        objects.put(ConfigCodec.key(each), ConfigCodec.object(each));
+      }
+    }
+    return Configuration.of(reply.getRevision(), objects.values());
+  }
+
+  private static List<EntryMember> members(List<EntryMember> base, FetchReply reply) {
+    Map<Long, EntryMember> members = new HashMap<>();
+    base.forEach(each -> members.put(each.sessionId(), each));
+    reply.getEndedSessionsList().forEach(members::remove);
+    reply.getMembersList().forEach(each -> members.put(each.getSessionId(), member(each)));
+    return members.values().stream().sorted(BY_NAME).toList();
+  }
+
+  private static EntryMember member(MemberData data) {
+    return new EntryMember(
+        data.getName(),
+        data.getSessionId(),
+        data.getDataCentre(),
+        data.getHttpAddress(),
+        data.getWireAddress(),
+        data.getStopping());
+  }
+
+  private static Map<String, Integer> suspects(Map<String, Integer> base, FetchReply reply) {
+    Map<String, Integer> suspects = new HashMap<>(base);
+    for (SuspectData each : reply.getSuspectsList()) {
+      if (each.getCrashes() == 0) {
+        suspects.remove(each.getFingerprint());
+      } else {
+        suspects.put(each.getFingerprint(), each.getCrashes());
+      }
+    }
+    return Map.copyOf(suspects);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/control/ControlGroup.java
@@ -0,0 +1,128 @@
+package org.cuminrack.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.config.ConfigObject;
+import org.cuminrack.generated.control.ChangeRequest;
+import org.cuminrack.generated.control.ChangeVerdict;
+import org.cuminrack.generated.control.ControlReply;
+import org.cuminrack.generated.control.InForceReply;
+import org.cuminrack.generated.control.InForceRequest;
+import org.cuminrack.generated.control.ReplyStatus;
+import org.cuminrack.member.ControlCalls;
+import org.cuminrack.member.ControlFailure;
+import org.cuminrack.quorum.InMemoryLog;
+import org.cuminrack.time.ManualClock;
+import org.cuminrack.wire.Method;
+
+/** Three control VMs without a network: calls go straight to the leader's handlers. */
+public final class ControlGroup implements ControlCalls {
+  public final ManualClock clock = new ManualClock();
+  public final InMemoryLog log = new InMemoryLog();
+  private final Map<String, ControlService> services = new LinkedHashMap<>();
+  private final Map<String, ControlState> states = new LinkedHashMap<>();
+  private String leader = "";
+  private boolean isCut;
+
+  public ControlGroup() {
+    for (String each : List.of("a", "b", "c")) {
+      ControlState state = new ControlState();
+      states.put(each, state);
+      services.put(
+          each, new ControlService(log.join(each, state), state, LeaseSettings.standard(), clock));
+    }
+    elect("a");
+  }
+
+  /** Lets a VM lead from now on. */
+  public void elect(String name) {
+    log.elect(name);
+    leader = name;
+    tick();
+  }
+
+  /** Lets calls fail, or come through again. */
+  public void cut(boolean cut) {
+    isCut = cut;
+  }
+
+  /** Does on every VM what its timer would do. */
+  public void tick() {
+    services.values().forEach(ControlService::tick);
+  }
+
+  /** Lets time pass in steps of 50 ms, with a tick after each. */
+  public void pass(Duration time) {
+    for (Duration left = time; left.toMillis() > 0; left = left.minusMillis(50)) {
+      clock.advance(Duration.ofMillis(50));
+      tick();
+    }
+  }
+
+  public ControlState state() {
+    return states.get(leader);
+  }
+
+  ControlService service(String name) {
+    return services.get(name);
+  }
+
+  @Override
+  public CompletableFuture<Either<ControlFailure, byte[]>> call(
+      Method method, byte[] payload, Duration timeout, Duration attemptTimeout) {
+    if (isCut) {
+      return CompletableFuture.completedFuture(
+          Either.left(new ControlFailure.Unavailable("cut off")));
+    }
+    return services
+        .get(leader)
+        .handlers()
+        .get(method)
+        .handle(payload)
+        .thenApply(ControlGroup::outcome);
+  }
+
+  /** Changes one object. */
+  public ChangeVerdict change(String changeId, ConfigObject object, long expectedRevision) {
+    ChangeRequest request =
+        ChangeRequest.newBuilder()
+            .setChangeId(changeId)
+            .addChanges(ConfigCodec.put(object, expectedRevision))
+            .build();
+    return parse(ChangeVerdict.parser(), now(Method.CHANGE, request.toByteArray()));
+  }
+
+  /** Tells how far the state is in force. */
+  public InForceReply inForce(long revision) {
+    InForceRequest request = InForceRequest.newBuilder().setRevision(revision).build();
+    return parse(InForceReply.parser(), now(Method.IN_FORCE, request.toByteArray()));
+  }
+
+  private byte[] now(Method method, byte[] payload) {
+    return call(method, payload, Duration.ofSeconds(1)).join().get();
+  }
+
+  private static <T> T parse(com.google.protobuf.Parser<T> parser, byte[] bytes) {
+    try {
+      return parser.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static Either<ControlFailure, byte[]> outcome(byte[] bytes) {
+    ControlReply reply = parse(ControlReply.parser(), bytes);
+    if (reply.getStatus() == ReplyStatus.OK) {
+      return Either.right(reply.getBody().toByteArray());
+    }
+    return Either.left(
+        reply.getStatus() == ReplyStatus.OUTCOME_UNKNOWN
+            ? new ControlFailure.Unknown(reply.getDetail())
+            : new ControlFailure.Unavailable(reply.getStatus() + " " + reply.getDetail()));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/InMemoryLog.java
@@ -0,0 +1,113 @@
+package org.cuminrack.quorum;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** A log without disks or messages: what one replica proposes, all have applied at once. */
+public final class InMemoryLog {
+  private final List<byte[]> commands = new ArrayList<>();
+  private final List<Replica> replicas = new ArrayList<>();
+  private String leader = "";
+  private long term;
+  private boolean losesAnswers;
+
+  /** Adds a replica; it applies what was committed before. */
+  public synchronized Replica join(String name, StateMachine machine) {
+    Replica replica = new Replica(name, machine);
+    replicas.add(replica);
+    for (int i = 0; i < commands.size(); i++) {
+      machine.apply(i + 1L, commands.get(i));
+    }
+    return replica;
+  }
+
+  /** Begins a new term; its first command is an empty one. */
+  public synchronized void elect(String name) {
+    term++;
+    leader = name;
+    commit(new byte[0]);
+  }
+
+  /** From now on commands are committed, but their proposer is told that it can't be said. */
+  public synchronized void loseAnswers(boolean lost) {
+    losesAnswers = lost;
+  }
+
+  /** Returns every command so far. */
+  public synchronized List<byte[]> commands() {
+    return List.copyOf(commands);
+  }
+
+  private byte[] commit(byte[] command) {
+    commands.add(command);
+    byte[] result = new byte[0];
+    for (Replica each : replicas) {
+      byte[] own = each.machine.apply(commands.size(), command);
+      if (each.name.equals(leader)) {
+        result = own;
+      }
+    }
+    return result;
+  }
+
+  /** One VM's part in the log. */
+  public final class Replica implements ReplicatedLog {
+    private final String name;
+    private final StateMachine machine;
+
+    private Replica(String name, StateMachine machine) {
+      this.name = name;
+      this.machine = machine;
+    }
+
+    @Override
+    public CompletableFuture<Either<ProposalFailure, Applied>> propose(
+        byte[] command, Duration timeout) {
+      synchronized (InMemoryLog.this) {
+        if (!leads()) {
+          return CompletableFuture.completedFuture(
+              Either.left(new ProposalFailure.NotLeader(leader)));
+        }
+        byte[] result = commit(command);
+        return CompletableFuture.completedFuture(
+            losesAnswers
+                ? Either.left(new ProposalFailure.OutcomeUnknown("answer lost"))
+                : Either.right(new Applied(commands.size(), result)));
+      }
+    }
+
+    @Override
+    public CompletableFuture<Either<ProposalFailure, Long>> confirmLeadership(Duration timeout) {
+      synchronized (InMemoryLog.this) {
+        return CompletableFuture.completedFuture(
+            leads()
+                ? Either.right((long) commands.size())
+                : Either.left(new ProposalFailure.NotLeader(leader)));
+      }
+    }
+
+    @Override
+    public boolean leads() {
+      synchronized (InMemoryLog.this) {
+        return name.equals(leader);
+      }
+    }
+
+    @Override
+    public long term() {
+      synchronized (InMemoryLog.this) {
+        return term;
+      }
+    }
+
+    @Override
+    public String leader() {
+      synchronized (InMemoryLog.this) {
+        return leader;
+      }
+    }
+  }
+}
