Run control as a process, and prove its changes under kills

Cause: the parts of control (replicated log, state, operators' HTTP) stood side by side; the process puts them together.

Ruled out: a lease length in the settings, as an entry with another value than control would be unsafe. JUL drops its handlers when the JVM begins to shut down, so a log manager that keeps them is installed.

--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -7,6 +7,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.log.KeepingLogManager;
 import org.cuminrack.log.Logging;
 
 /** The one entry point of the binary. */
@@ -26,11 +27,13 @@
           new RolloutCommand(),
           new DumpCommand(),
           new CheckCommand(),
-          new StandInCommand());
+          new StandInCommand(),
+          new ControlCommand());
 
   private Main() {}
 
   public static void main(String[] args) {
+    KeepingLogManager.install();
     System.exit(run(args).code());
   }
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/ServeCommand.java
@@ -0,0 +1,65 @@
+package org.cuminrack.cli;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.process.StopSignal;
+import org.cuminrack.yaml.YamlError;
+
+/** A command that serves until the process is told to stop. */
+abstract class ServeCommand implements Command {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final String name;
+  private final String help;
+
+  ServeCommand(String name, String help) {
+    this.name = name;
+    this.help = help;
+  }
+
+  @Override
+  public final String name() {
+    return name;
+  }
+
+  @Override
+  public final void describe(Subparsers subparsers) {
+    Subparser parser = subparsers.addParser(name).help(help).description(help);
+    parser.addArgument("--settings").required(true).metavar("FILE").help("the settings, as YAML");
+  }
+
+  @Override
+  public final ExitCode run(Namespace arguments) {
+    Either<List<YamlError>, ManagedService> process =
+        process(Path.of(arguments.getString("settings")));
+    if (process.isLeft()) {
+      System.err.println(ApplyCommand.text(process.getLeft()));
+      return ExitCode.USAGE;
+    }
+    return serve(process.get());
+  }
+
+  private static ExitCode serve(ManagedService process) {
+    try {
+      process.start();
+    } catch (RuntimeException e) {
+      logger.atSevere().log("%s", LogEvent.named("start-failed").with("detail", e.getMessage()));
+      return ExitCode.FAILED;
+    }
+    StopSignal signal = StopSignal.ofThisProcess();
+    signal.await();
+    process.stop();
+    signal.done();
+    return ExitCode.DONE;
+  }
+
+  /** Returns the process that the settings describe, not started, or what is wrong with them. */
+  abstract Either<List<YamlError>, ManagedService> process(Path settings);
+}
--- a/src/main/java/org/cuminrack/config/Configuration.java
+++ b/src/main/java/org/cuminrack/config/Configuration.java
@@ -36,7 +36,7 @@
   }
 
   /** Returns every object, ordered by kind and name. */
-  public Collection<VersionedObject> objects() {
+  public List<VersionedObject> objects() {
     return List.copyOf(objects.values());
   }
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -0,0 +1,111 @@
+package org.cuminrack.process;
+
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+import org.cuminrack.control.ControlService;
+import org.cuminrack.control.ControlState;
+import org.cuminrack.control.LeaseSettings;
+import org.cuminrack.control.OperatorApi;
+import org.cuminrack.http.HttpServer;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.member.ControlClient;
+import org.cuminrack.metrics.Metrics;
+import org.cuminrack.quorum.QuorumNode;
+import org.cuminrack.quorum.QuorumSettings;
+import org.cuminrack.settings.ControlSettings;
+import org.cuminrack.settings.NodeSettings;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireServer;
+
+/** A control VM's process: a replica of the control state, and what entries and operators ask. */
+public final class ControlProcess implements ManagedService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int SNAPSHOT_EVERY_ENTRIES = 10_000;
+  private static final long MAX_BODY_BYTES = 4L << 20;
+
+  private final ControlSettings settings;
+  private final ServiceStack services = new ServiceStack();
+  private final HttpServer http;
+
+  public ControlProcess(ControlSettings settings, Clock clock) {
+    this.settings = settings;
+    NodeSettings node = settings.node();
+    ControlState state = new ControlState();
+    Metrics metrics = services.add(new Metrics());
+    WireClient wire = services.add(new WireClient(node.group()));
+    QuorumNode log =
+        services.add(
+            new QuorumNode(
+                quorumSettings(settings), state, wire, clock, RandomGenerator.getDefault()));
+    ControlService control =
+        services.add(new ControlService(log, state, LeaseSettings.standard(), clock));
+    WireServer server = new WireServer(node.wireAddress(), node.group());
+    server.serve(Method.QUORUM_MESSAGE, log.handler());
+    control.register(server);
+    services.add(server);
+    ControlClient leader = new ControlClient(wire, settings.voters(), clock);
+    ProcessApi api =
+        new ProcessApi(
+            dump(log, state), metrics(metrics, log, state), new OperatorApi(leader).handler());
+    http = services.add(new HttpServer(node.httpAddress(), api, MAX_BODY_BYTES));
+  }
+
+  @Override
+  public void start() {
+    services.start();
+    logger.atInfo().log(
+        "%s",
+        LogEvent.named("started")
+            .with("role", "control")
+            .with("vm", settings.node().vm())
+            .with("http", httpAddress())
+            .with("wire", Addresses.text(settings.node().wireAddress())));
+  }
+
+  /** Returns host and port where operators connect. */
+  public String httpAddress() {
+    InetSocketAddress address = settings.node().httpAddress();
+    return Addresses.text(address, http.port());
+  }
+
+  @Override
+  public void stop() {
+    services.stop();
+    logger.atInfo().log("%s", LogEvent.named("stopped").with("vm", settings.node().vm()));
+  }
+
+  private static QuorumSettings quorumSettings(ControlSettings settings) {
+    Duration electionTimeout = settings.electionTimeout();
+    return new QuorumSettings(
+        settings.node().vm(),
+        settings.voters(),
+        settings.dataFolder(),
+        settings.heartbeat(),
+        electionTimeout,
+        electionTimeout.multipliedBy(2),
+        SNAPSHOT_EVERY_ENTRIES);
+  }
+
+  private static StateDump dump(QuorumNode log, ControlState state) {
+    return new StateDump()
+        .with("quorum", log::status)
+        .with("revision", state::revision)
+        .with("ledger_calls", state::ledgerCalls)
+        .with("members", () -> state.members().stream().map(Object::toString).toList());
+  }
+
+  private static Metrics metrics(Metrics metrics, QuorumNode log, ControlState state) {
+    return metrics
+        .gauge("cuminrack.quorum.leads", log, each -> each.leads() ? 1 : 0)
+        .gauge("cuminrack.quorum.term", log, QuorumNode::term)
+        .gauge("cuminrack.quorum.commit.index", log, each -> each.status().commitIndex())
+        .gauge("cuminrack.control.revision", state, ControlState::revision)
+        .gauge("cuminrack.control.members", state, each -> each.members().size())
+        .gauge("cuminrack.control.ledger.calls", state, ControlState::ledgerCalls);
+  }
+}
--- a/src/main/java/org/cuminrack/process/StopSignal.java
+++ b/src/main/java/org/cuminrack/process/StopSignal.java
@@ -2,7 +2,10 @@
 
 import java.util.concurrent.CountDownLatch;
 
-/** Waits for SIGTERM or SIGINT, and holds the process until its planned stop is done. */
+/**
+ * Waits for SIGTERM or SIGINT, holds the process until its planned stop is done, and ends it with
+ * exit code 0.
+ */
 public final class StopSignal {
   private final CountDownLatch asked = new CountDownLatch(1);
   private final CountDownLatch done = new CountDownLatch(1);
@@ -29,6 +32,7 @@
   private void shutdown() {
     asked.countDown();
     awaitQuietly(done);
+    Runtime.getRuntime().halt(0);
   }
 
   private static void awaitQuietly(CountDownLatch latch) {
--- a/src/main/java/org/cuminrack/settings/ControlSettings.java
+++ b/src/main/java/org/cuminrack/settings/ControlSettings.java
@@ -10,7 +10,6 @@
  *
  * @param dataFolder the folder on the VM's disk that holds its state
  * @param voters wire addresses of the control VMs that form the group, by VM name
- * @param lease how long an entry's session lasts without a renewal
  * @param heartbeat how often the leader tells the others that it lives
  * @param electionTimeout the shortest time without a leader before an election
  */
@@ -18,10 +17,8 @@
     NodeSettings node,
     Path dataFolder,
     Map<String, String> voters,
-    Duration lease,
     Duration heartbeat,
     Duration electionTimeout) {
-  private static final Duration DEFAULT_LEASE = Duration.ofSeconds(2);
   private static final Duration DEFAULT_HEARTBEAT = Duration.ofMillis(100);
   private static final Duration DEFAULT_ELECTION_TIMEOUT = Duration.ofMillis(500);
 
@@ -30,7 +27,6 @@
         NodeSettings.read(reader),
         reader.file("data_folder"),
         reader.addresses("voters"),
-        reader.millis("lease_millis", DEFAULT_LEASE, 500, 10_000),
         reader.millis("heartbeat_millis", DEFAULT_HEARTBEAT, 10, 1_000),
         reader.millis("election_timeout_millis", DEFAULT_ELECTION_TIMEOUT, 50, 10_000));
   }
--- /dev/null
+++ b/src/test/java/org/cuminrack/system/ControlProcessTest.java
@@ -0,0 +1,118 @@
+package org.cuminrack.system;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.cuminrack.config.ConfigKind;
+import org.cuminrack.config.ConfigObject;
+import org.cuminrack.config.Configuration;
+import org.cuminrack.config.Upstream;
+import org.cuminrack.operator.ChangeReply;
+import org.cuminrack.operator.ObjectChange;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+@Tag("process")
+class ControlProcessTest {
+  @TempDir Path folder;
+
+  @Test
+  void shouldKeepEveryAcceptedChangeWhileEachControlProcessIsKilledInTurn() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      List<Long> revisions = new ArrayList<>();
+      for (int i = 0; i < 300; i++) {
+        if (i % 100 == 50) {
+          cluster.process(cluster.controls().get(i / 100)).kill();
+        }
+        if (i % 100 == 90) {
+          cluster.restart(cluster.controls().get(i / 100));
+        }
+        revisions.add(operator.accept(List.of(new Upstream("engine-" + i, true))));
+      }
+
+      assertThat(revisions).isInStrictOrder();
+      assertThat(upstreams(operator.client().configuration().get())).hasSize(300);
+    }
+  }
+
+  @Test
+  void shouldHaveEveryChangeAfterARestartOfAllProcesses() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      for (int i = 0; i < 100; i++) {
+        operator.accept(List.of(new Upstream("engine-" + i, true)));
+      }
+      Configuration before = operator.client().configuration().get();
+
+      for (String name : cluster.controls()) {
+        cluster.process(name).kill();
+      }
+      for (String name : cluster.controls()) {
+        cluster.restart(name);
+      }
+
+      assertThat(operator.client().configuration().get().objects()).isEqualTo(before.objects());
+    }
+  }
+
+  @Test
+  void shouldLetExactlyOneOfTwoOperatorsWithEqualRevisionsWin() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).start();
+        Operator first = new Operator(cluster.controlAddresses());
+        Operator second = new Operator(cluster.controlAddresses().subList(1, 3))) {
+      for (int i = 0; i < 50; i++) {
+        List<ObjectChange> create = List.of(ObjectChange.put(new Upstream("engine-" + i, true), 0));
+        CompletableFuture<ChangeReply> other =
+            CompletableFuture.supplyAsync(() -> change(second, create));
+        List<ChangeReply> replies = List.of(change(first, create), other.join());
+
+        assertThat(replies.stream().filter(ChangeReply.Accepted.class::isInstance).count())
+            .isEqualTo(1);
+        assertThat(replies.stream().filter(ChangeReply.Conflict.class::isInstance).count())
+            .isEqualTo(1);
+      }
+    }
+  }
+
+  @Test
+  void shouldGiveAResendItsFirstVerdictThroughAnyControlProcessAndAfterARestart() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      String changeId = UUID.randomUUID().toString();
+      List<ObjectChange> change = List.of(ObjectChange.put(new Upstream("engine-1", true), 0));
+      ChangeReply verdict = operator.client().change(changeId, change);
+      for (String name : cluster.controls()) {
+        cluster.process(name).kill();
+      }
+      for (String name : cluster.controls()) {
+        cluster.restart(name);
+      }
+
+      for (String address : cluster.controlAddresses()) {
+        try (Operator resender = new Operator(List.of(address))) {
+          assertThat(resender.client().change(changeId, change)).isEqualTo(verdict);
+        }
+      }
+    }
+  }
+
+  private static ChangeReply change(Operator operator, List<ObjectChange> changes) {
+    return operator.client().change(UUID.randomUUID().toString(), changes);
+  }
+
+  private static Set<String> upstreams(Configuration configuration) {
+    return configuration.objects().stream()
+        .map(each -> each.object())
+        .filter(each -> each.kind() == ConfigKind.UPSTREAM)
+        .map(ConfigObject::name)
+        .collect(Collectors.toSet());
+  }
+}
