Decide admission and placement in a pure pool core

One pool's owner decides which requests run on which upstreams. The core takes events with the time passed in and returns decisions, so that the same code runs in an entry, in tests and in the comparison of policies.

Weighed: a point estimate of the output length per request, against the survival function of the empirical distribution on the condition of what was produced. The second was taken: the expected memory at a fixed set of horizons is a sum over sequences, so adding one costs a fixed number of look-ups.

Baselines (round robin, least connections) and the policy without each single mechanism can be chosen.

--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/CacheEvents.java
@@ -0,0 +1,12 @@
+package org.cuminrack.pool;
+
+import java.util.List;
+
+/**
+ * Changes of an upstream's prefix cache; late, and some are missing.
+ *
+ * @param stored hashes of blocks that it now holds
+ * @param removed hashes of blocks that it dropped
+ */
+public record CacheEvents(
+    String upstream, String bootId, long sequence, List<Long> stored, List<Long> removed) {}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/LeastConnectionsPlacement.java
@@ -0,0 +1,15 @@
+package org.cuminrack.pool;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** The upstream with the fewest requests, whatever its limits. */
+final class LeastConnectionsPlacement implements PlacementPolicy {
+
+  @Override
+  public Optional<UpstreamState> place(
+      QueuedRequest request, List<UpstreamState> candidates, PoolContext context) {
+    return candidates.stream().min(Comparator.comparingInt(UpstreamState::occupied));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/LengthHistogram.java
@@ -0,0 +1,130 @@
+package org.cuminrack.pool;
+
+import java.util.Arrays;
+
+/**
+ * An empirical distribution of output lengths, in tokens, over a fixed number of buckets. Old
+ * samples fade. A weak heavy-tailed prior stands in for lengths that were not seen yet.
+ */
+final class LengthHistogram {
+  static final int BUCKETS = 72;
+  private static final int PARTS_OF_OCTAVE = 4;
+  private static final int MAX_LENGTH_TOKENS = (1 << (BUCKETS / PARTS_OF_OCTAVE)) - 1;
+  private static final double MAX_SAMPLES = 1024;
+  private static final double PRIOR_WEIGHT = 1;
+  private static final double PRIOR_MEDIAN_TOKENS = 256;
+  private static final double[] PRIOR = prior();
+
+  private final double[] counts = new double[BUCKETS];
+  private final double[] atLeast = new double[BUCKETS + 1];
+  private double samples;
+  private boolean stale = true;
+
+  /** Adds the length of an output that ran to its end. */
+  void add(int lengthTokens) {
+    counts[bucketOf(lengthTokens)]++;
+    samples++;
+    if (samples > MAX_SAMPLES) {
+      fade();
+    }
+    stale = true;
+  }
+
+  double samples() {
+    return samples;
+  }
+
+  double[] counts() {
+    return counts.clone();
+  }
+
+  /** Adds another histogram's samples to this one. */
+  void merge(double[] otherCounts) {
+    for (int i = 0; i < Math.min(BUCKETS, otherCounts.length); i++) {
+      counts[i] += otherCounts[i];
+      samples += otherCounts[i];
+    }
+    while (samples > MAX_SAMPLES) {
+      fade();
+    }
+    stale = true;
+  }
+
+  /** Returns the probability that an output has at least this many tokens. */
+  double survival(double lengthTokens) {
+    if (stale) {
+      accumulate();
+    }
+    if (lengthTokens <= 1) {
+      return 1;
+    }
+    if (lengthTokens >= MAX_LENGTH_TOKENS) {
+      return 0;
+    }
+    int bucket = bucketOf(lengthTokens);
+    double above = atLeast[bucket + 1];
+    double inside = atLeast[bucket] - above;
+    double passed = (lengthTokens - lowerBound(bucket)) / width(bucket);
+    return (above + inside * (1 - passed)) / atLeast[0];
+  }
+
+  /** Returns the mean of the lengths, none counted beyond {@code capTokens}. */
+  double meanUpTo(double capTokens) {
+    double sum = 1;
+    for (int bucket = 0; bucket < BUCKETS; bucket++) {
+      double from = lowerBound(bucket);
+      if (from >= capTokens) {
+        return sum;
+      }
+      double to = Math.min(capTokens, from + width(bucket));
+      sum += (to - from) * (survival(from) + survival(to)) / 2;
+    }
+    return sum;
+  }
+
+  private void accumulate() {
+    atLeast[BUCKETS] = 0;
+    for (int i = BUCKETS - 1; i >= 0; i--) {
+      atLeast[i] = atLeast[i + 1] + counts[i] + PRIOR[i];
+    }
+    stale = false;
+  }
+
+  private void fade() {
+    for (int i = 0; i < BUCKETS; i++) {
+      counts[i] /= 2;
+    }
+    samples = Arrays.stream(counts).sum();
+  }
+
+  private static double[] prior() {
+    double[] prior = new double[BUCKETS];
+    for (int i = 0; i < BUCKETS; i++) {
+      double from = logLogistic(lowerBound(i));
+      double to = logLogistic(lowerBound(i) + width(i));
+      prior[i] = PRIOR_WEIGHT * (from - to);
+    }
+    return prior;
+  }
+
+  private static double logLogistic(double lengthTokens) {
+    double ratio = lengthTokens / PRIOR_MEDIAN_TOKENS;
+    return 1 / (1 + ratio * ratio);
+  }
+
+  private static int bucketOf(double lengthTokens) {
+    double bounded = Math.max(1, Math.min(MAX_LENGTH_TOKENS, lengthTokens));
+    int octave = Math.getExponent(bounded);
+    double part = (bounded / (1L << octave) - 1) * PARTS_OF_OCTAVE;
+    return octave * PARTS_OF_OCTAVE + (int) part;
+  }
+
+  private static double lowerBound(int bucket) {
+    double octave = 1L << (bucket / PARTS_OF_OCTAVE);
+    return octave * (1 + (double) (bucket % PARTS_OF_OCTAVE) / PARTS_OF_OCTAVE);
+  }
+
+  private static double width(int bucket) {
+    return (double) (1L << (bucket / PARTS_OF_OCTAVE)) / PARTS_OF_OCTAVE;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PolicyKind.java
@@ -0,0 +1,39 @@
+package org.cuminrack.pool;
+
+/** The admission policies that can be chosen, ours and the baselines that it is measured by. */
+public enum PolicyKind {
+  /** Sends at once, to each upstream in turn. */
+  ROUND_ROBIN(PlacementKind.ROUND_ROBIN, null),
+  /** Sends at once, to the upstream with the fewest requests. */
+  LEAST_CONNECTIONS(PlacementKind.LEAST_CONNECTIONS, null),
+  /** Ours, whole. */
+  PREDICTIVE(PlacementKind.PREDICTIVE, null),
+  WITHOUT_MEMORY_PREDICTION(PlacementKind.PREDICTIVE, Mechanism.MEMORY_PREDICTION),
+  WITHOUT_RAMP(PlacementKind.PREDICTIVE, Mechanism.RAMP),
+  WITHOUT_PREFIX_AFFINITY(PlacementKind.PREDICTIVE, Mechanism.PREFIX_AFFINITY),
+  WITHOUT_FAIR_QUEUEING(PlacementKind.PREDICTIVE, Mechanism.FAIR_QUEUEING),
+  WITHOUT_INTERACTIVE_ROOM(PlacementKind.PREDICTIVE, Mechanism.INTERACTIVE_ROOM),
+  WITHOUT_EARLY_REFUSAL(PlacementKind.PREDICTIVE, Mechanism.EARLY_REFUSAL),
+  WITHOUT_RETRY_BUDGET(PlacementKind.PREDICTIVE, Mechanism.RETRY_BUDGET);
+
+  private final PlacementKind placement;
+  private final Mechanism leftOut;
+
+  /**
+   * @param leftOut the one mechanism that this policy works without; null for none
+   */
+  PolicyKind(PlacementKind placement, Mechanism leftOut) {
+    this.placement = placement;
+    this.leftOut = leftOut;
+  }
+
+  /** Tells whether this policy works with a mechanism; the baselines have none. */
+  public boolean uses(Mechanism mechanism) {
+    return placement == PlacementKind.PREDICTIVE && mechanism != leftOut;
+  }
+
+  /** Returns a placement with its own state. */
+  PlacementPolicy newPlacement() {
+    return placement.create();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PoolContext.java
@@ -0,0 +1,104 @@
+package org.cuminrack.pool;
+
+import org.cuminrack.admission.Priority;
+
+/** What a decision goes by, besides the upstreams. */
+final class PoolContext {
+  private static final long INTERACTIVE_MEMORY_NANOS = 30_000_000_000L;
+  private static final int ROOM_DIVISOR = 8;
+  private static final int SMALLEST_SHARED_LIMIT = 4;
+  private static final double STANDARD_MEMORY_SHARE = 0.95;
+
+  private final PolicyKind policy;
+  private final LengthPredictor lengths = new LengthPredictor();
+  private final PrefixIndex prefixes = new PrefixIndex();
+  private PoolRules rules = PoolRules.none();
+  private long nowNanos;
+  private long interactiveSeenNanos;
+  private boolean interactiveSeen;
+
+  PoolContext(PolicyKind policy) {
+    this.policy = policy;
+  }
+
+  boolean uses(Mechanism mechanism) {
+    return policy.uses(mechanism);
+  }
+
+  PolicyKind policy() {
+    return policy;
+  }
+
+  LengthPredictor lengths() {
+    return lengths;
+  }
+
+  PrefixIndex prefixes() {
+    return prefixes;
+  }
+
+  PoolRules rules() {
+    return rules;
+  }
+
+  void setRules(PoolRules rules) {
+    this.rules = rules;
+  }
+
+  long nowNanos() {
+    return nowNanos;
+  }
+
+  void setNow(long nowNanos) {
+    this.nowNanos = nowNanos;
+  }
+
+  void sawInteractive() {
+    interactiveSeen = true;
+    interactiveSeenNanos = nowNanos;
+  }
+
+  /** Returns the distribution for sequences that nothing else is known of. */
+  LengthHistogram anyLengths() {
+    return lengths.distribution(new FlowKey("", Priority.STANDARD));
+  }
+
+  /** Returns how many requests an upstream may have before this one can't join. */
+  int limitFor(QueuedRequest request, UpstreamState upstream) {
+    int limit = uses(Mechanism.RAMP) ? upstream.limit().value() : upstream.limit().warmLimit();
+    if (!request.isStandard() || !keepsInteractiveRoom() || limit < SMALLEST_SHARED_LIMIT) {
+      return limit;
+    }
+    return limit - Math.max(1, limit / ROOM_DIVISOR);
+  }
+
+  /** Tells whether an upstream has a place for this request, whatever its memory. */
+  boolean hasPlace(QueuedRequest request, UpstreamState upstream) {
+    return upstream.occupied() < limitFor(request, upstream);
+  }
+
+  /** Tells whether the request is predicted to fit into the memory of an upstream. */
+  boolean fits(QueuedRequest request, UpstreamState upstream) {
+    if (!uses(Mechanism.MEMORY_PREDICTION)) {
+      return true;
+    }
+    boolean keepsRoom = request.isStandard() && keepsInteractiveRoom();
+    double share = keepsRoom ? STANDARD_MEMORY_SHARE : 1;
+    return upstream.memory().fits(request.sequence(), share, anyLengths(), nowNanos);
+  }
+
+  /** Returns how loaded an upstream is; 1 is full. */
+  double load(UpstreamState upstream, QueuedRequest request) {
+    double places = (double) upstream.occupied() / Math.max(1, limitFor(request, upstream));
+    if (!uses(Mechanism.MEMORY_PREDICTION)) {
+      return places;
+    }
+    return Math.max(places, upstream.memory().peakShare(anyLengths(), nowNanos));
+  }
+
+  private boolean keepsInteractiveRoom() {
+    return uses(Mechanism.INTERACTIVE_ROOM)
+        && interactiveSeen
+        && nowNanos - interactiveSeenNanos < INTERACTIVE_MEMORY_NANOS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PoolCore.java
@@ -0,0 +1,265 @@
+package org.cuminrack.pool;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminrack.admission.AdmissionRequest;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.admission.TicketOutcome;
+
+/**
+ * Decides which requests run on which upstreams of one pool, and when. Pure: no input or output, no
+ * clock of its own, one caller at a time. Each event returns the decisions that it led to, which
+ * may be about other requests than its own.
+ */
+public final class PoolCore {
+  private static final int EPOCH_SHIFT = 32;
+
+  private final PoolKey key;
+  private final long epoch;
+  private final PoolContext context;
+  private final UpstreamTable upstreams = new UpstreamTable();
+  private final WaitingRoom waiting;
+  private final PlacementPolicy placement;
+  private final RequestFactory requests;
+  private final RetryBudget retryBudget = new RetryBudget();
+  private final Map<Long, Holding> holdings = new HashMap<>();
+  private final Map<Long, Long> ticketsByRequest = new HashMap<>();
+  private List<PoolDecision> decisions = new ArrayList<>();
+  private long lastTicket;
+  private long verifyUntilNanos;
+  private boolean verifies;
+
+  /** A ticket that is out, and the life of the upstream that it is for. */
+  private record Holding(UpstreamState upstream, RunningRequest request) {}
+
+  /** Creates a pool that nobody owned before under this epoch. */
+  public PoolCore(PoolKey key, PolicyKind policy, long epoch) {
+    this.key = key;
+    this.epoch = epoch;
+    this.context = new PoolContext(policy);
+    this.waiting = new WaitingRoom(context);
+    this.placement = policy.newPlacement();
+    this.requests = new RequestFactory(context);
+  }
+
+  public PoolKey key() {
+    return key;
+  }
+
+  /** Returns the member epoch under which this pool admits. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /**
+   * Tells the pool that a former owner admitted work it has not handed over. Upstreams that
+   * announce themselves from now on get no work until a report shows what they still run.
+   */
+  public void takenOverWithoutHandOver(long nowNanos) {
+    verifies = true;
+    verifyUntilNanos = nowNanos + PoolLimits.GONE_AFTER.toNanos();
+  }
+
+  /** Puts new rules in force: what waits and may not run any more is refused at once. */
+  public List<PoolDecision> applyRules(PoolRules rules, long nowNanos) {
+    begin(nowNanos);
+    context.setRules(rules);
+    waiting.applyRules(decisions);
+    return end();
+  }
+
+  /** Tells whether this life of an upstream has announced itself here. */
+  public boolean knows(String upstream, String bootId) {
+    return upstreams.find(upstream, bootId).isPresent();
+  }
+
+  /** Tells whether the pool takes this announcement; a full shard takes no further upstream. */
+  public boolean hasRoomFor(String upstream) {
+    return upstreams.hasRoom() || upstreams.find(upstream).isPresent();
+  }
+
+  /** An upstream is there. A boot id that was not known starts at its cold limit. */
+  public List<PoolDecision> announced(Announcement announcement, long nowNanos) {
+    begin(nowNanos);
+    Optional<UpstreamState> known = upstreams.find(announcement.upstream(), announcement.bootId());
+    if (known.isPresent()) {
+      known.get().announcedAgain(announcement, nowNanos);
+      return end();
+    }
+    forgetFormerLife(announcement.upstream());
+    if (upstreams.hasRoom()) {
+      upstreams.add(announcement, inherited(nowNanos), nowNanos);
+    }
+    return end();
+  }
+
+  /** An upstream reports its load; nothing happens where its life isn't known. */
+  public List<PoolDecision> reported(Report report, long nowNanos) {
+    begin(nowNanos);
+    upstreams
+        .find(report.upstream(), report.bootId())
+        .ifPresent(each -> each.reported(report, nowNanos));
+    return end();
+  }
+
+  /** An upstream tells what its prefix cache holds. */
+  public void cacheEvents(CacheEvents events) {
+    upstreams
+        .find(events.upstream(), events.bootId())
+        .ifPresent(
+            each -> {
+              context.prefixes().stored(each.slot(), events.stored());
+              context.prefixes().removed(each.slot(), events.removed());
+            });
+  }
+
+  /** An upstream is gone for good. */
+  public List<PoolDecision> gone(String upstream, long nowNanos) {
+    begin(nowNanos);
+    forgetFormerLife(upstream);
+    return end();
+  }
+
+  /**
+   * A request arrives.
+   *
+   * @param requestId names it in decisions; unique
+   */
+  public List<PoolDecision> submit(long requestId, AdmissionRequest request, long nowNanos) {
+    begin(nowNanos);
+    QueuedRequest queued = requests.create(requestId, request, nowNanos);
+    Optional<RefusalReason> refusal = refusalAtOnce(queued);
+    if (refusal.isPresent()) {
+      waiting.refuse(queued, refusal.get(), upstreams, decisions);
+      return end();
+    }
+    waiting.add(queued);
+    pump();
+    waiting.refuseIfTooLate(queued, upstreams, decisions);
+    return end();
+  }
+
+  /** The caller of a request left: it leaves the queue, or its ticket comes back unused. */
+  public List<PoolDecision> cancelled(long requestId, long nowNanos) {
+    Long ticketId = ticketsByRequest.get(requestId);
+    if (ticketId != null) {
+      TicketOutcome unused = new TicketOutcome(TicketOutcome.Result.NOT_SENT, 0, Duration.ZERO);
+      return finished(ticketId, unused, nowNanos);
+    }
+    begin(nowNanos);
+    waiting.remove(requestId);
+    return end();
+  }
+
+  /** A ticket comes back; nothing happens where it isn't known (any more). */
+  public List<PoolDecision> finished(long ticketId, TicketOutcome outcome, long nowNanos) {
+    begin(nowNanos);
+    Holding holding = holdings.remove(ticketId);
+    if (holding != null) {
+      ticketsByRequest.remove(holding.request().queued().id());
+      holding.upstream().finished(holding.request(), outcome, nowNanos);
+      waiting.finished(ticketId, holding.request(), outcome);
+      learnLength(holding.request(), outcome);
+    }
+    return end();
+  }
+
+  /** Time has passed: to be called every few tens of milliseconds. */
+  public List<PoolDecision> tick(long nowNanos) {
+    begin(nowNanos);
+    for (UpstreamState each : upstreams.removeGone(nowNanos)) {
+      context.prefixes().cleared(each.slot());
+    }
+    waiting.expire(upstreams, decisions);
+    return end();
+  }
+
+  /** Returns the pool's free capacity. */
+  public PoolDigest digest(long nowNanos) {
+    context.setNow(nowNanos);
+    return PoolDigests.of(key, upstreams, waiting, context);
+  }
+
+  /** Returns the state of the pool for people and for the next owner. */
+  PoolSnapshot snapshot() {
+    return new PoolSnapshot(key, epoch, upstreams.all(), holdingRequests(), context.lengths());
+  }
+
+  private List<RunningRequest> holdingRequests() {
+    return holdings.values().stream().map(Holding::request).toList();
+  }
+
+  private void begin(long nowNanos) {
+    context.setNow(nowNanos);
+    decisions = new ArrayList<>();
+  }
+
+  private List<PoolDecision> end() {
+    pump();
+    return decisions;
+  }
+
+  private InheritedWork inherited(long nowNanos) {
+    boolean possible = verifies && nowNanos - verifyUntilNanos < 0;
+    long lagNanos = PoolLimits.REPORT_LAG.toNanos();
+    return possible ? InheritedWork.unknownUntil(nowNanos + lagNanos) : InheritedWork.none();
+  }
+
+  private void forgetFormerLife(String upstream) {
+    upstreams.remove(upstream).ifPresent(each -> context.prefixes().cleared(each.slot()));
+  }
+
+  private Optional<RefusalReason> refusalAtOnce(QueuedRequest queued) {
+    AdmissionRequest request = queued.request();
+    if (context.rules().crashesOf(request.fingerprint().hex()) >= WaitingRoom.POISON_CRASHES) {
+      return Optional.of(RefusalReason.POISON);
+    }
+    if (upstreams.candidates(queued, context).isEmpty()) {
+      return Optional.of(RefusalReason.NO_UPSTREAM);
+    }
+    boolean counted = context.uses(Mechanism.RETRY_BUDGET);
+    if (counted && !retryBudget.allows(request.attempt())) {
+      return Optional.of(RefusalReason.RETRY_BUDGET);
+    }
+    return Optional.empty();
+  }
+
+  private void pump() {
+    waiting.admit(upstreams, placement, this::admit);
+  }
+
+  private long admit(QueuedRequest queued, UpstreamState upstream, boolean alone) {
+    long ticketId = (epoch << EPOCH_SHIFT) | ++lastTicket;
+    long dispatchBy = context.nowNanos() + PoolLimits.DISPATCH_BY.toNanos();
+    Announcement to = upstream.announcement();
+    Ticket ticket =
+        new Ticket(
+            ticketId,
+            key.name(),
+            epoch,
+            to.upstream(),
+            to.bootId(),
+            to.address(),
+            dispatchBy,
+            alone);
+    RunningRequest running = new RunningRequest(ticket, queued, context.nowNanos());
+    upstream.admitted(running);
+    context.prefixes().stored(upstream.slot(), queued.request().prefixHashes());
+    holdings.put(ticketId, new Holding(upstream, running));
+    ticketsByRequest.put(queued.id(), ticketId);
+    decisions.add(new PoolDecision.Admitted(queued.id(), ticket));
+    return ticketId;
+  }
+
+  private void learnLength(RunningRequest request, TicketOutcome outcome) {
+    boolean whole = outcome.result() == TicketOutcome.Result.COMPLETED;
+    if (whole && outcome.outputTokens() > 0) {
+      context.lengths().completed(request.queued().flow(), outcome.outputTokens());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PoolDigests.java
@@ -0,0 +1,35 @@
+package org.cuminrack.pool;
+
+/** Works a pool's digest out. */
+final class PoolDigests {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private PoolDigests() {}
+
+  static PoolDigest of(
+      PoolKey key, UpstreamTable upstreams, WaitingRoom waiting, PoolContext context) {
+    int free = 0;
+    int limit = 0;
+    int available = 0;
+    for (UpstreamState each : upstreams.all()) {
+      if (each.isAvailable(context.rules(), context.nowNanos()) && !each.isAlone()) {
+        available++;
+        limit += each.limit().value();
+        free += freePlaces(each, context);
+      }
+    }
+    int waitMillis = (int) (waiting.waitNanosOfNext(upstreams) / NANOS_PER_MILLI);
+    int freeNow = Math.max(0, free - waiting.size());
+    return new PoolDigest(key, freeNow, limit, waitMillis, available);
+  }
+
+  private static int freePlaces(UpstreamState upstream, PoolContext context) {
+    int limit = upstream.limit().value();
+    int places = Math.max(0, limit - upstream.occupied());
+    if (!context.uses(Mechanism.MEMORY_PREDICTION)) {
+      return places;
+    }
+    double freeShare = 1 - upstream.memory().peakShare(context.anyLengths(), context.nowNanos());
+    return (int) Math.max(0, Math.min(places, Math.ceil(limit * freeShare)));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/RequestFactory.java
@@ -0,0 +1,32 @@
+package org.cuminrack.pool;
+
+import org.cuminrack.admission.AdmissionRequest;
+import org.cuminrack.admission.Priority;
+
+/** Predicts what a request will cost. */
+final class RequestFactory {
+  private static final double LONGEST_OUTPUT_TOKENS = 65_536;
+
+  private final PoolContext context;
+
+  RequestFactory(PoolContext context) {
+    this.context = context;
+  }
+
+  QueuedRequest create(long requestId, AdmissionRequest request, long nowNanos) {
+    if (request.priority() == Priority.INTERACTIVE) {
+      context.sawInteractive();
+    }
+    FlowKey flow = new FlowKey(request.organisation(), request.priority());
+    LengthHistogram lengths = context.lengths().distribution(flow);
+    int promptTokens = request.promptTokens();
+    Sequence sequence = new Sequence(lengths, promptTokens, 0, request.maxOutputTokens());
+    double cost = promptTokens == 0 ? 1 : promptTokens + outputTokens(lengths, request);
+    return new QueuedRequest(requestId, request, nowNanos, cost, sequence);
+  }
+
+  private static double outputTokens(LengthHistogram lengths, AdmissionRequest request) {
+    int max = request.maxOutputTokens();
+    return lengths.meanUpTo(max > 0 ? max : LONGEST_OUTPUT_TOKENS);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/Sequence.java
@@ -0,0 +1,28 @@
+package org.cuminrack.pool;
+
+/**
+ * A generation as the memory forecast sees it.
+ *
+ * @param lengths distribution of the lengths of outputs like this one
+ * @param promptTokens length of the prompt
+ * @param producedTokens tokens produced so far
+ * @param maxOutputTokens the caller's own bound; 0 where it named none
+ */
+record Sequence(
+    LengthHistogram lengths, int promptTokens, double producedTokens, int maxOutputTokens) {
+
+  /** Returns the tokens that it holds in memory now. */
+  double heldTokens() {
+    return promptTokens + producedTokens;
+  }
+
+  /** Returns the probability that it still runs after so many more tokens. */
+  double survival(double moreTokens) {
+    double reached = producedTokens + moreTokens;
+    if (maxOutputTokens > 0 && reached > maxOutputTokens) {
+      return 0;
+    }
+    double now = lengths.survival(producedTokens);
+    return now <= 0 ? 0 : lengths.survival(reached) / now;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/SuspectLane.java
@@ -0,0 +1,88 @@
+package org.cuminrack.pool;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Requests that were running where an upstream died once. One of them at a time runs, alone on one
+ * upstream, which is kept free of other work until it is empty and while the suspect runs.
+ */
+final class SuspectLane {
+  private final Deque<QueuedRequest> waiting = new ArrayDeque<>();
+  private UpstreamState reserved;
+  private long ticketId;
+  private boolean running;
+
+  void add(QueuedRequest request) {
+    waiting.addLast(request);
+  }
+
+  int size() {
+    return waiting.size();
+  }
+
+  Optional<QueuedRequest> head() {
+    return running ? Optional.empty() : Optional.ofNullable(waiting.peekFirst());
+  }
+
+  /**
+   * Returns the upstream on which the head may run now.
+   *
+   * @param candidates upstreams that may have new work of the head, whatever their load
+   */
+  Optional<UpstreamState> place(List<UpstreamState> candidates) {
+    boolean keeps = reserved != null && candidates.contains(reserved);
+    if (!keeps) {
+      release();
+      reserve(candidates);
+    }
+    return Optional.ofNullable(reserved).filter(each -> each.occupied() == 0);
+  }
+
+  /** The head was admitted to the reserved upstream. */
+  void admitted(long admittedTicketId) {
+    waiting.removeFirst();
+    ticketId = admittedTicketId;
+    running = true;
+  }
+
+  /** A ticket came back; ends the reservation where it was the suspect's. */
+  void finished(long finishedTicketId) {
+    if (running && ticketId == finishedTicketId) {
+      running = false;
+      release();
+    }
+  }
+
+  List<QueuedRequest> removeIf(Predicate<QueuedRequest> condition) {
+    List<QueuedRequest> removed = new ArrayList<>(waiting.stream().filter(condition).toList());
+    waiting.removeAll(removed);
+    if (waiting.isEmpty() && !running) {
+      release();
+    }
+    return removed;
+  }
+
+  private void reserve(List<UpstreamState> candidates) {
+    candidates.stream()
+        .filter(each -> !each.isAlone())
+        .min(Comparator.comparingInt(UpstreamState::occupied))
+        .ifPresent(
+            each -> {
+              reserved = each;
+              each.setAlone(true);
+            });
+  }
+
+  private void release() {
+    if (reserved != null) {
+      reserved.setAlone(false);
+      reserved = null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/UpstreamState.java
@@ -0,0 +1,172 @@
+package org.cuminrack.pool;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.cuminrack.admission.TicketOutcome;
+
+/** One life of an upstream as the pool's owner knows it. */
+final class UpstreamState {
+  private static final long UNREACHABLE_NANOS = 1_000_000_000L;
+  private static final long OVERLOADED_NANOS = 200_000_000L;
+  private static final double MAX_MEMORY_SHARE = 0.97;
+  private static final double MIN_MEMORY_SHARE = 0.7;
+  private static final double MEMORY_SHARE_AFTER_PREEMPTION = 0.97;
+  private static final double MEMORY_SHARE_RECOVERY = 0.002;
+
+  private final int slot;
+  private final ConcurrencyLimit limit;
+  private final Map<Long, RunningRequest> running = new HashMap<>();
+  private final InheritedWork inherited;
+  private final TokenPace pace = new TokenPace();
+  private final UpstreamMemory memory = new UpstreamMemory(this);
+  private Announcement announcement;
+  private Report lastReport;
+  private long lastHeardNanos;
+  private long blockedUntilNanos;
+  private boolean leaving;
+  private boolean alone;
+  private double memoryShare = MAX_MEMORY_SHARE;
+
+  /**
+   * @param slot its bit in the pool, below {@link PoolLimits#MAX_UPSTREAMS}
+   * @param inherited work that a former owner may have given it
+   */
+  UpstreamState(Announcement announcement, int slot, InheritedWork inherited, long nowNanos) {
+    this.announcement = announcement;
+    this.slot = slot;
+    this.inherited = inherited;
+    this.limit = new ConcurrencyLimit(announcement.coldLimit(), announcement.warmLimit());
+    this.lastHeardNanos = nowNanos;
+    this.blockedUntilNanos = nowNanos;
+  }
+
+  String name() {
+    return announcement.upstream();
+  }
+
+  int slot() {
+    return slot;
+  }
+
+  Announcement announcement() {
+    return announcement;
+  }
+
+  ConcurrencyLimit limit() {
+    return limit;
+  }
+
+  TokenPace pace() {
+    return pace;
+  }
+
+  UpstreamMemory memory() {
+    return memory;
+  }
+
+  Collection<RunningRequest> running() {
+    return running.values();
+  }
+
+  int inheritedRequests() {
+    return inherited.requests();
+  }
+
+  /** Requests that it may be working on, whoever admitted them. */
+  int occupied() {
+    return running.size() + inherited.requests();
+  }
+
+  long usedTokensReported() {
+    return lastReport == null ? 0 : lastReport.usedTokens();
+  }
+
+  double usableMemoryTokens() {
+    return announcement.memoryTokens() * memoryShare;
+  }
+
+  boolean hasMemoryLimit() {
+    return announcement.memoryTokens() > 0;
+  }
+
+  void announcedAgain(Announcement again, long nowNanos) {
+    announcement = again;
+    lastHeardNanos = nowNanos;
+  }
+
+  void reported(Report report, long nowNanos) {
+    lastHeardNanos = nowNanos;
+    leaving |= report.leaving();
+    adaptMemoryShare(report);
+    inherited.reported(report, running.values(), nowNanos);
+    lastReport = report;
+  }
+
+  boolean isGone(long nowNanos) {
+    return nowNanos - lastHeardNanos > PoolLimits.GONE_AFTER.toNanos();
+  }
+
+  /** Tells whether it may have new work at all, whatever its load. */
+  boolean isAvailable(PoolRules rules, long nowNanos) {
+    boolean silent = nowNanos - lastHeardNanos > PoolLimits.SILENT_AFTER.toNanos();
+    boolean blocked = nowNanos - blockedUntilNanos < 0;
+    boolean prescribed = rules.drained() || rules.retired().contains(name());
+    return !silent && !blocked && !leaving && !prescribed && !inherited.isUnknown();
+  }
+
+  /** Tells whether it is kept for, or runs, a request that must run alone. */
+  boolean isAlone() {
+    return alone;
+  }
+
+  void setAlone(boolean alone) {
+    this.alone = alone;
+  }
+
+  void admitted(RunningRequest request) {
+    running.put(request.ticket().id(), request);
+    memory.added(request.queued().sequence());
+  }
+
+  /** Takes a request back that was admitted here, and learns from how it ended. */
+  void finished(RunningRequest request, TicketOutcome outcome, long nowNanos) {
+    int occupied = occupied();
+    running.remove(request.ticket().id());
+    memory.changed();
+    switch (outcome.result()) {
+      case COMPLETED -> completed(request, outcome, occupied, nowNanos);
+      case OVERLOADED -> overloaded(nowNanos);
+      case UNREACHABLE, LOST -> lost(nowNanos);
+      case CANCELLED, NOT_SENT -> {}
+    }
+  }
+
+  private void completed(
+      RunningRequest request, TicketOutcome outcome, int occupied, long nowNanos) {
+    long firstTokenNanos = outcome.firstTokenAfter().toNanos();
+    long rest = request.ageNanos(nowNanos) - firstTokenNanos;
+    long tokenNanos = outcome.outputTokens() > 1 ? rest / (outcome.outputTokens() - 1) : 0;
+    pace.completed(firstTokenNanos, tokenNanos);
+    limit.completed(firstTokenNanos, tokenNanos, occupied);
+  }
+
+  private void overloaded(long nowNanos) {
+    limit.overloaded();
+    blockedUntilNanos = nowNanos + OVERLOADED_NANOS;
+  }
+
+  private void lost(long nowNanos) {
+    limit.setBack();
+    blockedUntilNanos = nowNanos + UNREACHABLE_NANOS;
+  }
+
+  private void adaptMemoryShare(Report report) {
+    boolean preempted = lastReport != null && report.preemptions() > lastReport.preemptions();
+    double share =
+        preempted
+            ? memoryShare * MEMORY_SHARE_AFTER_PREEMPTION
+            : memoryShare + MEMORY_SHARE_RECOVERY;
+    memoryShare = Math.max(MIN_MEMORY_SHARE, Math.min(MAX_MEMORY_SHARE, share));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/WaitingRoom.java
@@ -0,0 +1,199 @@
+package org.cuminrack.pool;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.TicketOutcome;
+
+/**
+ * The requests of a pool that wait for a place, the order they go in, and when they are refused.
+ */
+final class WaitingRoom {
+  /** So many crashes convict a request. */
+  static final int POISON_CRASHES = 2;
+
+  private static final double WAIT_SHARE_OF_TIMEOUT = 0.9;
+  private static final int MAX_BYPASSED_FLOWS = 4;
+  private static final long MAX_BYPASSED_NANOS = 500_000_000L;
+  private static final int MAX_WAITING = 4096;
+
+  private final PoolContext context;
+  private final FairQueue queue;
+  private final SuspectLane suspects = new SuspectLane();
+  private final WaitEstimator waits = new WaitEstimator();
+  private final Map<Long, QueuedRequest> byId = new HashMap<>();
+
+  /** Admits a request and returns its ticket's id. */
+  interface Admitter {
+    long admit(QueuedRequest request, UpstreamState upstream, boolean alone);
+  }
+
+  WaitingRoom(PoolContext context) {
+    this.context = context;
+    this.queue = new FairQueue(context.uses(Mechanism.FAIR_QUEUEING));
+  }
+
+  int size() {
+    return byId.size();
+  }
+
+  void add(QueuedRequest request) {
+    byId.put(request.id(), request);
+    if (isSuspect(request)) {
+      suspects.add(request);
+    } else {
+      queue.add(request, context.rules().weightOf(request.request().organisation()));
+    }
+  }
+
+  void remove(long requestId) {
+    QueuedRequest request = byId.remove(requestId);
+    if (request != null) {
+      queue.remove(request);
+      suspects.removeIf(each -> each.id() == requestId);
+    }
+  }
+
+  void finished(long ticketId, RunningRequest request, TicketOutcome outcome) {
+    suspects.finished(ticketId);
+    if (outcome.result() != TicketOutcome.Result.NOT_SENT) {
+      waits.finished(request.ageNanos(context.nowNanos()));
+    }
+  }
+
+  /** Moves suspects out of the queue, and refuses what is convicted. */
+  void applyRules(List<PoolDecision> decisions) {
+    List<QueuedRequest> accused = queue.removeIf(this::isSuspect);
+    accused.forEach(suspects::add);
+    for (QueuedRequest each : suspects.removeIf(each -> crashesOf(each) >= POISON_CRASHES)) {
+      byId.remove(each.id());
+      decisions.add(new PoolDecision.Refused(each.id(), RefusalReason.POISON, Duration.ZERO));
+    }
+  }
+
+  /** Admits all that can be, in the order of the queue. */
+  void admit(UpstreamTable upstreams, PlacementPolicy placement, Admitter admitter) {
+    admitSuspect(upstreams, admitter);
+    Set<Flow> bypassed = new HashSet<>();
+    while (!queue.isEmpty() && bypassed.size() <= MAX_BYPASSED_FLOWS) {
+      Optional<Flow> flow = queue.first(bypassed);
+      if (flow.isEmpty()) {
+        return;
+      }
+      QueuedRequest head = flow.get().head();
+      Optional<UpstreamState> upstream = place(head, upstreams, placement);
+      if (upstream.isPresent()) {
+        queue.serve(flow.get());
+        byId.remove(head.id());
+        admitter.admit(head, upstream.get(), false);
+      } else if (context.nowNanos() - head.arrivedNanos() > MAX_BYPASSED_NANOS) {
+        return;
+      } else {
+        bypassed.add(flow.get());
+      }
+    }
+  }
+
+  /** Refuses a request that waits, where its predicted wait is too long. */
+  void refuseIfTooLate(
+      QueuedRequest request, UpstreamTable upstreams, List<PoolDecision> decisions) {
+    if (!byId.containsKey(request.id())) {
+      return;
+    }
+    boolean tooMany = size() > MAX_WAITING;
+    boolean tooLate =
+        context.uses(Mechanism.EARLY_REFUSAL)
+            && waitNanos(request, upstreams) > boundNanos(request);
+    if (tooMany || tooLate) {
+      refuse(request, RefusalReason.OVERLOADED, upstreams, decisions);
+    }
+  }
+
+  /** Refuses what has waited as long as it may, and everything where no upstream is left. */
+  void expire(UpstreamTable upstreams, List<PoolDecision> decisions) {
+    boolean none = !upstreams.anyAvailable(context);
+    for (QueuedRequest each : List.copyOf(byId.values())) {
+      long waited = context.nowNanos() - each.arrivedNanos();
+      if (none) {
+        refuse(each, RefusalReason.NO_UPSTREAM, upstreams, decisions);
+      } else if (waited >= each.request().timeout().toNanos()) {
+        refuse(each, RefusalReason.DEADLINE, upstreams, decisions);
+      } else if (context.uses(Mechanism.EARLY_REFUSAL) && waited >= boundNanos(each)) {
+        refuse(each, RefusalReason.OVERLOADED, upstreams, decisions);
+      }
+    }
+    queue.forgetIdle();
+  }
+
+  void refuse(
+      QueuedRequest request,
+      RefusalReason reason,
+      UpstreamTable upstreams,
+      List<PoolDecision> decisions) {
+    Duration retryAfter = retryAfter(request, reason, upstreams);
+    remove(request.id());
+    decisions.add(new PoolDecision.Refused(request.id(), reason, retryAfter));
+  }
+
+  /** Returns the predicted wait of a request that came now and was served after all others. */
+  long waitNanosOfNext(UpstreamTable upstreams) {
+    return byId.isEmpty() ? 0 : waits.waitNanos(queue.size() + 1, upstreams.occupied());
+  }
+
+  private void admitSuspect(UpstreamTable upstreams, Admitter admitter) {
+    Optional<QueuedRequest> head = suspects.head();
+    if (head.isEmpty()) {
+      return;
+    }
+    List<UpstreamState> candidates = upstreams.candidates(head.get(), context);
+    Optional<UpstreamState> upstream = suspects.place(candidates);
+    if (upstream.isPresent()) {
+      byId.remove(head.get().id());
+      suspects.admitted(admitter.admit(head.get(), upstream.get(), true));
+    }
+  }
+
+  private Optional<UpstreamState> place(
+      QueuedRequest request, UpstreamTable upstreams, PlacementPolicy placement) {
+    List<UpstreamState> candidates = upstreams.candidates(request, context);
+    candidates.removeIf(UpstreamState::isAlone);
+    return placement.place(request, candidates, context);
+  }
+
+  private boolean isSuspect(QueuedRequest request) {
+    return crashesOf(request) > 0;
+  }
+
+  private int crashesOf(QueuedRequest request) {
+    return context.rules().crashesOf(request.request().fingerprint().hex());
+  }
+
+  private long waitNanos(QueuedRequest request, UpstreamTable upstreams) {
+    int position = isSuspect(request) ? suspects.size() : queue.ahead(request) + 1;
+    return waits.waitNanos(position, upstreams.occupied());
+  }
+
+  private static long boundNanos(QueuedRequest request) {
+    long ofTimeout = (long) (request.request().timeout().toNanos() * WAIT_SHARE_OF_TIMEOUT);
+    return Math.min(ofTimeout, PoolLimits.MAX_QUEUE_WAIT.toNanos());
+  }
+
+  private Duration retryAfter(
+      QueuedRequest request, RefusalReason reason, UpstreamTable upstreams) {
+    if (reason == RefusalReason.POISON) {
+      return Duration.ZERO;
+    }
+    boolean queued = byId.containsKey(request.id());
+    long nanos = queued ? waitNanos(request, upstreams) : PoolLimits.REPORT_INTERVAL.toNanos();
+    long bounded =
+        Math.max(
+            PoolLimits.MIN_RETRY_AFTER.toNanos(),
+            Math.min(PoolLimits.MAX_RETRY_AFTER.toNanos(), nanos));
+    return Duration.ofNanos(bounded);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/pool/PoolCoreTest.java
@@ -0,0 +1,124 @@
+package org.cuminrack.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import org.cuminrack.admission.Priority;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.TicketOutcome;
+import org.junit.jupiter.api.Test;
+
+class PoolCoreTest {
+  private static final Duration QUICK = Duration.ofMillis(100);
+
+  private final PoolFixture pool = PoolFixture.predictive();
+
+  @Test
+  void shouldGiveAColdUpstreamNoMoreThanItsColdLimit() {
+    pool.withUpstream("engine-1", 2, 32);
+
+    assertThat(pool.submitMany(20, "shop")).isEqualTo(2);
+  }
+
+  @Test
+  void shouldRampToWarmOnCompletions() {
+    pool.withUpstream("engine-1", 2, 8);
+
+    int rounds = 0;
+    while (pool.outstanding("engine-1").size() < 8 && rounds < 10) {
+      pool.submitMany(8, "shop");
+      pool.pass(QUICK);
+      pool.completeAll("engine-1", QUICK, 10);
+      pool.submitMany(8, "shop");
+      rounds++;
+    }
+
+    assertThat(pool.outstanding("engine-1")).hasSize(8);
+    assertThat(rounds).isGreaterThan(1);
+  }
+
+  @Test
+  void shouldStartANewBootIdAtTheColdLimit() {
+    pool.withUpstream("engine-1", 8, 8);
+    pool.submitMany(8, "shop");
+
+    pool.announce(PoolFixture.announcement("engine-1", "boot-2", 2, 8, 0));
+
+    assertThat(pool.submitMany(8, "shop")).isEqualTo(2);
+  }
+
+  @Test
+  void shouldRefuseAConvictedRequestForGood() {
+    pool.withUpstream("engine-1", 2, 2);
+    pool.applyRules(new PoolRules(false, Set.of(), Map.of(), Map.of("bad", 2)));
+
+    long id = pool.submit(PoolFixture.request("shop", Priority.STANDARD, 1, "bad"));
+
+    assertThat(pool.refused.get(id))
+        .isEqualTo(new PoolDecision.Refused(id, RefusalReason.POISON, Duration.ZERO));
+  }
+
+  @Test
+  void shouldRunASuspectAlone() {
+    pool.withUpstream("engine-1", 2, 2).withUpstream("engine-2", 2, 2);
+    pool.applyRules(new PoolRules(false, Set.of(), Map.of(), Map.of("odd", 1)));
+
+    long id = pool.submit(PoolFixture.request("shop", Priority.STANDARD, 1, "odd"));
+    pool.submitMany(8, "shop");
+
+    String upstream = pool.admitted.get(id).upstream();
+    assertThat(pool.admitted.get(id).alone()).isTrue();
+    assertThat(pool.outstanding(upstream)).containsExactly(id);
+  }
+
+  @Test
+  void shouldJoinOthersAgainOnceTheSuspectIsThrough() {
+    pool.withUpstream("engine-1", 2, 2);
+    pool.applyRules(new PoolRules(false, Set.of(), Map.of(), Map.of("odd", 1)));
+    long id = pool.submit(PoolFixture.request("shop", Priority.STANDARD, 1, "odd"));
+
+    pool.finish(id, TicketOutcome.Result.COMPLETED, QUICK, 10);
+
+    assertThat(pool.submitMany(4, "shop")).isEqualTo(2);
+  }
+
+  @Test
+  void shouldRefuseWhereNoUpstreamIsKnown() {
+    long id = pool.submit(PoolFixture.request("shop", Priority.STANDARD));
+
+    assertThat(pool.reasonOf(id)).isEqualTo(RefusalReason.NO_UPSTREAM);
+  }
+
+  @Test
+  void shouldGiveARetiredUpstreamNoNewWork() {
+    pool.withUpstream("engine-1", 2, 2).withUpstream("engine-2", 2, 2);
+
+    pool.applyRules(new PoolRules(false, Set.of("engine-1"), Map.of(), Map.of()));
+    pool.submitMany(8, "shop");
+
+    assertThat(pool.outstanding("engine-1")).isEmpty();
+    assertThat(pool.outstanding("engine-2")).hasSize(2);
+  }
+
+  @Test
+  void shouldGiveALeavingUpstreamNoNewWork() {
+    pool.withUpstream("engine-1", 2, 2);
+    Report leaving = new Report("engine-1", "boot-1", 1, 0, 0, 0, 0, true);
+
+    var unused = pool.core.reported(leaving, pool.clock.nanoTime());
+
+    assertThat(pool.submitMany(4, "shop")).isEqualTo(0);
+  }
+
+  @Test
+  void shouldGiveASilentUpstreamNoNewWork() {
+    pool.withUpstream("engine-1", 2, 2);
+
+    pool.falls("engine-1");
+    pool.pass(PoolLimits.SILENT_AFTER.plus(QUICK));
+
+    assertThat(pool.submitMany(4, "shop")).isEqualTo(0);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/pool/PoolFixture.java
@@ -0,0 +1,146 @@
+package org.cuminrack.pool;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cuminrack.admission.AdmissionRequest;
+import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.admission.Priority;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.admission.TicketOutcome;
+import org.cuminrack.time.ManualClock;
+
+/** Drives one pool on a manual clock and keeps what it decided. */
+final class PoolFixture {
+  static final PoolKey POOL = new PoolKey("planner", "dc-a", 0);
+  private static final Duration STEP = Duration.ofMillis(20);
+
+  final ManualClock clock = new ManualClock();
+  final Map<Long, Ticket> admitted = new TreeMap<>();
+  final Map<Long, PoolDecision.Refused> refused = new TreeMap<>();
+  final PoolCore core;
+  private final List<String> reporting = new ArrayList<>();
+  private long lastRequest;
+  private long lastReport;
+
+  PoolFixture(PolicyKind policy) {
+    core = new PoolCore(POOL, policy, 1);
+  }
+
+  static PoolFixture predictive() {
+    return new PoolFixture(PolicyKind.PREDICTIVE);
+  }
+
+  static Announcement announcement(
+      String upstream, String bootId, int cold, int warm, long memory) {
+    return new Announcement(
+        upstream, bootId, "dc-a", "planner", "127.0.0.1:9", cold, warm, memory, true, "m", "1");
+  }
+
+  static AdmissionRequest request(String organisation, Priority priority) {
+    return request(organisation, priority, 1, organisation);
+  }
+
+  static AdmissionRequest request(
+      String organisation, Priority priority, int attempt, String body) {
+    return new AdmissionRequest(
+        "planner",
+        organisation,
+        new Fingerprint(body),
+        100,
+        List.of(),
+        0,
+        priority,
+        attempt,
+        Duration.ofSeconds(10),
+        Set.of());
+  }
+
+  PoolFixture withUpstream(String upstream, int cold, int warm) {
+    announce(announcement(upstream, "boot-1", cold, warm, 0));
+    return this;
+  }
+
+  void announce(Announcement announcement) {
+    reporting.remove(announcement.upstream());
+    reporting.add(announcement.upstream());
+    take(core.announced(announcement, clock.nanoTime()));
+  }
+
+  long submit(AdmissionRequest request) {
+    long id = ++lastRequest;
+    take(core.submit(id, request, clock.nanoTime()));
+    return id;
+  }
+
+  /** Submits so many standard requests and returns how many were admitted at once. */
+  int submitMany(int count, String organisation) {
+    int before = admitted.size();
+    for (int i = 0; i < count; i++) {
+      submit(request(organisation, Priority.STANDARD));
+    }
+    return admitted.size() - before;
+  }
+
+  /** Returns every ticket that is out on an upstream, as completed after so long. */
+  int completeAll(String upstream, Duration firstToken, int outputTokens) {
+    List<Long> ids = outstanding(upstream);
+    for (long id : ids) {
+      finish(id, TicketOutcome.Result.COMPLETED, firstToken, outputTokens);
+    }
+    return ids.size();
+  }
+
+  void finish(long id, TicketOutcome.Result result, Duration firstToken, int outputTokens) {
+    Ticket ticket = admitted.remove(id);
+    TicketOutcome outcome = new TicketOutcome(result, outputTokens, firstToken);
+    take(core.finished(ticket.id(), outcome, clock.nanoTime()));
+  }
+
+  List<Long> outstanding(String upstream) {
+    return admitted.entrySet().stream()
+        .filter(each -> each.getValue().upstream().equals(upstream))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  void applyRules(PoolRules rules) {
+    take(core.applyRules(rules, clock.nanoTime()));
+  }
+
+  /** Lets time pass, with ticks, and reports of nothing amiss from the upstreams that announced. */
+  void pass(Duration time) {
+    for (long done = 0; done < time.toMillis(); done += STEP.toMillis()) {
+      clock.advance(STEP);
+      take(core.tick(clock.nanoTime()));
+      reporting.forEach(each -> report(each, outstanding(each).size()));
+    }
+  }
+
+  void report(String upstream, int running) {
+    Report report = new Report(upstream, "boot-1", ++lastReport, running, 0, 0, 0, false);
+    take(core.reported(report, clock.nanoTime()));
+  }
+
+  void falls(String upstream) {
+    reporting.remove(upstream);
+  }
+
+  RefusalReason reasonOf(long id) {
+    return refused.get(id).reason();
+  }
+
+  private void take(List<PoolDecision> decisions) {
+    for (PoolDecision each : decisions) {
+      if (each instanceof PoolDecision.Admitted yes) {
+        admitted.put(yes.requestId(), yes.ticket());
+      } else if (each instanceof PoolDecision.Refused no) {
+        refused.put(no.requestId(), no);
+      }
+    }
+  }
+}
