Own pools, hand them over, and route requests to their owners

An entry owns the pools that rendezvous hashing over the members gives it. It admits once its epoch is in force everywhere and the former owner has handed over or its tickets have run out, and only under a fresh lease.

Weighed: a pause of every pool at each change of members, against a pause of only the pools that move. The second was taken: a member's hash never changes, so another entry can have owned a pool in between only if it has left since, and a member leaves after its lease has run out or it has stopped by itself.

Not run yet between processes; tests of owner changes follow.

--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/AdmissionContext.java
@@ -0,0 +1,89 @@
+package org.cuminrack.pool;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cuminrack.admission.AdmissionRequest;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.member.EntryMember;
+import org.cuminrack.member.Membership;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireFailure;
+
+/** What every admission of an entry shares. Safe for use by many threads; holds no lock. */
+final class AdmissionContext {
+  private final Membership membership;
+  private final Clock clock;
+  private final PoolCalls calls;
+  private final PoolOwner owner;
+  private final TicketReturns returns;
+  private final PoolSelector selector;
+  private final DigestTable digests = new DigestTable();
+  private final Map<Ticket, Requester> outstanding = new ConcurrentHashMap<>();
+  private final AtomicLong lastRequest = new AtomicLong();
+
+  AdmissionContext(
+      Membership membership,
+      Clock clock,
+      PoolCalls calls,
+      PoolOwner owner,
+      TicketReturns returns,
+      PoolSelector selector) {
+    this.membership = membership;
+    this.clock = clock;
+    this.calls = calls;
+    this.owner = owner;
+    this.returns = returns;
+    this.selector = selector;
+  }
+
+  Membership membership() {
+    return membership;
+  }
+
+  Clock clock() {
+    return clock;
+  }
+
+  PoolOwner owner() {
+    return owner;
+  }
+
+  TicketReturns returns() {
+    return returns;
+  }
+
+  PoolSelector selector() {
+    return selector;
+  }
+
+  DigestTable digests() {
+    return digests;
+  }
+
+  /** Tickets that are out, and under which number they were asked for. */
+  Map<Ticket, Requester> outstanding() {
+    return outstanding;
+  }
+
+  Requester nextRequester() {
+    return new Requester(membership.sessionId(), lastRequest.incrementAndGet());
+  }
+
+  /** Asks a pool's owner, another entry, for a ticket. */
+  CompletableFuture<Either<WireFailure, byte[]>> admit(
+      PoolKey pool, Requester requester, AdmissionRequest request, Duration timeout) {
+    Optional<EntryMember> member = PoolOwnership.ownerOf(pool, membership.view());
+    if (member.isEmpty() || member.get().sessionId() == membership.sessionId()) {
+      return CompletableFuture.completedFuture(
+          Either.left(new WireFailure.Unreachable(pool.name(), "no owner")));
+    }
+    byte[] payload = PoolMessages.admitCall(pool, requester, request, timeout).toByteArray();
+    return calls.call(member.get().wireAddress(), Method.ADMIT, payload, timeout);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/AdmissionService.java
@@ -0,0 +1,158 @@
+package org.cuminrack.pool;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.cuminrack.admission.Admission;
+import org.cuminrack.admission.AdmissionOutcome;
+import org.cuminrack.admission.AdmissionRequest;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.admission.TicketOutcome;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.member.Membership;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.WireServer;
+
+/**
+ * Admission in an entry process: owns pools, asks the owners of others, and takes what upstreams
+ * tell. Lock order: no lock is taken while a pool's lock is held.
+ */
+public final class AdmissionService implements Admission, UpstreamRegistry, ManagedService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 20;
+  private static final long POLL_MILLIS = 100;
+  private static final long STOP_MILLIS = 1000;
+
+  private final Membership membership;
+  private final PoolOwner owner;
+  private final HandOverSender handOvers;
+  private final TicketReturns returns;
+  private final AdmissionContext context;
+  private final DigestPoller poller;
+  private final AnnouncementRouter announcements;
+  private ScheduledExecutorService ticker;
+
+  /**
+   * @param dataCentre this entry's data centre, preferred between equals
+   * @param calls reaches other entries
+   */
+  public AdmissionService(
+      String dataCentre, Membership membership, PoolCalls calls, Clock clock, PolicyKind policy) {
+    this.membership = membership;
+    this.handOvers = new HandOverSender(membership, calls, clock);
+    this.owner = new PoolOwner(membership, clock, policy, handOvers);
+    this.returns = new TicketReturns(membership, owner, calls, clock);
+    PoolSelector selector = new PoolSelector(dataCentre, RandomGenerator.getDefault());
+    this.context = new AdmissionContext(membership, clock, calls, owner, returns, selector);
+    this.poller = new DigestPoller(context, calls);
+    this.announcements = new AnnouncementRouter(membership, owner, calls);
+  }
+
+  /** Serves the calls of other entries; to be called before the server starts. */
+  public AdmissionService serveOn(WireServer server) {
+    new PoolHandlers(owner).addTo(server);
+    return this;
+  }
+
+  @Override
+  public void start() {
+    membership.onChange(owner::viewChanged);
+    ticker = Executors.newSingleThreadScheduledExecutor(each -> new Thread(each, "admission"));
+    every(TICK_MILLIS, this::tick);
+    every(POLL_MILLIS, poller::poll);
+  }
+
+  /** Lets go of every pool: the first step of a planned stop. Requests are still passed on. */
+  public void stopOwning() {
+    owner.stopOwning();
+  }
+
+  @Override
+  public void stop() {
+    if (ticker == null) {
+      return;
+    }
+    owner.stopOwning();
+    ticker.shutdown();
+    try {
+      boolean ended = ticker.awaitTermination(STOP_MILLIS, TimeUnit.MILLISECONDS);
+      logger.atInfo().log("%s", LogEvent.named("admission-stopped").with("ended", ended));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    ticker = null;
+  }
+
+  @Override
+  public CompletableFuture<AdmissionOutcome> admit(AdmissionRequest request) {
+    return new AdmissionJourney(context, withSampledPrefix(request)).start();
+  }
+
+  @Override
+  public void finished(Ticket ticket, TicketOutcome outcome) {
+    Requester holder = context.outstanding().remove(ticket);
+    if (holder != null) {
+      returns.giveBack(PoolKey.parse(ticket.pool()), holder, ticket.id(), outcome);
+    }
+  }
+
+  @Override
+  public CompletableFuture<Either<AnnounceFirst, ReportTarget>> announce(
+      Announcement announcement) {
+    return announcements.announce(announcement);
+  }
+
+  @Override
+  public Either<AnnounceFirst, ReportTarget> report(Report report) {
+    return announcements.report(report);
+  }
+
+  @Override
+  public Either<AnnounceFirst, ReportTarget> cacheEvents(CacheEvents events) {
+    return announcements.cacheEvents(events);
+  }
+
+  /** Returns the pools that this entry owns, for the state dump. */
+  public List<PoolDigest> ownedPools() {
+    return owner.pools().stream().map(OwnedPool::digest).toList();
+  }
+
+  /** Does what is due; called by the service's own thread, and by tests. */
+  void tick() {
+    owner.tick();
+    returns.tick();
+    handOvers.tick();
+  }
+
+  private void every(long millis, Runnable work) {
+    ticker.scheduleAtFixedRate(() -> guarded(work), millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private static void guarded(Runnable work) {
+    try {
+      work.run();
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("%s", LogEvent.named("admission-tick-failed"));
+    }
+  }
+
+  private static AdmissionRequest withSampledPrefix(AdmissionRequest request) {
+    return new AdmissionRequest(
+        request.service(),
+        request.organisation(),
+        request.fingerprint(),
+        request.promptTokens(),
+        PrefixSample.of(request.prefixHashes()),
+        request.maxOutputTokens(),
+        request.priority(),
+        request.attempt(),
+        request.timeout(),
+        request.excludedUpstreams());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/AnnouncementRouter.java
@@ -0,0 +1,97 @@
+package org.cuminrack.pool;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.generated.pool.AnnouncementAnswer;
+import org.cuminrack.generated.pool.AnnouncementCall;
+import org.cuminrack.member.EntryMember;
+import org.cuminrack.member.Membership;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireFailure;
+
+/** Brings what upstreams tell to the owners of their pools. */
+final class AnnouncementRouter implements UpstreamRegistry {
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+  private final Membership membership;
+  private final PoolOwner owner;
+  private final PoolCalls calls;
+
+  AnnouncementRouter(Membership membership, PoolOwner owner, PoolCalls calls) {
+    this.membership = membership;
+    this.owner = owner;
+    this.calls = calls;
+  }
+
+  @Override
+  public CompletableFuture<Either<AnnounceFirst, ReportTarget>> announce(
+      Announcement announcement) {
+    PoolKey pool = Shards.poolOf(announcement);
+    Optional<EntryMember> member = PoolOwnership.ownerOf(pool, membership.view());
+    if (member.isEmpty()) {
+      return CompletableFuture.completedFuture(Either.left(new AnnounceFirst("no owner")));
+    }
+    ReportTarget target = target(member.get());
+    Optional<OwnedPool> own = owner.owned(pool);
+    if (own.isPresent()) {
+      boolean taken = own.get().announced(announcement);
+      return CompletableFuture.completedFuture(answer(taken, target));
+    }
+    return forward(pool, announcement, member.get())
+        .thenApply(answer -> answer(isTaken(answer), target));
+  }
+
+  @Override
+  public Either<AnnounceFirst, ReportTarget> report(Report report) {
+    Optional<OwnedPool> pool = owner.knowing(report.upstream(), report.bootId());
+    pool.ifPresent(each -> each.reported(report));
+    return answer(pool.isPresent());
+  }
+
+  @Override
+  public Either<AnnounceFirst, ReportTarget> cacheEvents(CacheEvents events) {
+    Optional<OwnedPool> pool = owner.knowing(events.upstream(), events.bootId());
+    pool.ifPresent(each -> each.cacheEvents(events));
+    return answer(pool.isPresent());
+  }
+
+  private Either<AnnounceFirst, ReportTarget> answer(boolean known) {
+    long self = membership.sessionId();
+    Optional<EntryMember> here =
+        membership.view().members().stream().filter(each -> each.sessionId() == self).findAny();
+    if (!known || here.isEmpty()) {
+      return Either.left(new AnnounceFirst("upstream not known here"));
+    }
+    return Either.right(target(here.get()));
+  }
+
+  private static Either<AnnounceFirst, ReportTarget> answer(boolean taken, ReportTarget target) {
+    return taken ? Either.right(target) : Either.left(new AnnounceFirst("not taken by its owner"));
+  }
+
+  private CompletableFuture<Either<WireFailure, byte[]>> forward(
+      PoolKey pool, Announcement announcement, EntryMember member) {
+    byte[] payload =
+        AnnouncementCall.newBuilder()
+            .setPool(PoolMessages.message(pool))
+            .setAnnouncement(PoolMessages.message(announcement))
+            .build()
+            .toByteArray();
+    return calls.call(member.wireAddress(), Method.FORWARD_ANNOUNCEMENT, payload, CALL_TIMEOUT);
+  }
+
+  private static boolean isTaken(Either<WireFailure, byte[]> answer) {
+    try {
+      return answer.isRight() && AnnouncementAnswer.parseFrom(answer.get()).getTaken();
+    } catch (InvalidProtocolBufferException e) {
+      return false;
+    }
+  }
+
+  private static ReportTarget target(EntryMember member) {
+    return new ReportTarget(member.httpAddress(), PoolLimits.REPORT_INTERVAL.toMillis());
+  }
+}
--- a/src/main/java/org/cuminrack/pool/ConcurrencyLimit.java
+++ b/src/main/java/org/cuminrack/pool/ConcurrencyLimit.java
@@ -27,6 +27,10 @@
     return (int) limit;
   }
 
+  double reached() {
+    return limit;
+  }
+
   int warmLimit() {
     return warm;
   }
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/DigestPoller.java
@@ -0,0 +1,71 @@
+package org.cuminrack.pool;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminrack.generated.pool.DigestsAnswer;
+import org.cuminrack.generated.pool.DigestsCall;
+import org.cuminrack.member.ClusterView;
+import org.cuminrack.member.EntryMember;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireFailure;
+
+/** Asks owners for the digests of the pools in use that have aged, one call an owner. */
+final class DigestPoller {
+  private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
+
+  private final AdmissionContext context;
+  private final PoolCalls calls;
+
+  DigestPoller(AdmissionContext context, PoolCalls calls) {
+    this.context = context;
+    this.calls = calls;
+  }
+
+  void poll() {
+    ClusterView view = context.membership().view();
+    Map<String, DigestsCall.Builder> byAddress = new HashMap<>();
+    for (PoolKey each : context.digests().toRefresh(view, context.clock().nanoTime())) {
+      Optional<OwnedPool> own = context.owner().owned(each);
+      if (own.isPresent()) {
+        context.digests().put(own.get().digest(), context.clock().nanoTime());
+      } else {
+        PoolOwnership.ownerOf(each, view)
+            .map(EntryMember::wireAddress)
+            .ifPresent(address -> add(byAddress, address, each));
+      }
+    }
+    byAddress.forEach(this::ask);
+  }
+
+  private static void add(
+      Map<String, DigestsCall.Builder> byAddress, String address, PoolKey pool) {
+    byAddress
+        .computeIfAbsent(address, each -> DigestsCall.newBuilder())
+        .addPools(PoolMessages.message(pool));
+  }
+
+  private void ask(String address, DigestsCall.Builder call) {
+    calls
+        .call(address, Method.POOL_DIGESTS, call.build().toByteArray(), CALL_TIMEOUT)
+        .thenAccept(this::answered);
+  }
+
+  private void answered(Either<WireFailure, byte[]> answer) {
+    if (answer.isLeft()) {
+      return;
+    }
+    try {
+      DigestsAnswer.parseFrom(answer.get())
+          .getDigestsList()
+          .forEach(
+              each -> context.digests().put(PoolMessages.digest(each), context.clock().nanoTime()));
+    } catch (InvalidProtocolBufferException e) {
+      // An answer that can't be read leaves the old digests in place.
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/DigestTable.java
@@ -0,0 +1,72 @@
+package org.cuminrack.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cuminrack.member.ClusterView;
+
+/**
+ * The last digests of the pools that this entry sends requests to. Safe for use by many threads.
+ */
+final class DigestTable {
+  private static final long SERVICE_IN_USE_NANOS = 30_000_000_000L;
+  private static final long FRESH_NANOS = 250_000_000L;
+
+  private final Map<PoolKey, Dated> digests = new ConcurrentHashMap<>();
+  private final Map<String, Long> serviceUsedNanos = new ConcurrentHashMap<>();
+
+  private record Dated(PoolDigest digest, long receivedNanos) {}
+
+  void put(PoolDigest digest, long nowNanos) {
+    digests.put(digest.pool(), new Dated(digest, nowNanos));
+  }
+
+  /** Counts a request in that was sent to a pool since its last digest. */
+  void sentTo(PoolKey pool) {
+    digests.computeIfPresent(
+        pool, (key, known) -> new Dated(withOneMore(known.digest()), known.receivedNanos()));
+  }
+
+  /**
+   * Returns the pools that may take a request of a service. One whose digest isn't known counts as
+   * having a place.
+   */
+  List<PoolDigest> candidates(String service, ClusterView view, long nowNanos) {
+    serviceUsedNanos.put(service, nowNanos);
+    List<PoolDigest> candidates = new ArrayList<>();
+    for (PoolKey each : Shards.poolsOf(service, view)) {
+      if (!view.configuration().isDrained(each.dataCentre())) {
+        Dated known = digests.get(each);
+        candidates.add(known == null ? new PoolDigest(each, 1, 1, 0, 1) : known.digest());
+      }
+    }
+    return candidates;
+  }
+
+  /** Returns the pools in use whose digests have aged. */
+  List<PoolKey> toRefresh(ClusterView view, long nowNanos) {
+    serviceUsedNanos.values().removeIf(each -> nowNanos - each > SERVICE_IN_USE_NANOS);
+    List<PoolKey> stale = new ArrayList<>();
+    for (String service : serviceUsedNanos.keySet()) {
+      for (PoolKey each : Shards.poolsOf(service, view)) {
+        Dated known = digests.get(each);
+        if (known == null || nowNanos - known.receivedNanos() > FRESH_NANOS) {
+          stale.add(each);
+        }
+      }
+    }
+    digests.keySet().removeIf(each -> !serviceUsedNanos.containsKey(each.service()));
+    return stale;
+  }
+
+  private static PoolDigest withOneMore(PoolDigest digest) {
+    boolean hasPlace = digest.freePlaces() > 0;
+    return new PoolDigest(
+        digest.pool(),
+        Math.max(0, digest.freePlaces() - 1),
+        digest.limit(),
+        hasPlace ? digest.waitMillis() : digest.waitMillis() + 1,
+        digest.availableUpstreams());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/HandOverMaker.java
@@ -0,0 +1,52 @@
+package org.cuminrack.pool;
+
+import java.util.List;
+import java.util.function.Function;
+import org.cuminrack.admission.Ticket;
+
+/** Puts together what the next owner of a pool has to know. */
+final class HandOverMaker {
+  private HandOverMaker() {}
+
+  static PoolHandOver make(
+      PoolKey key,
+      long viewEpoch,
+      UpstreamTable upstreams,
+      Holdings holdings,
+      PoolContext context,
+      Function<Long, Requester> holders,
+      long nowNanos) {
+    List<PoolHandOver.UpstreamPart> upstreamParts =
+        upstreams.all().stream().map(HandOverMaker::upstream).toList();
+    List<PoolHandOver.TicketPart> tickets =
+        holdings.all().stream().map(each -> ticket(each.request(), holders, nowNanos)).toList();
+    List<PoolHandOver.LengthsPart> lengths =
+        context.lengths().samples().entrySet().stream()
+            .map(each -> new PoolHandOver.LengthsPart(each.getKey(), each.getValue()))
+            .toList();
+    return new PoolHandOver(key, viewEpoch, upstreamParts, tickets, lengths);
+  }
+
+  private static PoolHandOver.UpstreamPart upstream(UpstreamState state) {
+    return new PoolHandOver.UpstreamPart(
+        state.announcement(),
+        state.limit().reached(),
+        state.isLeaving(),
+        state.inheritedRequests(),
+        state.isInheritedUnknown());
+  }
+
+  private static PoolHandOver.TicketPart ticket(
+      RunningRequest running, Function<Long, Requester> holders, long nowNanos) {
+    Ticket ticket = running.ticket();
+    return new PoolHandOver.TicketPart(
+        ticket.id(),
+        ticket.epoch(),
+        holders.apply(running.queued().id()),
+        ticket.upstream(),
+        ticket.bootId(),
+        ticket.alone(),
+        running.ageNanos(nowNanos),
+        running.queued().request());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/Holdings.java
@@ -0,0 +1,41 @@
+package org.cuminrack.pool;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The tickets of a pool that are out. */
+final class Holdings {
+  private final Map<Long, Holding> byTicket = new HashMap<>();
+  private final Map<Long, Long> ticketsByRequest = new HashMap<>();
+
+  /** A ticket that is out, and the life of the upstream that it is for. */
+  record Holding(UpstreamState upstream, RunningRequest request) {}
+
+  void add(UpstreamState upstream, RunningRequest request) {
+    long ticketId = request.ticket().id();
+    byTicket.put(ticketId, new Holding(upstream, request));
+    ticketsByRequest.put(request.queued().id(), ticketId);
+  }
+
+  boolean contains(long ticketId) {
+    return byTicket.containsKey(ticketId);
+  }
+
+  Optional<Holding> remove(long ticketId) {
+    Holding removed = byTicket.remove(ticketId);
+    if (removed != null) {
+      ticketsByRequest.remove(removed.request().queued().id());
+    }
+    return Optional.ofNullable(removed);
+  }
+
+  Optional<Long> ticketOf(long requestId) {
+    return Optional.ofNullable(ticketsByRequest.get(requestId));
+  }
+
+  Collection<Holding> all() {
+    return byTicket.values();
+  }
+}
--- a/src/main/java/org/cuminrack/pool/InheritedWork.java
+++ b/src/main/java/org/cuminrack/pool/InheritedWork.java
@@ -30,6 +30,18 @@
     return new InheritedWork(true, knownFromNanos);
   }
 
+  /** A former owner counted so many. */
+  static InheritedWork known(int requests) {
+    InheritedWork known = none();
+    known.add(requests);
+    return known;
+  }
+
+  /** Counts requests in whose tickets nobody will bring back. */
+  void add(int more) {
+    requests += more;
+  }
+
   boolean isUnknown() {
     return unknown;
   }
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/OwnedPool.java
@@ -0,0 +1,216 @@
+package org.cuminrack.pool;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.cuminrack.admission.AdmissionRequest;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.TicketOutcome;
+import org.cuminrack.time.Clock;
+
+/**
+ * A pool that this entry owns, or is about to. One lock, this object's, guards it; futures are
+ * completed after the lock was given back, and no other lock is taken while it is held.
+ */
+final class OwnedPool {
+  private final PoolCore core;
+  private final Clock clock;
+  private final BooleanSupplier hasLease;
+  private final RequestIds ids = new RequestIds();
+  private final Map<Long, Waiter> waiters = new HashMap<>();
+  private final RecentSet<Requester> cancelledEarly = new RecentSet<>();
+  private final RecentSet<Long> returnedEarly = new RecentSet<>();
+  private boolean active;
+  private boolean admitting = true;
+  private boolean handedOver;
+
+  private record Waiter(CompletableFuture<PoolAnswer> answer, long arrivedNanos) {}
+
+  private record Completion(CompletableFuture<PoolAnswer> future, PoolAnswer answer) {}
+
+  /**
+   * @param hasLease tells whether this entry may admit at this instant
+   */
+  OwnedPool(PoolCore core, Clock clock, BooleanSupplier hasLease) {
+    this.core = core;
+    this.clock = clock;
+    this.hasLease = hasLease;
+  }
+
+  PoolKey key() {
+    return core.key();
+  }
+
+  long epoch() {
+    return core.epoch();
+  }
+
+  synchronized boolean isActive() {
+    return active;
+  }
+
+  synchronized boolean wasHandedOver() {
+    return handedOver;
+  }
+
+  /** Begins to admit. */
+  void activate() {
+    run(
+        now -> {
+          active = true;
+          if (!handedOver) {
+            core.takenOverWithoutHandOver(now);
+          }
+          return List.of();
+        });
+  }
+
+  /** Stops for good and returns what the next owner has to know. */
+  PoolHandOver release(long viewEpoch) {
+    run(
+        now -> {
+          active = false;
+          return List.of();
+        });
+    synchronized (this) {
+      return core.handOver(viewEpoch, ids::requesterOf, clock.nanoTime());
+    }
+  }
+
+  /** Members changed: announcements may come from upstreams that another owner knew. */
+  void membersChanged(Set<Long> sessions) {
+    run(
+        now -> {
+          core.takenOverWithoutHandOver(now);
+          List<PoolDecision> decisions = new ArrayList<>();
+          for (long id : ids.ofOthers(sessions)) {
+            decisions.addAll(core.orphaned(id, now));
+            waiters.remove(id);
+            ids.forget(id);
+          }
+          return decisions;
+        });
+  }
+
+  void takeHandOver(PoolHandOver handOver) {
+    run(
+        now -> {
+          handedOver = true;
+          return core.restore(withoutReturned(handOver), ids::idOf, now);
+        });
+  }
+
+  void applyRules(PoolRules rules) {
+    run(now -> core.applyRules(rules, now));
+  }
+
+  CompletableFuture<PoolAnswer> submit(Requester requester, AdmissionRequest request) {
+    CompletableFuture<PoolAnswer> answer = new CompletableFuture<>();
+    run(
+        now -> {
+          long id = ids.idOf(requester);
+          waiters.put(id, new Waiter(answer, now));
+          if (cancelledEarly.contains(requester)) {
+            return List.of(new PoolDecision.Refused(id, RefusalReason.DEADLINE, Duration.ZERO));
+          }
+          return core.submit(id, request, now);
+        });
+    return answer;
+  }
+
+  /** The asking entry no longer wants an answer, or lost it. */
+  void cancel(Requester requester) {
+    run(
+        now -> {
+          Optional<Long> id = ids.find(requester);
+          cancelledEarly.add(requester);
+          id.ifPresent(waiters::remove);
+          id.ifPresent(ids::forget);
+          return id.map(each -> core.cancelled(each, now)).orElse(List.of());
+        });
+  }
+
+  void finished(long ticketId, Requester holder, TicketOutcome outcome) {
+    run(
+        now -> {
+          returnedEarly.add(ticketId);
+          ids.find(holder).ifPresent(ids::forget);
+          return core.finished(ticketId, outcome, now);
+        });
+  }
+
+  /** Returns true where the pool has room for the upstream. */
+  boolean announced(Announcement announcement) {
+    run(now -> core.announced(announcement, now));
+    return knows(announcement.upstream(), announcement.bootId());
+  }
+
+  synchronized boolean knows(String upstream, String bootId) {
+    return core.knows(upstream, bootId);
+  }
+
+  void reported(Report report) {
+    run(now -> core.reported(report, now));
+  }
+
+  synchronized void cacheEvents(CacheEvents events) {
+    core.cacheEvents(events);
+  }
+
+  void tick() {
+    run(core::tick);
+  }
+
+  synchronized PoolDigest digest() {
+    return core.digest(clock.nanoTime());
+  }
+
+  private PoolHandOver withoutReturned(PoolHandOver handOver) {
+    List<PoolHandOver.TicketPart> out =
+        handOver.tickets().stream()
+            .filter(each -> !returnedEarly.contains(each.ticketId()))
+            .toList();
+    return new PoolHandOver(
+        handOver.pool(), handOver.epoch(), handOver.upstreams(), out, handOver.lengths());
+  }
+
+  private void run(Function<Long, List<PoolDecision>> event) {
+    List<Completion> completions = new ArrayList<>();
+    synchronized (this) {
+      long now = clock.nanoTime();
+      collect(checkLease(now), now, completions);
+      collect(event.apply(now), now, completions);
+      collect(checkLease(now), now, completions);
+    }
+    completions.forEach(each -> each.future().complete(each.answer()));
+  }
+
+  private List<PoolDecision> checkLease(long now) {
+    boolean may = active && hasLease.getAsBoolean();
+    if (may == admitting) {
+      return List.of();
+    }
+    admitting = may;
+    return core.setAdmitting(may, now);
+  }
+
+  private void collect(List<PoolDecision> decisions, long now, List<Completion> completions) {
+    for (PoolDecision each : decisions) {
+      Waiter waiter = waiters.remove(each.requestId());
+      if (each instanceof PoolDecision.Refused) {
+        ids.forget(each.requestId());
+      }
+      if (waiter != null) {
+        PoolAnswer answer = new PoolAnswer(each, now - waiter.arrivedNanos());
+        completions.add(new Completion(waiter.answer(), answer));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PoolCalls.java
@@ -0,0 +1,16 @@
+package org.cuminrack.pool;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireFailure;
+
+/** Calls other entries; {@link org.cuminrack.wire.WireClient#call} is one. */
+@FunctionalInterface
+public interface PoolCalls {
+
+  /** Calls a method of the entry at an address; the future always completes normally. */
+  CompletableFuture<Either<WireFailure, byte[]>> call(
+      String address, Method method, byte[] payload, Duration timeout);
+}
--- a/src/main/java/org/cuminrack/pool/PoolCore.java
+++ b/src/main/java/org/cuminrack/pool/PoolCore.java
@@ -2,14 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.cuminrack.admission.AdmissionRequest;
 import org.cuminrack.admission.RefusalReason;
 import org.cuminrack.admission.Ticket;
 import org.cuminrack.admission.TicketOutcome;
+import org.cuminrack.pool.Holdings.Holding;
 
 /**
  * Decides which requests run on which upstreams of one pool, and when. Pure: no input or output, no
@@ -27,15 +27,12 @@
   private final PlacementPolicy placement;
   private final RequestFactory requests;
   private final RetryBudget retryBudget = new RetryBudget();
-  private final Map<Long, Holding> holdings = new HashMap<>();
-  private final Map<Long, Long> ticketsByRequest = new HashMap<>();
+  private final Holdings holdings = new Holdings();
   private List<PoolDecision> decisions = new ArrayList<>();
   private long lastTicket;
   private long verifyUntilNanos;
   private boolean verifies;
-
-  /** A ticket that is out, and the life of the upstream that it is for. */
-  private record Holding(UpstreamState upstream, RunningRequest request) {}
+  private boolean admitting = true;
 
   /** Creates a pool that nobody owned before under this epoch. */
   public PoolCore(PoolKey key, PolicyKind policy, long epoch) {
@@ -146,10 +143,10 @@
 
   /** The caller of a request left: it leaves the queue, or its ticket comes back unused. */
   public List<PoolDecision> cancelled(long requestId, long nowNanos) {
-    Long ticketId = ticketsByRequest.get(requestId);
-    if (ticketId != null) {
+    Optional<Long> ticketId = holdings.ticketOf(requestId);
+    if (ticketId.isPresent()) {
       TicketOutcome unused = new TicketOutcome(TicketOutcome.Result.NOT_SENT, 0, Duration.ZERO);
-      return finished(ticketId, unused, nowNanos);
+      return finished(ticketId.get(), unused, nowNanos);
     }
     begin(nowNanos);
     waiting.remove(requestId);
@@ -159,12 +156,32 @@
   /** A ticket comes back; nothing happens where it isn't known (any more). */
   public List<PoolDecision> finished(long ticketId, TicketOutcome outcome, long nowNanos) {
     begin(nowNanos);
-    Holding holding = holdings.remove(ticketId);
-    if (holding != null) {
-      ticketsByRequest.remove(holding.request().queued().id());
-      holding.upstream().finished(holding.request(), outcome, nowNanos);
-      waiting.finished(ticketId, holding.request(), outcome);
-      learnLength(holding.request(), outcome);
+    holdings.remove(ticketId).ifPresent(each -> takeBack(each, outcome));
+    return end();
+  }
+
+  /**
+   * The entry that sent a request is gone. What waits leaves the queue; what was admitted may still
+   * run, and counts until reports show that it has ended.
+   */
+  public List<PoolDecision> orphaned(long requestId, long nowNanos) {
+    begin(nowNanos);
+    waiting.remove(requestId);
+    Optional<Holding> holding = holdings.ticketOf(requestId).flatMap(holdings::remove);
+    holding.ifPresent(each -> each.upstream().orphaned(each.request()));
+    holding.ifPresent(each -> waiting.ticketBack(each.request().ticket().id()));
+    return end();
+  }
+
+  /**
+   * Begins or ends to admit; the pool admits from its creation. While it does not, every request is
+   * refused with {@link RefusalReason#OWNER_MOVING}.
+   */
+  public List<PoolDecision> setAdmitting(boolean admits, long nowNanos) {
+    begin(nowNanos);
+    admitting = admits;
+    if (!admits) {
+      waiting.refuseAll(RefusalReason.OWNER_MOVING, upstreams, decisions);
     }
     return end();
   }
@@ -185,13 +202,22 @@
     return PoolDigests.of(key, upstreams, waiting, context);
   }
 
-  /** Returns the state of the pool for people and for the next owner. */
-  PoolSnapshot snapshot() {
-    return new PoolSnapshot(key, epoch, upstreams.all(), holdingRequests(), context.lengths());
+  /** Returns what the next owner has to know. */
+  PoolHandOver handOver(long viewEpoch, Function<Long, Requester> holders, long nowNanos) {
+    return HandOverMaker.make(key, viewEpoch, upstreams, holdings, context, holders, nowNanos);
   }
 
-  private List<RunningRequest> holdingRequests() {
-    return holdings.values().stream().map(Holding::request).toList();
+  /**
+   * Takes over what the former owner knew; may come while the pool admits already.
+   *
+   * @param requestIds gives each ticket's request the id that it has here
+   */
+  List<PoolDecision> restore(
+      PoolHandOver handOver, Function<Requester, Long> requestIds, long nowNanos) {
+    begin(nowNanos);
+    HandOverTaker taker = new HandOverTaker(upstreams, holdings, waiting, requests, context);
+    taker.take(handOver, requestIds);
+    return end();
   }
 
   private void begin(long nowNanos) {
@@ -215,6 +241,9 @@
   }
 
   private Optional<RefusalReason> refusalAtOnce(QueuedRequest queued) {
+    if (!admitting) {
+      return Optional.of(RefusalReason.OWNER_MOVING);
+    }
     AdmissionRequest request = queued.request();
     if (context.rules().crashesOf(request.fingerprint().hex()) >= WaitingRoom.POISON_CRASHES) {
       return Optional.of(RefusalReason.POISON);
@@ -230,7 +259,15 @@
   }
 
   private void pump() {
-    waiting.admit(upstreams, placement, this::admit);
+    if (admitting) {
+      waiting.admit(upstreams, placement, this::admit);
+    }
+  }
+
+  private void takeBack(Holding holding, TicketOutcome outcome) {
+    holding.upstream().finished(holding.request(), outcome, context.nowNanos());
+    waiting.finished(holding.request(), outcome);
+    learnLength(holding.request(), outcome);
   }
 
   private long admit(QueuedRequest queued, UpstreamState upstream, boolean alone) {
@@ -250,8 +287,7 @@
     RunningRequest running = new RunningRequest(ticket, queued, context.nowNanos());
     upstream.admitted(running);
     context.prefixes().stored(upstream.slot(), queued.request().prefixHashes());
-    holdings.put(ticketId, new Holding(upstream, running));
-    ticketsByRequest.put(queued.id(), ticketId);
+    holdings.add(upstream, running);
     decisions.add(new PoolDecision.Admitted(queued.id(), ticket));
     return ticketId;
   }
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PoolHandlers.java
@@ -0,0 +1,141 @@
+package org.cuminrack.pool;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.admission.RefusalReason;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.generated.pool.AdmitAnswer;
+import org.cuminrack.generated.pool.AdmitCall;
+import org.cuminrack.generated.pool.AnnouncementAnswer;
+import org.cuminrack.generated.pool.AnnouncementCall;
+import org.cuminrack.generated.pool.DigestsAnswer;
+import org.cuminrack.generated.pool.DigestsCall;
+import org.cuminrack.generated.pool.HandOverAnswer;
+import org.cuminrack.generated.pool.HandOverCall;
+import org.cuminrack.generated.pool.PoolId;
+import org.cuminrack.generated.pool.ReturnAnswer;
+import org.cuminrack.generated.pool.ReturnCall;
+import org.cuminrack.generated.pool.TicketGrant;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireServer;
+
+/** Serves the calls of other entries to the pools that this entry owns. */
+final class PoolHandlers {
+  private final PoolOwner owner;
+
+  PoolHandlers(PoolOwner owner) {
+    this.owner = owner;
+  }
+
+  void addTo(WireServer server) {
+    server.serve(Method.ADMIT, payload -> admit(payload));
+    server.serve(Method.RETURN_TICKET, payload -> now(() -> returnTicket(payload)));
+    server.serve(Method.HAND_OVER, payload -> now(() -> handOver(payload)));
+    server.serve(Method.POOL_DIGESTS, payload -> now(() -> digests(payload)));
+    server.serve(Method.FORWARD_ANNOUNCEMENT, payload -> now(() -> announcement(payload)));
+  }
+
+  private interface Answer {
+    byte[] make() throws InvalidProtocolBufferException;
+  }
+
+  private static CompletableFuture<byte[]> now(Answer answer) {
+    try {
+      return CompletableFuture.completedFuture(answer.make());
+    } catch (InvalidProtocolBufferException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  private CompletableFuture<byte[]> admit(byte[] payload) {
+    AdmitCall call;
+    try {
+      call = AdmitCall.parseFrom(payload);
+    } catch (InvalidProtocolBufferException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+    Optional<OwnedPool> pool = owner.owned(PoolMessages.key(call.getPool()));
+    if (pool.isEmpty()) {
+      return CompletableFuture.completedFuture(notOwner());
+    }
+    Requester requester = new Requester(call.getSession(), call.getRequest());
+    return pool.get()
+        .submit(requester, PoolMessages.request(call))
+        .thenApply(answer -> answer(answer, pool.get()));
+  }
+
+  private static byte[] notOwner() {
+    return AdmitAnswer.newBuilder()
+        .setRefused(PoolMessages.refusal(RefusalReason.OWNER_MOVING, PoolLimits.REPORT_INTERVAL))
+        .build()
+        .toByteArray();
+  }
+
+  private static byte[] answer(PoolAnswer answer, OwnedPool pool) {
+    AdmitAnswer.Builder message = AdmitAnswer.newBuilder();
+    message.setDigest(PoolMessages.message(pool.digest()));
+    if (answer.decision() instanceof PoolDecision.Admitted admitted) {
+      message.setGranted(grant(admitted.ticket(), answer.waitedNanos()));
+    } else if (answer.decision() instanceof PoolDecision.Refused refused) {
+      message.setRefused(PoolMessages.refusal(refused.reason(), refused.retryAfter()));
+    }
+    return message.build().toByteArray();
+  }
+
+  private static TicketGrant grant(Ticket ticket, long waitedNanos) {
+    return TicketGrant.newBuilder()
+        .setTicket(ticket.id())
+        .setEpoch(ticket.epoch())
+        .setUpstream(ticket.upstream())
+        .setBootId(ticket.bootId())
+        .setAddress(ticket.address())
+        .setWaitedNanos(waitedNanos)
+        .setDispatchWithinMillis((int) PoolLimits.DISPATCH_BY.toMillis())
+        .setAlone(ticket.alone())
+        .build();
+  }
+
+  private byte[] returnTicket(byte[] payload) throws InvalidProtocolBufferException {
+    ReturnCall call = ReturnCall.parseFrom(payload);
+    Optional<OwnedPool> pool = owner.owned(PoolMessages.key(call.getPool()));
+    Requester holder = new Requester(call.getSession(), call.getRequest());
+    pool.ifPresent(
+        each -> TicketReturns.take(each, holder, call.getTicket(), PoolMessages.outcome(call)));
+    return ReturnAnswer.newBuilder().setOwner(pool.isPresent()).build().toByteArray();
+  }
+
+  private byte[] handOver(byte[] payload) throws InvalidProtocolBufferException {
+    HandOverCall call = HandOverCall.parseFrom(payload);
+    Optional<OwnedPool> pool = owner.owned(PoolMessages.key(call.getPool()));
+    pool.ifPresent(each -> each.takeHandOver(HandOverMessages.handOver(call)));
+    return HandOverAnswer.newBuilder().setTaken(pool.isPresent()).build().toByteArray();
+  }
+
+  private byte[] digests(byte[] payload) throws InvalidProtocolBufferException {
+    DigestsAnswer.Builder answer = DigestsAnswer.newBuilder();
+    for (PoolId each : DigestsCall.parseFrom(payload).getPoolsList()) {
+      owner
+          .owned(PoolMessages.key(each))
+          .ifPresent(pool -> answer.addDigests(PoolMessages.message(pool.digest())));
+    }
+    return answer.build().toByteArray();
+  }
+
+  private byte[] announcement(byte[] payload) throws InvalidProtocolBufferException {
+    AnnouncementCall call = AnnouncementCall.parseFrom(payload);
+    Announcement announcement = PoolMessages.announcement(call.getAnnouncement());
+    boolean taken =
+        owner
+            .owned(PoolMessages.key(call.getPool()))
+            .map(each -> each.announced(announcement))
+            .orElse(false);
+    return AnnouncementAnswer.newBuilder().setTaken(taken).build().toByteArray();
+  }
+
+  /** Returns how long the holder of a ticket has left, from the time it asked. */
+  static Duration dispatchWithin(TicketGrant grant) {
+    return Duration.ofNanos(grant.getWaitedNanos()).plusMillis(grant.getDispatchWithinMillis());
+  }
+}
--- a/src/main/java/org/cuminrack/pool/PoolKey.java
+++ b/src/main/java/org/cuminrack/pool/PoolKey.java
@@ -13,4 +13,15 @@
   public String name() {
     return service + "/" + dataCentre + "/" + shard;
   }
+
+  /** Returns the key that has this name. */
+  public static PoolKey parse(String name) {
+    int second = name.lastIndexOf('/');
+    int first = name.lastIndexOf('/', second - 1);
+    if (first < 0) {
+      throw new IllegalArgumentException("expected SERVICE/DATA_CENTRE/SHARD, found " + name);
+    }
+    int shard = Integer.parseInt(name.substring(second + 1));
+    return new PoolKey(name.substring(0, first), name.substring(first + 1, second), shard);
+  }
 }
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PoolOwner.java
@@ -0,0 +1,129 @@
+package org.cuminrack.pool;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.cuminrack.member.ClusterView;
+import org.cuminrack.member.EntryMember;
+import org.cuminrack.member.Membership;
+import org.cuminrack.time.Clock;
+
+/**
+ * The pools that this entry owns. A pool admits once every entry with a lease has put the epoch in
+ * force under which this entry became its owner, so that the former owner has stopped, and either
+ * the former owner has handed over or all of its tickets have run out. It admits nothing while this
+ * entry has no fresh lease, and stops for good with the first view that names another owner.
+ *
+ * <p>An entry that stays the owner over a change of members goes on without a pause: the hash of a
+ * member never changes, so another entry can only have been the owner in between if it has left
+ * since, and then its lease had run out or it had stopped by itself.
+ */
+final class PoolOwner {
+  private final Membership membership;
+  private final Clock clock;
+  private final PolicyKind policy;
+  private final HandOverSender handOvers;
+  private final Map<PoolKey, OwnedPool> pools = new ConcurrentHashMap<>();
+  private final Map<PoolKey, Long> inForceSinceNanos = new ConcurrentHashMap<>();
+  private volatile Set<Long> sessions = Set.of();
+  private volatile boolean stopping;
+
+  PoolOwner(Membership membership, Clock clock, PolicyKind policy, HandOverSender handOvers) {
+    this.membership = membership;
+    this.clock = clock;
+    this.policy = policy;
+    this.handOvers = handOvers;
+  }
+
+  Collection<OwnedPool> pools() {
+    return pools.values();
+  }
+
+  /** Returns the pool if this entry is its owner under its present view. */
+  Optional<OwnedPool> owned(PoolKey key) {
+    ClusterView view = membership.view();
+    if (stopping || !isOwner(key, view)) {
+      return Optional.empty();
+    }
+    return Optional.of(pools.computeIfAbsent(key, each -> create(each, view)));
+  }
+
+  Optional<OwnedPool> knowing(String upstream, String bootId) {
+    return pools.values().stream().filter(each -> each.knows(upstream, bootId)).findAny();
+  }
+
+  /** Puts a view in force here: lets go of pools, and follows rules and members. */
+  void viewChanged(ClusterView view) {
+    Set<Long> present =
+        view.members().stream().map(EntryMember::sessionId).collect(Collectors.toSet());
+    boolean membersChanged = !present.equals(sessions);
+    sessions = present;
+    for (OwnedPool each : pools.values()) {
+      if (!isOwner(each.key(), view)) {
+        letGo(each, view);
+        continue;
+      }
+      each.applyRules(PoolRules.of(view, each.key()));
+      if (membersChanged) {
+        each.membersChanged(present);
+      }
+    }
+  }
+
+  /**
+   * Lets go of every pool: this entry stops. The hand-overs go out as soon as views name owners.
+   */
+  void stopOwning() {
+    stopping = true;
+    ClusterView view = membership.view();
+    pools.values().forEach(each -> letGo(each, view));
+  }
+
+  void tick() {
+    for (OwnedPool each : pools.values()) {
+      if (!each.isActive()) {
+        activateIfDue(each);
+      }
+      each.tick();
+    }
+  }
+
+  private void activateIfDue(OwnedPool pool) {
+    if (membership.inForceRevision() < pool.epoch()) {
+      return;
+    }
+    long now = clock.nanoTime();
+    long since = inForceSinceNanos.computeIfAbsent(pool.key(), key -> now);
+    boolean ranOut = now - since >= ticketsRunOut().toNanos();
+    if (pool.wasHandedOver() || ranOut) {
+      pool.activate();
+    }
+  }
+
+  private OwnedPool create(PoolKey key, ClusterView view) {
+    inForceSinceNanos.remove(key);
+    PoolCore core = new PoolCore(key, policy, view.epoch());
+    OwnedPool pool = new OwnedPool(core, clock, membership::hasFreshLease);
+    pool.applyRules(PoolRules.of(view, key));
+    return pool;
+  }
+
+  private void letGo(OwnedPool pool, ClusterView view) {
+    if (pools.remove(pool.key(), pool)) {
+      handOvers.send(pool.release(view.epoch()));
+    }
+  }
+
+  private boolean isOwner(PoolKey key, ClusterView view) {
+    Optional<EntryMember> owner = PoolOwnership.ownerOf(key, view);
+    return owner.isPresent() && owner.get().sessionId() == membership.sessionId();
+  }
+
+  private static Duration ticketsRunOut() {
+    return PoolLimits.DISPATCH_BY;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/PoolOwnership.java
@@ -0,0 +1,46 @@
+package org.cuminrack.pool;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.CRC32;
+import org.cuminrack.member.ClusterView;
+import org.cuminrack.member.EntryMember;
+
+/**
+ * Says which entry owns a pool: the one with the highest rendezvous hash, of those in the pool's
+ * data centre or, where none is there, of all. Members that stop own nothing. As the hash depends
+ * on pool and session only, a member that comes or goes moves just the pools that it wins or had.
+ */
+final class PoolOwnership {
+  private static final long MIX_A = 0xbf58476d1ce4e5b9L;
+  private static final long MIX_B = 0x94d049bb133111ebL;
+
+  private PoolOwnership() {}
+
+  static Optional<EntryMember> ownerOf(PoolKey pool, ClusterView view) {
+    List<EntryMember> able = view.members().stream().filter(each -> !each.stopping()).toList();
+    List<EntryMember> near =
+        able.stream().filter(each -> each.dataCentre().equals(pool.dataCentre())).toList();
+    List<EntryMember> candidates = near.isEmpty() ? able : near;
+    EntryMember owner = null;
+    long highest = 0;
+    for (EntryMember each : candidates) {
+      long score = score(pool, each.sessionId());
+      if (owner == null || Long.compareUnsigned(score, highest) > 0) {
+        owner = each;
+        highest = score;
+      }
+    }
+    return Optional.ofNullable(owner);
+  }
+
+  private static long score(PoolKey pool, long session) {
+    CRC32 crc = new CRC32();
+    crc.update(pool.name().getBytes(StandardCharsets.UTF_8));
+    long mixed = crc.getValue() * MIX_A ^ session;
+    mixed = (mixed ^ (mixed >>> 30)) * MIX_A;
+    mixed = (mixed ^ (mixed >>> 27)) * MIX_B;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- a/src/main/java/org/cuminrack/pool/PredictivePlacement.java
+++ b/src/main/java/org/cuminrack/pool/PredictivePlacement.java
@@ -8,7 +8,6 @@
  * one that holds the prompt's prefix while it isn't loaded much more.
  */
 final class PredictivePlacement implements PlacementPolicy {
-  private static final int BLOCK_TOKENS = 16;
   private static final double AFFINITY_SLACK = 0.3;
   private static final int MAX_TRIES = 4;
 
@@ -36,8 +35,7 @@
       return;
     }
     PrefixMatch match = context.prefixes().longest(hashes, slotsWithPlace(candidates, loads));
-    double promptTokens = Math.max(1, request.request().promptTokens());
-    double share = Math.min(1, match.blocks() * BLOCK_TOKENS / promptTokens);
+    double share = (double) match.blocks() / hashes.size();
     for (int i = 0; i < loads.length; i++) {
       if ((match.slots() & slotBit(candidates.get(i))) != 0) {
         loads[i] -= AFFINITY_SLACK * share;
--- a/src/main/java/org/cuminrack/pool/SuspectLane.java
+++ b/src/main/java/org/cuminrack/pool/SuspectLane.java
@@ -51,6 +51,15 @@
     running = true;
   }
 
+  /** A suspect runs already, alone on this upstream. */
+  void restore(UpstreamState upstream, long restoredTicketId) {
+    release();
+    reserved = upstream;
+    upstream.setAlone(true);
+    ticketId = restoredTicketId;
+    running = true;
+  }
+
   /** A ticket came back; ends the reservation where it was the suspect's. */
   void finished(long finishedTicketId) {
     if (running && ticketId == finishedTicketId) {
--- a/src/main/java/org/cuminrack/pool/UpstreamState.java
+++ b/src/main/java/org/cuminrack/pool/UpstreamState.java
@@ -17,7 +17,7 @@
   private final int slot;
   private final ConcurrencyLimit limit;
   private final Map<Long, RunningRequest> running = new HashMap<>();
-  private final InheritedWork inherited;
+  private InheritedWork inherited;
   private final TokenPace pace = new TokenPace();
   private final UpstreamMemory memory = new UpstreamMemory(this);
   private Announcement announcement;
@@ -129,6 +129,29 @@
     memory.added(request.queued().sequence());
   }
 
+  /** The holder of a request's ticket is gone; the request may still run here. */
+  void orphaned(RunningRequest request) {
+    running.remove(request.ticket().id());
+    inherited.add(1);
+    memory.changed();
+  }
+
+  /** Continues from what a former owner knew. */
+  void restore(PoolHandOver.UpstreamPart part, InheritedWork former) {
+    limit.restore(part.limit());
+    leaving |= part.leaving();
+    inherited = former;
+    memory.changed();
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  boolean isInheritedUnknown() {
+    return inherited.isUnknown();
+  }
+
   /** Takes a request back that was admitted here, and learns from how it ended. */
   void finished(RunningRequest request, TicketOutcome outcome, long nowNanos) {
     int occupied = occupied();
--- a/src/main/java/org/cuminrack/pool/WaitingRoom.java
+++ b/src/main/java/org/cuminrack/pool/WaitingRoom.java
@@ -59,13 +59,23 @@
     }
   }
 
-  void finished(long ticketId, RunningRequest request, TicketOutcome outcome) {
-    suspects.finished(ticketId);
+  void finished(RunningRequest request, TicketOutcome outcome) {
+    ticketBack(request.ticket().id());
     if (outcome.result() != TicketOutcome.Result.NOT_SENT) {
       waits.finished(request.ageNanos(context.nowNanos()));
     }
   }
 
+  /** A ticket is no longer out, however its request ended. */
+  void ticketBack(long ticketId) {
+    suspects.finished(ticketId);
+  }
+
+  /** A suspect that a former owner admitted runs alone on this upstream. */
+  void suspectRuns(UpstreamState upstream, long ticketId) {
+    suspects.restore(upstream, ticketId);
+  }
+
   /** Moves suspects out of the queue, and refuses what is convicted. */
   void applyRules(List<PoolDecision> decisions) {
     List<QueuedRequest> accused = queue.removeIf(this::isSuspect);
@@ -130,6 +140,10 @@
     queue.forgetIdle();
   }
 
+  void refuseAll(RefusalReason reason, UpstreamTable upstreams, List<PoolDecision> decisions) {
+    List.copyOf(byId.values()).forEach(each -> refuse(each, reason, upstreams, decisions));
+  }
+
   void refuse(
       QueuedRequest request,
       RefusalReason reason,
