Run the entry as a process: one request goes the entire way

Cause: the parts of an entry stood side by side. The entry process puts session, admission, relay and announcements together, with a planned stop.

--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/EntryCommand.java
@@ -0,0 +1,23 @@
+package org.cuminrack.cli;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.process.EntryProcess;
+import org.cuminrack.settings.SettingsFile;
+import org.cuminrack.time.Clock;
+import org.cuminrack.yaml.YamlError;
+
+/** Runs an entry process until it is told to stop. */
+final class EntryCommand extends ServeCommand {
+
+  EntryCommand() {
+    super("entry", "runs an entry process: serves callers and gives upstreams their work");
+  }
+
+  @Override
+  Either<List<YamlError>, ManagedService> process(Path settings) {
+    return SettingsFile.entry(settings).map(each -> new EntryProcess(each, Clock.system()));
+  }
+}
--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -28,7 +28,8 @@
           new DumpCommand(),
           new CheckCommand(),
           new StandInCommand(),
-          new ControlCommand());
+          new ControlCommand(),
+          new EntryCommand());
 
   private Main() {}
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/AnnounceApi.java
@@ -0,0 +1,73 @@
+package org.cuminrack.pool;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.PathHandler;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import org.cuminrack.http.HttpAnswers;
+import org.cuminrack.http.JsonBodyHandler;
+import org.cuminrack.http.ProblemDocument;
+
+/** The paths that upstreams call: announce, report and cache events. */
+public final class AnnounceApi {
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final int BAD_REQUEST = 400;
+
+  private final UpstreamRegistry registry;
+
+  public AnnounceApi(UpstreamRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Adds the paths to those of an entry. */
+  public PathHandler addTo(PathHandler paths) {
+    return paths
+        .addExactPath("/v1/announce", handler(Announcement.class, this::announce))
+        .addExactPath("/v1/report", handler(Report.class, this::report))
+        .addExactPath("/v1/cache-events", handler(CacheEvents.class, this::cacheEvents));
+  }
+
+  private interface Step<T> {
+    void take(HttpServerExchange exchange, T value);
+  }
+
+  private static <T> HttpHandler handler(Class<T> type, Step<T> step) {
+    return JsonBodyHandler.reading(type, step::take);
+  }
+
+  private void announce(HttpServerExchange exchange, Announcement announcement) {
+    String fault = AnnouncementCheck.faultOf(announcement);
+    if (!fault.isEmpty()) {
+      ProblemDocument.of(BAD_REQUEST, "bad-request", fault).send(exchange);
+      return;
+    }
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () ->
+            registry
+                .announce(announcement)
+                .thenAccept(
+                    answer ->
+                        exchange.dispatch(
+                            SameThreadExecutor.INSTANCE, () -> send(exchange, answer))));
+  }
+
+  private void report(HttpServerExchange exchange, Report report) {
+    send(exchange, registry.report(report));
+  }
+
+  private void cacheEvents(HttpServerExchange exchange, CacheEvents events) {
+    send(exchange, registry.cacheEvents(events));
+  }
+
+  private static void send(
+      HttpServerExchange exchange, Either<AnnounceFirst, ReportTarget> answer) {
+    if (answer.isRight()) {
+      HttpAnswers.json(exchange, OK, answer.get());
+    } else {
+      ProblemDocument.of(CONFLICT, "announce-first", answer.getLeft().reason()).send(exchange);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/process/EntryProcess.java
@@ -0,0 +1,163 @@
+package org.cuminrack.process;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.handlers.PathHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.cuminrack.control.LeaseSettings;
+import org.cuminrack.http.HttpServer;
+import org.cuminrack.ledger.ReplicatedLedger;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.member.ControlClient;
+import org.cuminrack.member.EntryIdentity;
+import org.cuminrack.member.ReplicatedCrashReports;
+import org.cuminrack.member.SessionClient;
+import org.cuminrack.metrics.Metrics;
+import org.cuminrack.pool.AdmissionService;
+import org.cuminrack.pool.AnnounceApi;
+import org.cuminrack.pool.PolicyKind;
+import org.cuminrack.relay.CallerApi;
+import org.cuminrack.relay.RelayBounds;
+import org.cuminrack.relay.RelaySettings;
+import org.cuminrack.settings.EntrySettings;
+import org.cuminrack.settings.NodeSettings;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireServer;
+
+/** An entry VM's process: serves callers, takes announcements and owns pools of upstreams. */
+public final class EntryProcess implements ManagedService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration MARK_TIMEOUT = Duration.ofSeconds(3);
+
+  private final EntrySettings settings;
+  private final ServiceStack services = new ServiceStack();
+  private final SessionClient membership;
+  private final AdmissionService admission;
+  private final CallerApi callers;
+
+  public EntryProcess(EntrySettings settings, Clock clock) {
+    this.settings = settings;
+    NodeSettings node = settings.node();
+    Metrics metrics = services.add(new Metrics());
+    WireClient wire = services.add(new WireClient(node.group()));
+    ControlClient control = new ControlClient(wire, settings.control(), clock);
+    membership =
+        services.add(new SessionClient(identity(node), control, LeaseSettings.standard(), clock));
+    admission =
+        services.add(
+            new AdmissionService(
+                node.dataCentre(), membership, wire::call, clock, PolicyKind.PREDICTIVE));
+    WireServer server = services.add(new WireServer(node.wireAddress(), node.group()));
+    admission.serveOn(server);
+    callers =
+        new CallerApi(
+            membership,
+            admission,
+            new ReplicatedLedger(control, membership),
+            new ReplicatedCrashReports(control, clock),
+            relaySettings(settings),
+            clock);
+    services.add(
+        new HttpServer(
+            node.httpAddress(),
+            new ProcessApi(dump(), metrics(metrics), upstreamsAndCallers()),
+            RelayBounds.defaults().maxBodyBytes()));
+  }
+
+  @Override
+  public void start() {
+    services.start();
+    logger.atInfo().log(
+        "%s",
+        LogEvent.named("started")
+            .with("role", "entry")
+            .with("vm", settings.node().vm())
+            .with("http", httpAddress())
+            .with("wire", Addresses.text(settings.node().wireAddress())));
+  }
+
+  /** Returns host and port where callers and upstreams connect. */
+  public String httpAddress() {
+    return Addresses.text(settings.node().httpAddress());
+  }
+
+  /**
+   * Stops as planned: the directory leaves this entry out at once, callers that still hold its
+   * address are served until that has run out, and what is in progress then runs to its end.
+   */
+  @Override
+  public void stop() {
+    membership.markStopping(MARK_TIMEOUT).join();
+    callers.beginStop();
+    admission.stopOwning();
+    boolean idle = awaitCallers();
+    services.stop();
+    logger.atInfo().log(
+        "%s", LogEvent.named("stopped").with("vm", settings.node().vm()).with("idle", idle));
+  }
+
+  private boolean awaitCallers() {
+    try {
+      Thread.sleep(settings.addressTtl().toMillis());
+      return callers.awaitIdle(settings.stopTimeout());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private HttpHandler upstreamsAndCallers() {
+    return new AnnounceApi(admission).addTo(new PathHandler(callers));
+  }
+
+  private static EntryIdentity identity(NodeSettings node) {
+    return new EntryIdentity(
+        node.vm(),
+        node.dataCentre(),
+        Addresses.text(node.httpAddress()),
+        Addresses.text(node.wireAddress()));
+  }
+
+  private static RelaySettings relaySettings(EntrySettings settings) {
+    return new RelaySettings(
+        settings.node().vm(),
+        Addresses.text(settings.node().httpAddress()),
+        settings.addressTtl(),
+        key(settings.eventKeyFile()),
+        RelayBounds.defaults());
+  }
+
+  private static ByteString key(Path file) {
+    try {
+      return ByteString.copyFrom(Files.readAllBytes(file));
+    } catch (IOException e) {
+      throw new UncheckedIOException("event_key_file: expected a readable file", e);
+    }
+  }
+
+  private StateDump dump() {
+    return new StateDump()
+        .with("lease_fresh", membership::hasFreshLease)
+        .with("session_id", membership::sessionId)
+        .with("revision", () -> membership.view().revision())
+        .with("in_force_revision", membership::inForceRevision)
+        .with("members", () -> membership.view().members())
+        .with("pools", admission::ownedPools)
+        .with("relay", callers::describeCounters)
+        .with("in_flight", callers::describeInFlight);
+  }
+
+  private Metrics metrics(Metrics metrics) {
+    return metrics
+        .gauge("cuminrack.entry.lease.fresh", membership, each -> each.hasFreshLease() ? 1 : 0)
+        .gauge("cuminrack.entry.revision", membership, each -> each.view().revision())
+        .gauge("cuminrack.entry.requests.running", callers, CallerApi::inFlight);
+  }
+}
