--- a/src/main/java/org/cuminrack/http/HttpClient.java
+++ b/src/main/java/org/cuminrack/http/HttpClient.java
@@ -1,5 +1,6 @@
 package org.cuminrack.http;
 
+import com.google.protobuf.ByteString;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
@@ -9,6 +10,7 @@
 import java.net.URI;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.cuminrack.lifecycle.ManagedService;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
@@ -46,7 +48,20 @@
    * has passed; the connection is closed then.
    */
   public CompletableFuture<Either<HttpFailure, HttpAnswer>> send(HttpCall call) {
-    HttpExchange exchange = new HttpExchange(call);
+    return run(call, HttpExchange.whole(call));
+  }
+
+  /**
+   * Sends a request and hands the answer's body on as it arrives, on a network thread; the answer
+   * itself has an empty body. The future completes as that of {@link #send(HttpCall)} does.
+   */
+  public CompletableFuture<Either<HttpFailure, HttpAnswer>> stream(
+      HttpCall call, Consumer<ByteString> onBytes) {
+    return run(call, HttpExchange.streamed(call, onBytes));
+  }
+
+  private CompletableFuture<Either<HttpFailure, HttpAnswer>> run(
+      HttpCall call, HttpExchange exchange) {
     IoFuture<ClientConnection> connecting =
         UndertowClient.getInstance()
             .connect(
--- a/src/main/java/org/cuminrack/http/HttpExchange.java
+++ b/src/main/java/org/cuminrack/http/HttpExchange.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -24,13 +25,25 @@
       new CompletableFuture<>();
   private final ByteBuffer toSend;
   private final ByteString.Output received = ByteString.newOutput();
+  private final Consumer<ByteString> onBytes;
   private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BYTES);
 
-  HttpExchange(HttpCall call) {
+  private HttpExchange(HttpCall call, Consumer<ByteString> onBytes) {
     this.call = call;
+    this.onBytes = onBytes;
     this.toSend = call.body().asReadOnlyByteBuffer();
   }
 
+  /** Returns an exchange that keeps the body until it is whole. */
+  static HttpExchange whole(HttpCall call) {
+    return new HttpExchange(call, null);
+  }
+
+  /** Returns an exchange that hands the body on as it arrives and keeps nothing of it. */
+  static HttpExchange streamed(HttpCall call, Consumer<ByteString> onBytes) {
+    return new HttpExchange(call, onBytes);
+  }
+
   CompletableFuture<Either<HttpFailure, HttpAnswer>> answer() {
     return answer;
   }
@@ -104,7 +117,7 @@
       int count = source.read(readBuffer);
       while (count > 0) {
         readBuffer.flip();
-        received.write(readBuffer.array(), 0, readBuffer.limit());
+        takeReadBytes();
         readBuffer.clear();
         count = source.read(readBuffer);
       }
@@ -118,6 +131,14 @@
     }
   }
 
+  private void takeReadBytes() {
+    if (onBytes == null) {
+      received.write(readBuffer.array(), 0, readBuffer.limit());
+    } else {
+      onBytes.accept(ByteString.copyFrom(readBuffer));
+    }
+  }
+
   private void finished(ClientExchange exchange) {
     answer.complete(
         Either.right(
@@ -131,8 +152,7 @@
     answer.complete(Either.left(new HttpFailure.NoAnswer(call.address(), cause.toString())));
   }
 
-  private ClientCallback<ClientExchange> callback(
-      java.util.function.Consumer<ClientExchange> next) {
+  private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
     return new ClientCallback<>() {
       @Override
       public void completed(ClientExchange result) {
--- a/src/main/java/org/cuminrack/process/Addresses.java
+++ b/src/main/java/org/cuminrack/process/Addresses.java
@@ -14,6 +14,11 @@
 
   /** Returns the address's host with another port. */
   static String text(InetSocketAddress address, int port) {
-    return address.getHostString() + ":" + port;
+    return host(address) + ":" + port;
+  }
+
+  private static String host(InetSocketAddress address) {
+    String host = address.getAddress().getHostAddress();
+    return host.indexOf(':') < 0 ? host : "[" + host + "]";
   }
 }
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -73,6 +73,11 @@
     return Addresses.text(address, http.port());
   }
 
+  /** Returns host and port where other cuminrack processes connect. */
+  public String wireAddress() {
+    return Addresses.text(settings.node().wireAddress());
+  }
+
   @Override
   public void stop() {
     services.stop();
