Explore the core by seeded faults, and look for the group as a stale voter

A simulated group runs the real core under loss, duplication, reordering, crashes with partly written queues, freezes, cut-off VMs, full and wiped disks. After each step: one leader a term, one vote an incarnation and term, log matching, leader completeness, one history of applied entries with a quorum that synced them, no stale confirmation, no refused proposal committed.

A voter that no leader has spoken to for two election timeouts says hello too now. Also found by reading: a follower without a vote could sleep for good when its leader fell silent.

--- a/src/main/java/org/cuminrack/quorum/internal/Formation.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Formation.java
@@ -10,6 +10,7 @@
  */
 final class Formation {
   private static final byte[] INITIAL_STATE = {};
+  private static final int VOTER_PATIENCE_ELECTION_TIMEOUTS = 2;
 
   private final CoreState state;
   private final Map<String, Long> blanks = new TreeMap<>();
@@ -36,13 +37,24 @@
     formIfAllAreBlank();
   }
 
-  /** Returns when to look again. */
+  /** Returns when to look again, unless a leader speaks before. */
   long nextDeadline() {
-    return isLooking() ? nextHelloNanos : Long.MAX_VALUE;
+    return Math.max(nextHelloNanos, state.leaderContactNanos + patienceNanos());
   }
 
+  /**
+   * A voter looks too when no leader has spoken to it for long: what made it a voter may have been
+   * overwritten in the meantime.
+   */
   private boolean isLooking() {
-    return !state.isVoter() && !state.leaderIsRecent();
+    boolean leads = state.role == Role.LEADER;
+    return !leads && state.now - state.leaderContactNanos >= patienceNanos();
+  }
+
+  private long patienceNanos() {
+    return state.isVoter()
+        ? VOTER_PATIENCE_ELECTION_TIMEOUTS * state.timing.electionMaxNanos()
+        : state.timing.electionMinNanos();
   }
 
   /** Answers a replica that looks for its group, unless this one leads. */
--- a/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
+++ b/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
@@ -84,6 +84,10 @@
         state.isBlank() ? null : state.log.voters());
   }
 
+  MemoryLog log() {
+    return state.log;
+  }
+
   private void tick() {
     formation.onTick();
     elections.onTick();
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/internal/SimulatedDisk.java
@@ -0,0 +1,92 @@
+package org.cuminrack.quorum.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A disk in memory: what is synced, and the writes that a crash would lose. */
+final class SimulatedDisk {
+  ReplicaId self;
+  final List<Effect> pending = new ArrayList<>();
+  boolean full;
+  private long term;
+  private ReplicaId votedFor;
+  private SnapshotImage snapshot;
+  private List<LogEntry> entries = new ArrayList<>();
+
+  SimulatedDisk(ReplicaId self) {
+    this.self = self;
+  }
+
+  Recovered recovered() {
+    return new Recovered(self, term, votedFor, snapshot, List.copyOf(entriesAfterSnapshot()));
+  }
+
+  private List<LogEntry> entriesAfterSnapshot() {
+    return entries.stream().filter(entry -> entry.index() > snapshot.index()).toList();
+  }
+
+  /** Loses everything; the disk is another one from now on, unless it pretends not to be. */
+  void wipe(long incarnation, boolean pretendsToBeTheOld) {
+    SnapshotImage first = pretendsToBeTheOld ? beginning() : null;
+    pending.clear();
+    entries.clear();
+    term = 0;
+    votedFor = null;
+    snapshot = first;
+    full = false;
+    if (!pretendsToBeTheOld) {
+      self = new ReplicaId(self.vmName(), incarnation);
+    }
+  }
+
+  private SnapshotImage beginning() {
+    return snapshot == null
+        ? null
+        : new SnapshotImage(0, 0, snapshot.groupId(), snapshot.voters(), new byte[0]);
+  }
+
+  /** Returns the next write that can be done, taken out of the queue; null if there is none. */
+  Effect takeNext() {
+    for (int i = 0; i < pending.size(); i++) {
+      Effect effect = pending.get(i);
+      boolean needsRoom =
+          effect instanceof Effect.AppendLog || effect instanceof Effect.SaveSnapshot;
+      if (!full || !needsRoom) {
+        return pending.remove(i);
+      }
+      if (effect instanceof Effect.SaveSnapshot) {
+        return null;
+      }
+    }
+    return null;
+  }
+
+  /** Writes and syncs; returns the event for the core, or null. */
+  Event write(Effect effect) {
+    if (effect instanceof Effect.SaveVote vote) {
+      term = vote.term();
+      votedFor = vote.votedFor();
+      return new Event.VoteSynced(vote.sequence());
+    }
+    if (effect instanceof Effect.AppendLog append) {
+      writeEntries(append.entries());
+      return new Event.LogSynced(append.epoch(), last(append.entries()).index());
+    }
+    if (effect instanceof Effect.SaveSnapshot save) {
+      snapshot = save.image();
+      entries = save.resetsLog() ? new ArrayList<>() : new ArrayList<>(entriesAfterSnapshot());
+      return new Event.LogSynced(save.epoch(), save.image().index());
+    }
+    return null;
+  }
+
+  private void writeEntries(List<LogEntry> added) {
+    long first = added.get(0).index();
+    entries.removeIf(entry -> entry.index() >= first);
+    entries.addAll(added);
+  }
+
+  private static LogEntry last(List<LogEntry> entries) {
+    return entries.get(entries.size() - 1);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/internal/SimulatedVm.java
@@ -0,0 +1,223 @@
+package org.cuminrack.quorum.internal;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.cuminrack.quorum.ProposalFailure;
+
+/** A VM of the simulation: the real core on a simulated disk and state machine. */
+final class SimulatedVm {
+  static final Timing TIMING = new Timing(20_000_000, 100_000_000, 200_000_000);
+  private static final int SNAPSHOT_EVERY = 20;
+
+  final SimulatedDisk disk;
+  final List<Event> inbox = new ArrayList<>();
+  boolean frozen;
+  boolean cutOff;
+  private final Invariants invariants;
+  private final Mutation mutation;
+  private final Set<String> vmNames;
+  private final Random random;
+  private final Consumer<Packet> network;
+  private final Map<Long, Long> committedAtRead = new HashMap<>();
+  private QuorumCore core;
+  private long voteSynced;
+  private long stateHash;
+  private long snapshotIndex;
+
+  SimulatedVm(
+      ReplicaId self,
+      Set<String> vmNames,
+      Random random,
+      Invariants invariants,
+      Mutation mutation,
+      Consumer<Packet> network) {
+    this.disk = new SimulatedDisk(self);
+    this.vmNames = vmNames;
+    this.random = random;
+    this.invariants = invariants;
+    this.mutation = mutation;
+    this.network = network;
+  }
+
+  boolean isUp() {
+    return core != null;
+  }
+
+  CoreView view() {
+    return core.view();
+  }
+
+  void start(long now) {
+    core = new QuorumCore(disk.recovered(), vmNames, TIMING, random, now);
+    voteSynced = 0;
+    snapshotIndex = 0;
+  }
+
+  /** Ends at once; some of the writes that were on the way may have reached the disk. */
+  void crash() {
+    int reached = random.nextInt(disk.pending.size() + 1);
+    for (int i = 0; i < reached && random.nextBoolean(); i++) {
+      Effect effect = disk.takeNext();
+      if (effect != null) {
+        write(effect);
+      }
+    }
+    disk.pending.clear();
+    inbox.clear();
+    core = null;
+    frozen = false;
+    committedAtRead.clear();
+  }
+
+  void wipe(long incarnation) {
+    crash();
+    disk.wipe(incarnation, mutation == Mutation.WIPED_VM_VOTES_AGAIN);
+  }
+
+  void setDiskFull(boolean full) {
+    disk.full = full;
+    inbox.add(new Event.DiskFull(full));
+  }
+
+  void confirmLeadership(long request) {
+    committedAtRead.put(request, invariants.committedIndex());
+    inbox.add(new Event.ConfirmLeadership(request));
+  }
+
+  /** Does the next write and tells the core. */
+  void syncNext() {
+    Effect effect = disk.takeNext();
+    if (effect instanceof Effect.Send send) {
+      release(send.packet());
+    } else if (effect != null) {
+      inbox.add(write(effect));
+    }
+  }
+
+  private Event write(Effect effect) {
+    if (effect instanceof Effect.AppendLog append) {
+      append.entries().forEach(entry -> invariants.syncs(disk.self, entry));
+    }
+    return disk.write(effect);
+  }
+
+  /** Lets the core work on all that has come in. */
+  void step(long now) {
+    List<Event> events = List.copyOf(inbox);
+    inbox.clear();
+    for (Event event : events) {
+      if (event instanceof Event.VoteSynced synced) {
+        voteSynced = Math.max(voteSynced, synced.sequence());
+      }
+    }
+    core.step(events, now).forEach(this::carryOut);
+    if (core.view().role() == Role.LEADER) {
+      invariants.leads(disk.self, core.view().term(), core.log());
+    }
+    takeSnapshotIfDue();
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof Effect.Send send) {
+      send(send);
+    } else if (effect instanceof Effect.Apply apply) {
+      apply(apply.entry());
+    } else if (effect instanceof Effect.Restore restore) {
+      restore(restore.image());
+    } else if (effect instanceof Effect.Confirm confirm) {
+      long before = committedAtRead.remove(confirm.requestId());
+      invariants.confirms(disk.self, confirm.index(), before);
+    } else if (effect instanceof Effect.Fail fail) {
+      fail(fail);
+    } else {
+      queue(effect);
+    }
+  }
+
+  private void fail(Effect.Fail fail) {
+    boolean isRead = committedAtRead.remove(fail.requestId()) != null;
+    if (!isRead && !(fail.failure() instanceof ProposalFailure.OutcomeUnknown)) {
+      invariants.refuses(fail.requestId());
+    }
+  }
+
+  private void send(Effect.Send send) {
+    Packet packet = mutated(send.packet());
+    boolean atOnce =
+        send.afterVoteSequence() <= voteSynced || mutation == Mutation.VOTES_BEFORE_SYNC;
+    if (atOnce) {
+      release(packet);
+    } else {
+      disk.pending.add(new Effect.Send(packet, send.afterVoteSequence()));
+    }
+  }
+
+  private void release(Packet packet) {
+    invariants.sends(packet, core.view().role() == Role.BLANK);
+    network.accept(packet);
+  }
+
+  private Packet mutated(Packet packet) {
+    if (mutation != Mutation.CONFIRMS_BY_OLD_MESSAGES
+        || !(packet.message() instanceof Message.AppendReply reply)) {
+      return packet;
+    }
+    Message answer =
+        new Message.AppendReply(
+            reply.accepted(),
+            reply.previousIndex(),
+            reply.matchIndex(),
+            reply.hintIndex(),
+            Long.MAX_VALUE,
+            reply.readOnly());
+    return new Packet(
+        packet.from(),
+        packet.toVm(),
+        packet.toIncarnation(),
+        packet.groupId(),
+        packet.term(),
+        answer);
+  }
+
+  private void queue(Effect effect) {
+    disk.pending.add(effect);
+    if (effect instanceof Effect.AppendLog append) {
+      append.entries().forEach(invariants::appends);
+      if (mutation == Mutation.ACKNOWLEDGES_BEFORE_SYNC) {
+        List<LogEntry> entries = append.entries();
+        entries.forEach(entry -> invariants.syncs(disk.self, entry));
+        long last = entries.get(entries.size() - 1).index();
+        inbox.add(new Event.LogSynced(append.epoch(), last));
+      }
+    }
+  }
+
+  private void apply(LogEntry entry) {
+    invariants.applies(disk.self, entry, core.log().voters());
+    stateHash = Invariants.nextHash(stateHash, entry);
+  }
+
+  private void restore(SnapshotImage image) {
+    if (image.index() == 0) {
+      invariants.formed(image);
+    }
+    invariants.restores(disk.self, image);
+    stateHash = image.data().length == 0 ? 0 : ByteBuffer.wrap(image.data()).getLong();
+    snapshotIndex = image.index();
+  }
+
+  private void takeSnapshotIfDue() {
+    long applied = core.view().appliedIndex();
+    if (applied - snapshotIndex >= SNAPSHOT_EVERY) {
+      snapshotIndex = applied;
+      byte[] data = ByteBuffer.allocate(Long.BYTES).putLong(stateHash).array();
+      inbox.add(new Event.SnapshotTaken(applied, data));
+    }
+  }
+}
