--- a/src/main/java/org/cuminrack/member/SessionClient.java
+++ b/src/main/java/org/cuminrack/member/SessionClient.java
@@ -133,8 +133,8 @@
         .thenApply(Either::isRight);
   }
 
-  /** Does what is due; called by a timer. */
-  void tick() {
+  /** Does what is due; called by the timer, and by tests that have none. */
+  public void tick() {
     if (sessionId == 0) {
       open();
       return;
--- a/src/test/java/org/cuminrack/control/ControlGroup.java
+++ b/src/test/java/org/cuminrack/control/ControlGroup.java
@@ -39,10 +39,10 @@
     elect("a");
   }
 
-  /** Lets a VM lead from now on. */
+  /** Lets a VM lead from now on; none where the name is empty. */
   public void elect(String name) {
     log.elect(name);
-    leader = name;
+    leader = name.isEmpty() ? leader : name;
     tick();
   }
 
--- /dev/null
+++ b/src/test/java/org/cuminrack/ledger/ReplicatedLedgerTest.java
@@ -0,0 +1,121 @@
+package org.cuminrack.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.control.ControlGroup;
+import org.cuminrack.control.LeaseSettings;
+import org.cuminrack.member.EntryIdentity;
+import org.cuminrack.member.SessionClient;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ReplicatedLedgerTest {
+  private static final CallKey KEY = new CallKey("lyzicka", "orders", "order-1");
+  private static final Fingerprint ORDER = fingerprint("order");
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+  private static final StoredAnswer ANSWER =
+      new StoredAnswer(201, "text/plain", ByteString.copyFromUtf8("order 17"));
+
+  private final ControlGroup control = new ControlGroup();
+  private final SessionClient firstEntry = entry("entry-1");
+  private final SessionClient secondEntry = entry("entry-2");
+  private final Ledger first = new ReplicatedLedger(control, firstEntry);
+  private final Ledger second = new ReplicatedLedger(control, secondEntry);
+
+  @BeforeEach
+  void openSessions() {
+    firstEntry.tick();
+    secondEntry.tick();
+  }
+
+  @Test
+  void shouldAnswerAResendThroughAnotherEntryWithTheFirstAnswer() {
+    long claimId = granted(claim(first));
+    first.finish(KEY, claimId, new CallResult.Done(ANSWER)).join();
+
+    assertThat(claim(second)).isEqualTo(new ClaimVerdict.Done(ANSWER));
+  }
+
+  @Test
+  void shouldHoldAResendBackWhileTheCallIsInProgress() {
+    claim(first);
+
+    assertThat(claim(second)).isInstanceOf(ClaimVerdict.InProgress.class);
+  }
+
+  @Test
+  void shouldTakeTheCallsOfALostEntryForUnknown() {
+    claim(first);
+
+    control.cut(true);
+    control.pass(LeaseSettings.standard().overForControl().plusMillis(100));
+    control.cut(false);
+    secondEntry.tick();
+    control.clock.advance(Duration.ofSeconds(1));
+    secondEntry.tick();
+
+    assertThat(claim(second)).isEqualTo(new ClaimVerdict.Unknown());
+  }
+
+  @Test
+  void shouldNotGrantAClaimWhoseAnswerWasLost() {
+    control.log.loseAnswers(true);
+
+    assertThat(claim(first)).isInstanceOf(ClaimVerdict.Unavailable.class);
+  }
+
+  @Test
+  void shouldGiveBackAClaimWhoseAnswerWasLost() {
+    control.log.loseAnswers(true);
+    claim(first);
+    control.log.loseAnswers(false);
+
+    assertThat(claim(second)).isInstanceOf(ClaimVerdict.Granted.class);
+  }
+
+  @Test
+  void shouldClaimNothingWithoutALease() {
+    int before = control.log.commands().size();
+    control.clock.advance(LeaseSettings.standard().lease());
+
+    assertThat(claim(first)).isInstanceOf(ClaimVerdict.Unavailable.class);
+    assertThat(control.log.commands()).hasSize(before);
+  }
+
+  @Test
+  void shouldRefuseTheKeyForAnotherRequest() {
+    claim(first);
+
+    assertThat(second.claim(KEY, fingerprint("other"), TIMEOUT).join())
+        .isEqualTo(new ClaimVerdict.KeyReused());
+  }
+
+  @Test
+  void shouldSayThatAnEndIsNotDurableWhileControlIsAway() {
+    long claimId = granted(claim(first));
+    control.cut(true);
+
+    assertThat(first.finish(KEY, claimId, new CallResult.Done(ANSWER)).join()).isFalse();
+  }
+
+  private static ClaimVerdict claim(Ledger ledger) {
+    return ledger.claim(KEY, ORDER, TIMEOUT).join();
+  }
+
+  private static long granted(ClaimVerdict verdict) {
+    return ((ClaimVerdict.Granted) verdict).claimId();
+  }
+
+  private static Fingerprint fingerprint(String body) {
+    return Fingerprint.of("lyzicka", "orders", body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private SessionClient entry(String name) {
+    EntryIdentity identity = new EntryIdentity(name, "dc-a", "127.0.0.1:1", "127.0.0.1:2");
+    return new SessionClient(identity, control, LeaseSettings.standard(), control.clock);
+  }
+}
