--- a/src/main/java/org/cuminrack/ledger/ReplicatedLedger.java
+++ b/src/main/java/org/cuminrack/ledger/ReplicatedLedger.java
@@ -32,18 +32,18 @@
   /** When to come back for a call that is in progress, or for a ledger that can't be reached. */
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
-  /** How long the end of a call is sent again and again. */
+  /** How long a caller of {@link #finish} waits. */
   private static final Duration FINISH_TIMEOUT = Duration.ofSeconds(10);
 
-  /** How long a token is given back again and again; then the end of the session settles it. */
-  private static final Duration GIVE_BACK_TIMEOUT = Duration.ofSeconds(30);
+  /** How long the end of a call, or a token given back, is sent after nobody waits for it. */
+  private static final Duration BACKGROUND_TIMEOUT = Duration.ofMinutes(10);
 
-  /** How many tokens are being given back at one time. */
-  private static final int MAX_GIVING_BACK = 1_000;
+  /** How many of those are on their way at one time. */
+  private static final int MAX_IN_BACKGROUND = 1_000;
 
   private final ControlCalls calls;
   private final Membership membership;
-  private final Semaphore givingBack = new Semaphore(MAX_GIVING_BACK);
+  private final Semaphore background = new Semaphore(MAX_IN_BACKGROUND);
 
   public ReplicatedLedger(ControlCalls calls, Membership membership) {
     this.calls = calls;
@@ -80,9 +80,16 @@
     } else {
       request.setResult(FinishResult.FINISH_UNKNOWN);
     }
+    byte[] payload = request.build().toByteArray();
     return calls
-        .call(Method.FINISH_CALL, request.build().toByteArray(), FINISH_TIMEOUT)
-        .thenApply(outcome -> outcome.fold(failure -> false, ReplicatedLedger::isRecorded));
+        .call(Method.FINISH_CALL, payload, FINISH_TIMEOUT)
+        .thenApply(
+            outcome -> {
+              if (outcome.isLeft()) {
+                sendInBackground("end-not-recorded", payload);
+              }
+              return outcome.fold(failure -> false, ReplicatedLedger::isRecorded);
+            });
   }
 
   private ClaimVerdict verdict(ClaimRequest request, Either<ControlFailure, byte[]> outcome) {
@@ -112,19 +119,30 @@
   }
 
   private void giveBack(ClaimRequest claim) {
-    if (!givingBack.tryAcquire()) {
-      logger.atWarning().log("%s", LogEvent.named("claim-not-given-back"));
-      return;
-    }
     FinishRequest request =
         FinishRequest.newBuilder()
             .setKey(claim.getKey())
             .setToken(claim.getToken())
             .setResult(FinishResult.FINISH_NOT_RUN)
             .build();
+    sendInBackground("claim-not-given-back", request.toByteArray());
+  }
+
+  // What still fails then is settled by the end of the session: the call is unknown.
+  private void sendInBackground(String eventOfFailure, byte[] payload) {
+    if (!background.tryAcquire()) {
+      logger.atWarning().log("%s", LogEvent.named(eventOfFailure).with("detail", "too many"));
+      return;
+    }
     calls
-        .call(Method.FINISH_CALL, request.toByteArray(), GIVE_BACK_TIMEOUT)
-        .whenComplete((outcome, failure) -> givingBack.release());
+        .call(Method.FINISH_CALL, payload, BACKGROUND_TIMEOUT)
+        .whenComplete(
+            (outcome, failure) -> {
+              background.release();
+              if (failure != null || outcome.isLeft()) {
+                logger.atWarning().log("%s", LogEvent.named(eventOfFailure));
+              }
+            });
   }
 
   private static boolean isRecorded(byte[] reply) {
--- /dev/null
+++ b/src/test/java/org/cuminrack/control/ControlStatePropertyTest.java
@@ -0,0 +1,96 @@
+package org.cuminrack.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cuminrack.generated.control.FetchReply;
+import org.cuminrack.generated.control.MemberData;
+
+class ControlStatePropertyTest {
+
+  @Property(tries = 200, seed = "20260131")
+  void shouldAnswerAlikeOnEveryReplica(
+      @ForAll long seed, @ForAll @IntRange(min = 1, max = 200) int commands) {
+    ControlState first = new ControlState();
+    ControlState second = new ControlState();
+    CommandGenerator generator = new CommandGenerator(seed);
+    for (int index = 1; index <= commands; index++) {
+      byte[] command = generator.next();
+
+      assertThat(first.apply(index, command)).isEqualTo(second.apply(index, command));
+    }
+    assertThat(first.snapshot()).isEqualTo(second.snapshot());
+  }
+
+  @Property(tries = 200, seed = "20260131")
+  void shouldGoOnFromASnapshotAsIfNothingHadHappened(
+      @ForAll long seed,
+      @ForAll @IntRange(min = 1, max = 100) int before,
+      @ForAll @IntRange(min = 1, max = 100) int after) {
+    CommandGenerator generator = new CommandGenerator(seed);
+    ControlState whole = new ControlState();
+    for (int index = 1; index <= before; index++) {
+      whole.apply(index, generator.next());
+    }
+    ControlState restored = new ControlState();
+    restored.restore(before, whole.snapshot());
+    assertThat(restored.snapshot()).isEqualTo(whole.snapshot());
+
+    for (int index = before + 1; index <= before + after; index++) {
+      byte[] command = generator.next();
+      assertThat(restored.apply(index, command)).isEqualTo(whole.apply(index, command));
+    }
+    assertThat(restored.snapshot()).isEqualTo(whole.snapshot());
+  }
+
+  @Property(tries = 200, seed = "20260131")
+  void shouldGiveReadersOfChangesTheWholeState(
+      @ForAll long seed, @ForAll @IntRange(min = 2, max = 200) int commands) {
+    CommandGenerator generator = new CommandGenerator(seed);
+    ControlState state = new ControlState();
+    Reader reader = new Reader();
+    for (int index = 1; index <= commands; index++) {
+      state.apply(index, generator.next());
+      if (index % 7 == 0 || index == commands) {
+        reader.take(state.changesAfter(reader.revision));
+      }
+    }
+    Reader fresh = new Reader();
+    fresh.take(state.changesAfter(0));
+
+    assertThat(reader.objects).isEqualTo(fresh.objects);
+    assertThat(reader.members).isEqualTo(fresh.members);
+    assertThat(reader.suspects).isEqualTo(fresh.suspects);
+  }
+
+  /** Puts answers together the plain way. */
+  private static final class Reader {
+    private final TreeMap<String, Object> objects = new TreeMap<>();
+    private final TreeMap<Long, MemberData> members = new TreeMap<>();
+    private final TreeMap<String, Integer> suspects = new TreeMap<>();
+    private long revision;
+
+    void take(FetchReply reply) {
+      revision = reply.getRevision();
+      reply
+          .getObjectsList()
+          .forEach(
+              each ->
+                  Optional.of(each)
+                      .filter(present -> present.getRevision() != 0)
+                      .ifPresentOrElse(
+                          present -> objects.put(each.getKind() + each.getName(), present),
+                          () -> objects.remove(each.getKind() + each.getName())));
+      reply.getEndedSessionsList().forEach(members::remove);
+      reply.getMembersList().forEach(each -> members.put(each.getSessionId(), each));
+      reply
+          .getSuspectsList()
+          .forEach(each -> suspects.put(each.getFingerprint(), each.getCrashes()));
+      suspects.values().removeIf(crashes -> crashes == 0);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/control/OperatorApiTest.java
@@ -0,0 +1,134 @@
+package org.cuminrack.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.Methods;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.cuminrack.http.HttpAnswer;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.http.HttpServer;
+import org.cuminrack.http.Json;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class OperatorApiTest {
+  private static final String DRAIN =
+      "{\"change_id\":\"1\",\"changes\":[{\"kind\":\"DATA_CENTRE\",\"name\":\"dc-a\","
+          + "\"expected_revision\":0,\"object\":{\"name\":\"dc-a\",\"drained\":true}}]}";
+
+  private final ControlGroup control = new ControlGroup();
+  private final HttpServer server =
+      new HttpServer(
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+          new OperatorApi(control).handler(),
+          1 << 20);
+  private final HttpClient client = new HttpClient();
+
+  @BeforeEach
+  void start() {
+    server.start();
+    client.start();
+  }
+
+  @AfterEach
+  void stop() {
+    client.stop();
+    server.stop();
+  }
+
+  @Test
+  void shouldAcceptAChange() {
+    HttpAnswer answer = post(DRAIN);
+
+    assertThat(answer.status()).isEqualTo(200);
+    assertThat(answer.text()).isEqualTo("{\"verdict\":\"accepted\",\"revision\":2}");
+  }
+
+  @Test
+  void shouldNameThePresentObjectInAConflict() {
+    post(DRAIN);
+
+    HttpAnswer answer = post(DRAIN.replace("\"1\"", "\"2\""));
+
+    assertThat(answer.status()).isEqualTo(409);
+    assertThat(answer.text())
+        .isEqualTo(
+            "{\"verdict\":\"conflict\",\"key\":\"data-centre/dc-a\",\"expected\":0,\"found\":2,"
+                + "\"present\":{\"name\":\"dc-a\",\"drained\":true}}");
+  }
+
+  @Test
+  void shouldSayWhatIsWrongWithAChange() {
+    HttpAnswer answer = post(DRAIN.replace("DATA_CENTRE", "ZONE"));
+
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(answer.text())
+        .isEqualTo(
+            "{\"verdict\":\"invalid\",\"detail\":\"kind: expected a kind of object, found 'ZONE'\"}");
+  }
+
+  @Test
+  void shouldSayThatTheVerdictIsUnknownWhenTheAnswerIsLost() {
+    control.log.loseAnswers(true);
+    HttpAnswer answer = post(DRAIN);
+    control.log.loseAnswers(false);
+
+    assertThat(answer.status()).isEqualTo(503);
+    assertThat(json(answer).get("verdict").asText()).isEqualTo("unknown");
+    assertThat(json(post(DRAIN)).get("verdict").asText()).isEqualTo("accepted");
+  }
+
+  @Test
+  void shouldAnswerTheConfiguration() {
+    post(DRAIN);
+
+    assertThat(get("/v1/configuration").text())
+        .isEqualTo(
+            "{\"revision\":2,\"objects\":[{\"kind\":\"DATA_CENTRE\",\"revision\":2,"
+                + "\"object\":{\"name\":\"dc-a\",\"drained\":true}}]}");
+  }
+
+  @Test
+  void shouldAnswerHowFarARevisionIsInForce() {
+    post(DRAIN);
+    control.tick();
+
+    assertThat(get("/v1/in-force?revision=2&wait_millis=0").text())
+        .isEqualTo("{\"revision\":2,\"in_force\":true,\"in_force_revision\":2,\"waiting_for\":[]}");
+  }
+
+  @Test
+  void shouldNameTheLeaderInTheStatus() {
+    assertThat(json(get("/v1/status")).get("leader").asText()).isEqualTo("a");
+  }
+
+  @Test
+  void shouldRefuseARevisionThatIsNoNumber() {
+    assertThat(get("/v1/in-force?revision=x").status()).isEqualTo(400);
+  }
+
+  private HttpAnswer post(String body) {
+    JsonNode json = Json.readTree(body.getBytes(StandardCharsets.UTF_8)).get();
+    return client
+        .send(HttpCall.of(Methods.POST, address(), "/v1/changes").withJson(json))
+        .join()
+        .get();
+  }
+
+  private HttpAnswer get(String path) {
+    return client.send(HttpCall.of(Methods.GET, address(), path)).join().get();
+  }
+
+  private String address() {
+    return "127.0.0.1:" + server.port();
+  }
+
+  private static JsonNode json(HttpAnswer answer) {
+    return Json.readTree(answer.body().toByteArray()).get();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/member/ControlClientTest.java
@@ -0,0 +1,134 @@
+package org.cuminrack.member;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cuminrack.generated.control.ControlReply;
+import org.cuminrack.generated.control.ReplyStatus;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireGroup;
+import org.cuminrack.wire.WireHandler;
+import org.cuminrack.wire.WireServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ControlClientTest {
+  private static final WireGroup GROUP = new WireGroup("eu", "main");
+  private static final ByteString BODY = ByteString.copyFromUtf8("body");
+  private static final Duration LONG = Duration.ofSeconds(10);
+  private static final Duration SHORT = Duration.ofMillis(200);
+  private static final String NOBODY = "127.0.0.1:1";
+
+  private final WireClient wire = new WireClient(GROUP);
+  private final AtomicInteger calls = new AtomicInteger();
+  private WireHandler first = payload -> reply(ReplyStatus.OK, "");
+  private WireHandler second = payload -> reply(ReplyStatus.OK, "");
+  private final WireServer firstServer = server(payload -> first.handle(payload));
+  private ControlClient client;
+  private final WireServer secondServer = server(payload -> second.handle(payload));
+
+  @BeforeEach
+  void start() {
+    firstServer.start();
+    secondServer.start();
+    wire.start();
+    client =
+        new ControlClient(
+            wire, Map.of("a", address(firstServer), "b", address(secondServer)), Clock.system());
+  }
+
+  @AfterEach
+  void stop() {
+    wire.stop();
+    firstServer.stop();
+    secondServer.stop();
+  }
+
+  @Test
+  void shouldGoToTheLeaderThatIsNamed() {
+    first = payload -> reply(ReplyStatus.NOT_LEADER, "b");
+
+    assertThat(call(LONG).get()).isEqualTo(BODY.toByteArray());
+    assertThat(call(LONG).get()).isEqualTo(BODY.toByteArray());
+    assertThat(calls.get()).isEqualTo(3);
+  }
+
+  @Test
+  void shouldTryAgainWhereTheOutcomeIsUnknown() {
+    first = payload -> reply(calls.get() < 2 ? ReplyStatus.OUTCOME_UNKNOWN : ReplyStatus.OK, "");
+
+    assertThat(call(LONG).isRight()).isTrue();
+  }
+
+  @Test
+  void shouldSayThatNothingWasDoneWhileNobodyLeads() {
+    first = payload -> reply(ReplyStatus.NOT_LEADER, "");
+    second = payload -> reply(ReplyStatus.NOT_LEADER, "");
+
+    assertThat(call(SHORT).getLeft()).isInstanceOf(ControlFailure.Unavailable.class);
+  }
+
+  @Test
+  void shouldSayThatItIsUnknownWhereOneAttemptMayHaveBeenDone() {
+    first = payload -> reply(ReplyStatus.OUTCOME_UNKNOWN, "");
+
+    assertThat(call(SHORT).getLeft()).isInstanceOf(ControlFailure.Unknown.class);
+  }
+
+  @Test
+  void shouldSayThatItIsUnknownWhereNoAnswerComes() {
+    first = payload -> new CompletableFuture<>();
+
+    assertThat(call(SHORT).getLeft()).isInstanceOf(ControlFailure.Unknown.class);
+  }
+
+  @Test
+  void shouldGoOnWhereOneVmCantBeReached() {
+    ControlClient halfAway =
+        new ControlClient(wire, Map.of("a", NOBODY, "b", address(secondServer)), Clock.system());
+
+    assertThat(halfAway.call(Method.CHANGE, new byte[0], LONG).join().isRight()).isTrue();
+  }
+
+  @Test
+  void shouldNotRepeatWhatIsRefused() {
+    first = payload -> reply(ReplyStatus.REFUSED, "");
+
+    assertThat(call(LONG).getLeft()).isInstanceOf(ControlFailure.Refused.class);
+    assertThat(calls.get()).isEqualTo(1);
+  }
+
+  private Either<ControlFailure, byte[]> call(Duration timeout) {
+    return client.call(Method.CHANGE, new byte[0], timeout).join();
+  }
+
+  private CompletableFuture<byte[]> reply(ReplyStatus status, String leader) {
+    calls.incrementAndGet();
+    return CompletableFuture.completedFuture(
+        ControlReply.newBuilder()
+            .setStatus(status)
+            .setLeader(leader)
+            .setBody(BODY)
+            .build()
+            .toByteArray());
+  }
+
+  private static WireServer server(WireHandler handler) {
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    return new WireServer(anyPort, GROUP).serve(Method.CHANGE, handler);
+  }
+
+  private static String address(WireServer server) {
+    return "127.0.0.1:" + server.port();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/member/EntryLeaseTest.java
@@ -0,0 +1,67 @@
+package org.cuminrack.member;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.cuminrack.control.LeaseSettings;
+import org.junit.jupiter.api.Test;
+
+class EntryLeaseTest {
+  private static final long USABLE_NANOS = LeaseSettings.standard().usableByEntry().toNanos();
+
+  private final EntryLease lease = new EntryLease(LeaseSettings.standard());
+
+  @Test
+  void shouldCountFromTheSendOfTheRenewal() {
+    lease.renewed(1_000, 5, 5);
+
+    assertThat(lease.isFresh(1_000 + USABLE_NANOS - 1)).isTrue();
+    assertThat(lease.isFresh(1_000 + USABLE_NANOS)).isFalse();
+  }
+
+  @Test
+  void shouldNotBeFreshByAnAnswerReadAfterALongSuspension() {
+    lease.renewed(1_000, 5, 5);
+
+    lease.renewed(2_000, 5, 5);
+
+    assertThat(lease.isFresh(2_000 + 3 * USABLE_NANOS)).isFalse();
+  }
+
+  @Test
+  void shouldWaitUntilTheRevisionOfTheAnswerIsInForceHere() {
+    lease.renewed(1_000, 6, 5);
+    assertThat(lease.isFresh(1_001)).isFalse();
+
+    lease.putInForce(6);
+    assertThat(lease.isFresh(1_001)).isTrue();
+  }
+
+  @Test
+  void shouldKeepTheEarlierLeaseWhileItWaits() {
+    lease.renewed(1_000, 5, 5);
+
+    lease.renewed(1_000 + USABLE_NANOS / 2, 6, 5);
+
+    assertThat(lease.isFresh(1_000 + USABLE_NANOS - 1)).isTrue();
+    assertThat(lease.isFresh(1_000 + USABLE_NANOS)).isFalse();
+  }
+
+  @Test
+  void shouldNotBeShortenedByAnAnswerThatCrossed() {
+    lease.renewed(2_000, 5, 5);
+
+    lease.renewed(1_000, 5, 5);
+
+    assertThat(lease.isFresh(1_000 + USABLE_NANOS)).isTrue();
+  }
+
+  @Test
+  void shouldEndAtOnceWhenDropped() {
+    lease.renewed(1_000, 6, 5);
+
+    lease.drop();
+    lease.putInForce(6);
+
+    assertThat(lease.isFresh(1_001)).isFalse();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/member/ReplicatedCrashReportsTest.java
@@ -0,0 +1,93 @@
+package org.cuminrack.member;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.control.ControlGroup;
+import org.cuminrack.control.LeaseSettings;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ReplicatedCrashReportsTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final Fingerprint POISON =
+      Fingerprint.of("kamba", "assistant", "x".getBytes(StandardCharsets.UTF_8));
+
+  private final ControlGroup control = new ControlGroup();
+  private final SessionClient entry =
+      new SessionClient(
+          new EntryIdentity("entry-1", "dc-a", "127.0.0.1:1", "127.0.0.1:2"),
+          control,
+          LeaseSettings.standard(),
+          control.clock);
+  private final CrashReports reports = new ReplicatedCrashReports(control, control.clock);
+
+  @BeforeEach
+  void openSession() {
+    entry.tick();
+  }
+
+  @Test
+  void shouldCountEachLifeOfAnUpstreamOnce() {
+    report("engine-1", "boot-1");
+    report("engine-1", "boot-1");
+    report("engine-1", "boot-2");
+    control.tick();
+
+    assertThat(entry.view().suspects()).containsExactly(POISON.hex(), 2);
+  }
+
+  @Test
+  void shouldAnswerOnceEveryEntryKnows() {
+    CompletableFuture<Boolean> answer = report("engine-1", "boot-1");
+
+    control.tick();
+    control.tick();
+
+    assertThat(answer.join()).isTrue();
+  }
+
+  @Test
+  void shouldNotSayThatEveryEntryKnowsWhileOneDoesNot() {
+    control.cut(true);
+    control.tick();
+    control.cut(false);
+    CompletableFuture<Boolean> answer = report("engine-1", "boot-1");
+    control.cut(true);
+
+    control.pass(Duration.ofSeconds(1));
+    assertThat(answer.isDone()).isFalse();
+    control.pass(TIMEOUT);
+
+    assertThat(answer.isDone()).isTrue();
+  }
+
+  @Test
+  void shouldTakeTheSuspicionOff() {
+    report("engine-1", "boot-1");
+
+    reports.clear(POISON);
+    control.tick();
+
+    assertThat(entry.view().suspects()).isEmpty();
+  }
+
+  @Test
+  void shouldForgetASuspicionAfterItsRetention() {
+    report("engine-1", "boot-1");
+    control.tick();
+
+    control.clock.advance(Duration.ofHours(1));
+    control.tick();
+
+    assertThat(control.state().changesAfter(0).getSuspectsList()).isEmpty();
+  }
+
+  private CompletableFuture<Boolean> report(String upstream, String bootId) {
+    return reports.reportCrash(upstream, bootId, List.of(POISON), TIMEOUT);
+  }
+}
