Count what former owners admitted, in every order of events

An upstream that announced itself at a new owner before that owner had become active counted as free of former work, so that a dead owner's requests came on top of the cold limit: the test of a dead owner saw 3 tickets where 1 was allowed. A pool now starts in doubt of every upstream and settles it by a hand-over, or by a report taken after the former owner had surely stopped.

--- a/src/main/java/org/cuminrack/pool/AdmissionService.java
+++ b/src/main/java/org/cuminrack/pool/AdmissionService.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -17,6 +18,8 @@
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.member.Membership;
 import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireHandler;
 import org.cuminrack.wire.WireServer;
 
 /**
@@ -56,16 +59,27 @@
 
   /** Serves the calls of other entries; to be called before the server starts. */
   public AdmissionService serveOn(WireServer server) {
-    new PoolHandlers(owner).addTo(server);
+    handlers().forEach(server::serve);
     return this;
   }
 
+  /** Returns what serves the calls of other entries. */
+  Map<Method, WireHandler> handlers() {
+    return new PoolHandlers(owner).byMethod();
+  }
+
   @Override
   public void start() {
-    membership.onChange(owner::viewChanged);
+    begin();
     ticker = Executors.newSingleThreadScheduledExecutor(each -> new Thread(each, "admission"));
     every(TICK_MILLIS, this::tick);
-    every(POLL_MILLIS, poller::poll);
+    every(POLL_MILLIS, this::poll);
+  }
+
+  /** Follows the membership; {@link #start()} does it, and tests without threads. */
+  void begin() {
+    membership.onChange(owner::viewChanged);
+    owner.viewChanged(membership.view());
   }
 
   /** Lets go of every pool: the first step of a planned stop. Requests are still passed on. */
@@ -130,6 +144,11 @@
     handOvers.tick();
   }
 
+  /** Refreshes the digests that have aged. */
+  void poll() {
+    poller.poll();
+  }
+
   private void every(long millis, Runnable work) {
     ticker.scheduleAtFixedRate(() -> guarded(work), millis, millis, TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/org/cuminrack/pool/CacheEvents.java
+++ b/src/main/java/org/cuminrack/pool/CacheEvents.java
@@ -9,4 +9,11 @@
  * @param removed hashes of blocks that it dropped
  */
 public record CacheEvents(
-    String upstream, String bootId, long sequence, List<Long> stored, List<Long> removed) {}
+    String upstream, String bootId, long sequence, List<Long> stored, List<Long> removed) {
+
+  /** Takes a list that was left out as empty. */
+  public CacheEvents {
+    stored = stored == null ? List.of() : List.copyOf(stored);
+    removed = removed == null ? List.of() : List.copyOf(removed);
+  }
+}
--- a/src/main/java/org/cuminrack/pool/HandOverTaker.java
+++ b/src/main/java/org/cuminrack/pool/HandOverTaker.java
@@ -47,8 +47,8 @@
 
   private InheritedWork formerWork(PoolHandOver.UpstreamPart part) {
     if (part.inheritedUnknown()) {
-      long knownFrom = context.nowNanos() + PoolLimits.REPORT_LAG.toNanos();
-      return InheritedWork.unknownUntil(knownFrom);
+      long knownFrom = context.nowNanos() + FormerOwner.SURELY_REPORTED_NANOS;
+      return InheritedWork.unknown().stoppedKnownFrom(knownFrom);
     }
     return InheritedWork.known(part.inherited());
   }
--- a/src/main/java/org/cuminrack/pool/InheritedWork.java
+++ b/src/main/java/org/cuminrack/pool/InheritedWork.java
@@ -11,23 +11,30 @@
   private static final long IN_EVERY_REPORT_NANOS =
       PoolLimits.DISPATCH_BY.plus(PoolLimits.REPORT_LAG).toNanos();
 
-  private final long knownFromNanos;
   private boolean unknown;
+  private boolean stopped;
+  private long knownFromNanos;
   private int requests;
 
-  private InheritedWork(boolean unknown, long knownFromNanos) {
+  private InheritedWork(boolean unknown) {
     this.unknown = unknown;
-    this.knownFromNanos = knownFromNanos;
   }
 
   /** No former owner can have given the upstream work that isn't known. */
   static InheritedWork none() {
-    return new InheritedWork(false, 0);
+    return new InheritedWork(false);
   }
 
-  /** A former owner may have; reports that come from this time on tell of all of it. */
-  static InheritedWork unknownUntil(long knownFromNanos) {
-    return new InheritedWork(true, knownFromNanos);
+  /** A former owner may have given it work, and may still do so. */
+  static InheritedWork unknown() {
+    return new InheritedWork(true);
+  }
+
+  /** The former owner has stopped; reports that come from this time on tell of all its work. */
+  InheritedWork stoppedKnownFrom(long nanos) {
+    stopped = true;
+    knownFromNanos = nanos;
+    return this;
   }
 
   /** A former owner counted so many. */
@@ -51,7 +58,7 @@
   }
 
   void reported(Report report, Collection<RunningRequest> own, long nowNanos) {
-    if (unknown && nowNanos - knownFromNanos >= 0) {
+    if (unknown && stopped && nowNanos - knownFromNanos >= 0) {
       unknown = false;
       requests = report.running() + report.waiting();
       return;
--- a/src/main/java/org/cuminrack/pool/OwnedPool.java
+++ b/src/main/java/org/cuminrack/pool/OwnedPool.java
@@ -42,6 +42,7 @@
     this.core = core;
     this.clock = clock;
     this.hasLease = hasLease;
+    core.formerOwnerMayAdmit();
   }
 
   PoolKey key() {
@@ -60,14 +61,16 @@
     return handedOver;
   }
 
-  /** Begins to admit. */
-  void activate() {
+  /**
+   * Begins to admit.
+   *
+   * @param stoppedNanos when every former owner had stopped
+   */
+  void activate(long stoppedNanos) {
     run(
         now -> {
           active = true;
-          if (!handedOver) {
-            core.takenOverWithoutHandOver(now);
-          }
+          core.formerOwnerStopped(stoppedNanos);
           return List.of();
         });
   }
@@ -88,7 +91,9 @@
   void membersChanged(Set<Long> sessions) {
     run(
         now -> {
-          core.takenOverWithoutHandOver(now);
+          if (active) {
+            core.formerOwnerStopped(now);
+          }
           List<PoolDecision> decisions = new ArrayList<>();
           for (long id : ids.ofOthers(sessions)) {
             decisions.addAll(core.orphaned(id, now));
--- a/src/main/java/org/cuminrack/pool/PoolCore.java
+++ b/src/main/java/org/cuminrack/pool/PoolCore.java
@@ -28,10 +28,9 @@
   private final RequestFactory requests;
   private final RetryBudget retryBudget = new RetryBudget();
   private final Holdings holdings = new Holdings();
+  private final FormerOwner formerOwner = new FormerOwner();
   private List<PoolDecision> decisions = new ArrayList<>();
   private long lastTicket;
-  private long verifyUntilNanos;
-  private boolean verifies;
   private boolean admitting = true;
 
   /** Creates a pool that nobody owned before under this epoch. */
@@ -54,12 +53,18 @@
   }
 
   /**
-   * Tells the pool that a former owner admitted work it has not handed over. Upstreams that
-   * announce themselves from now on get no work until a report shows what they still run.
+   * A former owner may admit work that this one does not know of. Upstreams that announce
+   * themselves get none until {@link #formerOwnerStopped} and a report that shows what they run, or
+   * a hand-over.
    */
-  public void takenOverWithoutHandOver(long nowNanos) {
-    verifies = true;
-    verifyUntilNanos = nowNanos + PoolLimits.GONE_AFTER.toNanos();
+  public void formerOwnerMayAdmit() {
+    formerOwner.mayAdmit();
+  }
+
+  /** Every former owner had stopped by this time; hand-overs may still come. */
+  public void formerOwnerStopped(long stoppedNanos) {
+    formerOwner.stopped(stoppedNanos);
+    upstreams.all().forEach(each -> each.formerOwnerStopped(formerOwner.knownFromNanos()));
   }
 
   /** Puts new rules in force: what waits and may not run any more is refused at once. */
@@ -90,7 +95,7 @@
     }
     forgetFormerLife(announcement.upstream());
     if (upstreams.hasRoom()) {
-      upstreams.add(announcement, inherited(nowNanos), nowNanos);
+      upstreams.add(announcement, formerOwner.workOf(nowNanos), nowNanos);
     }
     return end();
   }
@@ -230,12 +235,6 @@
     return decisions;
   }
 
-  private InheritedWork inherited(long nowNanos) {
-    boolean possible = verifies && nowNanos - verifyUntilNanos < 0;
-    long lagNanos = PoolLimits.REPORT_LAG.toNanos();
-    return possible ? InheritedWork.unknownUntil(nowNanos + lagNanos) : InheritedWork.none();
-  }
-
   private void forgetFormerLife(String upstream) {
     upstreams.remove(upstream).ifPresent(each -> context.prefixes().cleared(each.slot()));
   }
--- a/src/main/java/org/cuminrack/pool/PoolHandlers.java
+++ b/src/main/java/org/cuminrack/pool/PoolHandlers.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.cuminrack.admission.RefusalReason;
@@ -19,7 +20,7 @@
 import org.cuminrack.generated.pool.ReturnCall;
 import org.cuminrack.generated.pool.TicketGrant;
 import org.cuminrack.wire.Method;
-import org.cuminrack.wire.WireServer;
+import org.cuminrack.wire.WireHandler;
 
 /** Serves the calls of other entries to the pools that this entry owns. */
 final class PoolHandlers {
@@ -29,12 +30,14 @@
     this.owner = owner;
   }
 
-  void addTo(WireServer server) {
-    server.serve(Method.ADMIT, payload -> admit(payload));
-    server.serve(Method.RETURN_TICKET, payload -> now(() -> returnTicket(payload)));
-    server.serve(Method.HAND_OVER, payload -> now(() -> handOver(payload)));
-    server.serve(Method.POOL_DIGESTS, payload -> now(() -> digests(payload)));
-    server.serve(Method.FORWARD_ANNOUNCEMENT, payload -> now(() -> announcement(payload)));
+  /** Returns the handler of each method. */
+  Map<Method, WireHandler> byMethod() {
+    return Map.of(
+        Method.ADMIT, this::admit,
+        Method.RETURN_TICKET, payload -> now(() -> returnTicket(payload)),
+        Method.HAND_OVER, payload -> now(() -> handOver(payload)),
+        Method.POOL_DIGESTS, payload -> now(() -> digests(payload)),
+        Method.FORWARD_ANNOUNCEMENT, payload -> now(() -> announcement(payload)));
   }
 
   private interface Answer {
--- a/src/main/java/org/cuminrack/pool/PoolMessages.java
+++ b/src/main/java/org/cuminrack/pool/PoolMessages.java
@@ -138,8 +138,8 @@
         .setWarmLimit(announcement.warmLimit())
         .setMemoryTokens(announcement.memoryTokens())
         .setChecksFencing(announcement.checksFencing())
-        .setModel(announcement.model())
-        .setVersion(announcement.version())
+        .setModel(orEmpty(announcement.model()))
+        .setVersion(orEmpty(announcement.version()))
         .build();
   }
 
@@ -157,4 +157,8 @@
         message.getModel(),
         message.getVersion());
   }
+
+  private static String orEmpty(String text) {
+    return text == null ? "" : text;
+  }
 }
--- a/src/main/java/org/cuminrack/pool/PoolOwner.java
+++ b/src/main/java/org/cuminrack/pool/PoolOwner.java
@@ -1,6 +1,5 @@
 package org.cuminrack.pool;
 
-import java.time.Duration;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
@@ -28,7 +27,7 @@
   private final PolicyKind policy;
   private final HandOverSender handOvers;
   private final Map<PoolKey, OwnedPool> pools = new ConcurrentHashMap<>();
-  private final Map<PoolKey, Long> inForceSinceNanos = new ConcurrentHashMap<>();
+  private final Map<Long, Long> inForceSinceNanos = new ConcurrentHashMap<>();
   private volatile Set<Long> sessions = Set.of();
   private volatile boolean stopping;
 
@@ -84,6 +83,7 @@
   }
 
   void tick() {
+    noteInForce();
     for (OwnedPool each : pools.values()) {
       if (!each.isActive()) {
         activateIfDue(each);
@@ -97,15 +97,27 @@
       return;
     }
     long now = clock.nanoTime();
-    long since = inForceSinceNanos.computeIfAbsent(pool.key(), key -> now);
-    boolean ranOut = now - since >= ticketsRunOut().toNanos();
+    long since = inForceSinceNanos.computeIfAbsent(pool.epoch(), epoch -> now);
+    boolean ranOut = now - since >= PoolLimits.DISPATCH_BY.toNanos();
     if (pool.wasHandedOver() || ranOut) {
-      pool.activate();
+      pool.activate(since);
     }
   }
 
+  /** Notes when the present epoch came in force everywhere. */
+  private void noteInForce() {
+    long epoch = membership.view().epoch();
+    if (membership.inForceRevision() >= epoch) {
+      inForceSinceNanos.computeIfAbsent(epoch, each -> clock.nanoTime());
+    }
+    inForceSinceNanos.keySet().removeIf(each -> each != epoch && !isWaitedFor(each));
+  }
+
+  private boolean isWaitedFor(long epoch) {
+    return pools.values().stream().anyMatch(each -> each.epoch() == epoch && !each.isActive());
+  }
+
   private OwnedPool create(PoolKey key, ClusterView view) {
-    inForceSinceNanos.remove(key);
     PoolCore core = new PoolCore(key, policy, view.epoch());
     OwnedPool pool = new OwnedPool(core, clock, membership::hasFreshLease);
     pool.applyRules(PoolRules.of(view, key));
@@ -122,8 +134,4 @@
     Optional<EntryMember> owner = PoolOwnership.ownerOf(key, view);
     return owner.isPresent() && owner.get().sessionId() == membership.sessionId();
   }
-
-  private static Duration ticketsRunOut() {
-    return PoolLimits.DISPATCH_BY;
-  }
 }
--- a/src/main/java/org/cuminrack/pool/UpstreamState.java
+++ b/src/main/java/org/cuminrack/pool/UpstreamState.java
@@ -148,6 +148,11 @@
     return leaving;
   }
 
+  /** The former owner has stopped; reports from this time on tell of all its work. */
+  void formerOwnerStopped(long knownFromNanos) {
+    inherited.stoppedKnownFrom(knownFromNanos);
+  }
+
   boolean isInheritedUnknown() {
     return inherited.isUnknown();
   }
--- /dev/null
+++ b/src/test/java/org/cuminrack/pool/FakeCluster.java
@@ -0,0 +1,158 @@
+package org.cuminrack.pool;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.admission.AdmissionOutcome;
+import org.cuminrack.admission.Priority;
+import org.cuminrack.admission.Ticket;
+import org.cuminrack.config.Configuration;
+import org.cuminrack.member.ClusterView;
+import org.cuminrack.member.EntryMember;
+import org.cuminrack.time.ManualClock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireFailure;
+
+/** Entries that reach each other by direct calls, on one manual clock; links can be cut. */
+final class FakeCluster {
+  private static final Duration STEP = Duration.ofMillis(20);
+
+  final ManualClock clock = new ManualClock();
+  final Map<String, AdmissionService> services = new TreeMap<>();
+  final Map<String, FakeMembership> memberships = new TreeMap<>();
+  final Set<String> unreachable = new HashSet<>();
+  final Set<Method> answersLost = new HashSet<>();
+  private final Map<String, EntryMember> members = new TreeMap<>();
+  private final Set<String> frozen = new HashSet<>();
+  private Configuration configuration = Configuration.empty();
+  private Map<String, Integer> suspects = Map.of();
+  private long revision;
+  private long epoch;
+  private long lastSession;
+
+  FakeCluster withEntries(String... names) {
+    for (String name : names) {
+      add(name);
+    }
+    spread();
+    return this;
+  }
+
+  void add(String name) {
+    long session = ++lastSession;
+    members.put(name, new EntryMember(name, session, "dc-a", name + ":80", name, false));
+    FakeMembership membership = new FakeMembership(session);
+    AdmissionService service =
+        new AdmissionService("dc-a", membership, this::call, clock, PolicyKind.PREDICTIVE);
+    memberships.put(name, membership);
+    services.put(name, service);
+    service.begin();
+    epoch = ++revision;
+  }
+
+  /** Drops a member whose lease has run out; it may be frozen, and come back later. */
+  void drop(String name) {
+    members.remove(name);
+    epoch = ++revision;
+  }
+
+  void stopping(String name) {
+    EntryMember m = members.get(name);
+    services.get(name).stopOwning();
+    members.put(
+        name,
+        new EntryMember(
+            name, m.sessionId(), m.dataCentre(), m.httpAddress(), m.wireAddress(), true));
+    epoch = ++revision;
+  }
+
+  void freeze(String name) {
+    frozen.add(name);
+    unreachable.add(name);
+  }
+
+  ClusterView view() {
+    return new ClusterView(revision, epoch, configuration, List.copyOf(members.values()), suspects);
+  }
+
+  /** Puts the present view in force at one entry. */
+  void spreadTo(String name) {
+    memberships.get(name).putInForce(view());
+  }
+
+  void everyoneHas() {
+    memberships.values().forEach(each -> each.everyoneHas(revision));
+  }
+
+  /** Puts the present view in force at every entry that isn't frozen, and says so to all. */
+  void spread() {
+    memberships.keySet().stream().filter(each -> !frozen.contains(each)).forEach(this::spreadTo);
+    everyoneHas();
+  }
+
+  void pass(Duration time) {
+    for (long done = 0; done < time.toMillis(); done += STEP.toMillis()) {
+      clock.advance(STEP);
+      services.forEach((name, service) -> tick(name, service));
+    }
+  }
+
+  String ownerOf(PoolKey pool) {
+    return PoolOwnership.ownerOf(pool, view()).orElseThrow().name();
+  }
+
+  /** Announces an upstream through an entry; returns true where the owner took it. */
+  boolean announce(String through, Announcement announcement) {
+    return services.get(through).announce(announcement).join().isRight();
+  }
+
+  boolean report(String to, Report report) {
+    return services.get(to).report(report).isRight();
+  }
+
+  /** Asks one entry for so many tickets and returns those that were granted at once. */
+  List<Ticket> admit(String entry, int count) {
+    List<Ticket> tickets = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      CompletableFuture<AdmissionOutcome> outcome =
+          services.get(entry).admit(PoolFixture.request("shop", Priority.STANDARD));
+      if (outcome.isDone() && outcome.join() instanceof AdmissionOutcome.Admitted admitted) {
+        tickets.add(admitted.ticket());
+      }
+    }
+    return tickets;
+  }
+
+  private void tick(String name, AdmissionService service) {
+    if (!frozen.contains(name)) {
+      service.tick();
+      service.poll();
+    }
+  }
+
+  private CompletableFuture<Either<WireFailure, byte[]>> call(
+      String address, Method method, byte[] payload, Duration timeout) {
+    if (unreachable.contains(address)) {
+      return CompletableFuture.completedFuture(
+          Either.left(new WireFailure.Unreachable(address, "cut")));
+    }
+    CompletableFuture<Either<WireFailure, byte[]>> answer =
+        services
+            .get(address)
+            .handlers()
+            .get(method)
+            .handle(payload)
+            .thenApply(Either::<WireFailure, byte[]>right);
+    if (answersLost.contains(method)) {
+      return CompletableFuture.completedFuture(
+          Either.left(new WireFailure.NoAnswer(address, "lost")));
+    }
+    return answer;
+  }
+}
