--- a/src/test/java/org/cuminrack/pool/PoolFixture.java
+++ b/src/test/java/org/cuminrack/pool/PoolFixture.java
@@ -23,6 +23,7 @@
   final Map<Long, Ticket> admitted = new TreeMap<>();
   final Map<Long, PoolDecision.Refused> refused = new TreeMap<>();
   final PoolCore core;
+  private final Map<Long, String> organisations = new TreeMap<>();
   private final List<String> reporting = new ArrayList<>();
   private long lastRequest;
   private long lastReport;
@@ -73,6 +74,7 @@
 
   long submit(AdmissionRequest request) {
     long id = ++lastRequest;
+    organisations.put(id, request.organisation());
     take(core.submit(id, request, clock.nanoTime()));
     return id;
   }
@@ -108,6 +110,10 @@
         .toList();
   }
 
+  boolean isOf(long id, String organisation) {
+    return organisations.get(id).equals(organisation);
+  }
+
   void applyRules(PoolRules rules) {
     take(core.applyRules(rules, clock.nanoTime()));
   }
