Watch callers that leave, and test limits, poison and planned stops

A caller that closes its connection is noticed also while nothing is written to it: the connection's source is watched once the body has been read, so that a queued request leaves the queue. A stream that is quiet for a second carries a comment, so that both ends see a dead link.

--- a/src/main/java/org/cuminrack/relay/CallerStream.java
+++ b/src/main/java/org/cuminrack/relay/CallerStream.java
@@ -62,6 +62,12 @@
     append("\n\n");
   }
 
+  /** Shows the caller that the connection lives, and this entry whether the caller does. */
+  void heartbeat() {
+    append(":\n\n");
+    flush();
+  }
+
   /** Adds the typed end of an answer that can't be completed, then ends it. */
   void endWithError(byte[] problem) {
     append("event: error\ndata: ");
@@ -162,6 +168,11 @@
     exchange.endExchange();
   }
 
+  /** The caller has closed its connection. */
+  void abandoned() {
+    gone();
+  }
+
   private void gone() {
     if (!closed) {
       abort();
--- a/src/main/java/org/cuminrack/relay/EngineProbe.java
+++ b/src/main/java/org/cuminrack/relay/EngineProbe.java
@@ -4,7 +4,6 @@
 import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cuminrack.http.Json;
 import org.xnio.XnioExecutor;
@@ -31,11 +30,7 @@
   static void ask(EngineTarget target, IoContext io, Consumer<EngineLoss> result) {
     EngineProbe probe = new EngineProbe(target, result);
     probe.timer =
-        io.thread()
-            .executeAfter(
-                () -> probe.finish(EngineLoss.OUT_OF_REACH),
-                io.bounds().silence().toMillis(),
-                TimeUnit.MILLISECONDS);
+        io.after(io.bounds().silence().toMillis(), () -> probe.finish(EngineLoss.OUT_OF_REACH));
     probe.exchange = io.open(UpstreamRequest.get(target.address(), "/v1/status"), probe);
   }
 
--- a/src/main/java/org/cuminrack/relay/Generation.java
+++ b/src/main/java/org/cuminrack/relay/Generation.java
@@ -19,6 +19,9 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final long TICKS_A_SILENCE = 4;
 
+  /** How long a caller hears nothing before it is sent a comment. */
+  private static final long HEARTBEAT_NANOS = Duration.ofSeconds(1).toNanos();
+
   private final RelayContext context;
   private final CallerRequest caller;
   private final GenerationRequest request;
@@ -33,6 +36,7 @@
   private int tokens;
   private int lastIndexSent = -1;
   private long blockedSinceNanos;
+  private long lastSentNanos;
   private boolean resumed;
   private boolean ended;
 
@@ -59,6 +63,7 @@
   /** Begins a new generation. */
   void start() {
     startTicker();
+    CallerWatch.begin(caller.exchange(), callerStream::abandoned);
     admission.ask(this::admitted);
   }
 
@@ -73,6 +78,7 @@
       callerStream.endWhole();
       return;
     }
+    CallerWatch.begin(caller.exchange(), callerStream::abandoned);
     EngineTarget target = new EngineTarget(id.upstream(), id.address(), id.bootId());
     context.running().add(target, request.fingerprint());
     engine = new EngineStream(target, io, context.clock(), context.counters(), this);
@@ -176,6 +182,7 @@
   @Override
   public void turnEnded() {
     if (!ended && tokens > 0) {
+      lastSentNanos = context.clock().nanoTime();
       callerStream.flush();
     }
   }
@@ -246,6 +253,15 @@
       end(context.refusals().timedOut(ran));
     } else if (engine != null) {
       engine.tick();
+      heartbeat();
+    }
+  }
+
+  private void heartbeat() {
+    long nowNanos = context.clock().nanoTime();
+    if (!ended && tokens > 0 && nowNanos - lastSentNanos > HEARTBEAT_NANOS) {
+      lastSentNanos = nowNanos;
+      callerStream.heartbeat();
     }
   }
 
@@ -282,8 +298,11 @@
       return;
     }
     context.counters().add(RelayCounters.CALLERS_GONE);
-    engine.detach();
     stop();
+    admission.cancel();
+    if (engine != null) {
+      engine.detach();
+    }
     io.after(context.bounds().orphan().toMillis(), () -> release(Result.CANCELLED));
   }
 
--- a/src/main/java/org/cuminrack/relay/IoContext.java
+++ b/src/main/java/org/cuminrack/relay/IoContext.java
@@ -1,8 +1,11 @@
 package org.cuminrack.relay;
 
+import com.google.common.flogger.FluentLogger;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.cuminrack.log.LogEvent;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -11,6 +14,7 @@
  * on it.
  */
 record IoContext(XnioIoThread thread, ByteBufferPool buffers, RelayBounds bounds) {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   static IoContext of(HttpServerExchange exchange, RelayBounds bounds) {
     return new IoContext(
@@ -18,18 +22,39 @@
   }
 
   UpstreamExchange open(UpstreamRequest request, UpstreamListener listener) {
-    return UpstreamExchange.open(request, listener, thread, buffers, bounds.connectTimeout());
+    return UpstreamExchange.open(request, listener, this);
   }
 
+  /** Runs a task on the thread; drops it where the process is ending. */
   void execute(Runnable task) {
-    thread.execute(task);
+    try {
+      thread.execute(task);
+    } catch (RejectedExecutionException e) {
+      logDropped();
+    }
   }
 
+  /** Runs a task later on the thread; drops it where the process is ending. */
   XnioExecutor.Key after(long delayMillis, Runnable task) {
-    return thread.executeAfter(task, delayMillis, TimeUnit.MILLISECONDS);
+    try {
+      return thread.executeAfter(task, delayMillis, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      logDropped();
+      return () -> false;
+    }
   }
 
+  /** Runs a task again and again on the thread; drops it where the process is ending. */
   XnioExecutor.Key every(long intervalMillis, Runnable task) {
-    return thread.executeAtInterval(task, intervalMillis, TimeUnit.MILLISECONDS);
+    try {
+      return thread.executeAtInterval(task, intervalMillis, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      logDropped();
+      return () -> false;
+    }
+  }
+
+  private static void logDropped() {
+    logger.atFine().log("%s", LogEvent.named("task-dropped-at-stop"));
   }
 }
--- a/src/main/java/org/cuminrack/relay/RelayBounds.java
+++ b/src/main/java/org/cuminrack/relay/RelayBounds.java
@@ -81,4 +81,20 @@
         maxBodyBytes,
         maxAnswerBytes);
   }
+
+  public RelayBounds withSlowSender(Duration value) {
+    return new RelayBounds(
+        connectTimeout,
+        silence,
+        engineLoss,
+        stall,
+        slowCaller,
+        value,
+        orphan,
+        crashReport,
+        lateAnswer,
+        ledgerWait,
+        maxBodyBytes,
+        maxAnswerBytes);
+  }
 }
--- a/src/main/java/org/cuminrack/relay/UpstreamExchange.java
+++ b/src/main/java/org/cuminrack/relay/UpstreamExchange.java
@@ -5,20 +5,16 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
-import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioExecutor;
-import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -37,7 +33,7 @@
 
   private final UpstreamRequest request;
   private final UpstreamListener listener;
-  private final XnioIoThread ioThread;
+  private final IoContext io;
   private final ByteBuffer toSend;
   private XnioExecutor.Key connectTimer;
   private ClientConnection connection;
@@ -46,36 +42,29 @@
   private boolean sent;
   private boolean ended;
 
-  private UpstreamExchange(
-      UpstreamRequest request, UpstreamListener listener, XnioIoThread ioThread) {
+  private UpstreamExchange(UpstreamRequest request, UpstreamListener listener, IoContext io) {
     this.request = request;
     this.listener = listener;
-    this.ioThread = ioThread;
+    this.io = io;
     this.toSend = request.body().asReadOnlyByteBuffer();
   }
 
   /** Begins an exchange; to be called on the I/O thread it is to live on. */
-  static UpstreamExchange open(
-      UpstreamRequest request,
-      UpstreamListener listener,
-      XnioIoThread ioThread,
-      ByteBufferPool buffers,
-      Duration connectTimeout) {
-    UpstreamExchange exchange = new UpstreamExchange(request, listener, ioThread);
-    exchange.connect(buffers, connectTimeout);
+  static UpstreamExchange open(UpstreamRequest request, UpstreamListener listener, IoContext io) {
+    UpstreamExchange exchange = new UpstreamExchange(request, listener, io);
+    exchange.connect();
     return exchange;
   }
 
-  private void connect(ByteBufferPool buffers, Duration timeout) {
-    connectTimer =
-        ioThread.executeAfter(
-            () -> notSent(NotSent.NO_CONNECTION), timeout.toMillis(), TimeUnit.MILLISECONDS);
+  private void connect() {
+    long timeoutMillis = io.bounds().connectTimeout().toMillis();
+    connectTimer = io.after(timeoutMillis, () -> notSent(NotSent.NO_CONNECTION));
     UndertowClient.getInstance()
         .connect(
             callback(this::connected, this::connectFailed),
             URI.create("http://" + request.address()),
-            ioThread,
-            buffers,
+            io.thread(),
+            io.buffers(),
             OptionMap.create(Options.TCP_NODELAY, true));
   }
 
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/CallerLimitsTest.java
@@ -0,0 +1,198 @@
+package org.cuminrack.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.cuminrack.admission.TicketOutcome.Result;
+import org.cuminrack.time.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class CallerLimitsTest {
+  private static final int LARGE_TOKEN_CHARACTERS = 4_000;
+  private static final int MANY_TOKENS = 20_000;
+
+  private final RelayFixture fixture =
+      RelayFixture.with(
+          Clock.system(),
+          RelayBounds.defaults()
+              .withSilence(Duration.ofMillis(300))
+              .withSlowCaller(Duration.ofMillis(500))
+              .withSlowSender(Duration.ofMillis(300)));
+  private final RelayFixture.Entry entry = fixture.entry("entry-1");
+  private final ScriptedUpstream engine = fixture.upstream("engine-1");
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  private void scriptLargeStream() {
+    fixture.admission.upstreams(engine);
+    String text = "x".repeat(LARGE_TOKEN_CHARACTERS);
+    engine.on(
+        "POST /v1/completions",
+        connection -> {
+          connection.beginStream("g1", "boot-engine-1");
+          for (int index = 0; index < MANY_TOKENS; index++) {
+            String data = "{\"index\":" + index + ",\"text\":\"" + text + "\"}";
+            connection.chunk("id: g1:" + index + "\ndata: " + data + "\n\n");
+          }
+        });
+  }
+
+  @Test
+  void shouldCancelAtTheEngineWhereTheCallerReadsTooSlowly() throws IOException {
+    scriptLargeStream();
+
+    CallerSession session =
+        CallerSession.sendWithReceiveBuffer(entry.port(), CallerMessage.generation(), 4_096);
+    session.readHead();
+
+    RelayFixture.await(() -> engine.count("DELETE /v1/generations/g1") == 1);
+    assertThat(entry.count(RelayCounters.SLOW_CALLERS)).isEqualTo(1);
+    assertThat(entry.count(RelayCounters.TOKENS)).isLessThan((long) MANY_TOKENS);
+    assertThat(fixture.admission.results()).containsExactly(Result.CANCELLED);
+    RelayFixture.await(() -> entry.api().inFlight() == 0);
+  }
+
+  @Test
+  void shouldLeaveAVanishedCallersGenerationToTheEngine() throws IOException {
+    scriptLargeStream();
+
+    CallerSession session = entry.send(CallerMessage.generation()).readHead();
+    session.readUntil("\"index\":0");
+    session.vanish();
+
+    RelayFixture.await(() -> entry.count(RelayCounters.CALLERS_GONE) == 1);
+    RelayFixture.await(() -> entry.api().inFlight() == 0);
+    assertThat(engine.count("DELETE")).isEqualTo(0);
+    assertThat(fixture.admission.results()).isEmpty();
+  }
+
+  @Test
+  void shouldNoticeACallerThatLeavesBeforeTheFirstToken() throws IOException {
+    fixture.admission.upstreams(engine);
+    engine.on(
+        "POST /v1/completions",
+        connection -> {
+          connection.beginStream("g1", "boot-engine-1");
+          connection.hang();
+        });
+
+    CallerSession session = entry.send(CallerMessage.generation());
+    RelayFixture.await(() -> engine.count("POST") == 1);
+    session.close();
+
+    RelayFixture.await(() -> entry.count(RelayCounters.CALLERS_GONE) == 1);
+    RelayFixture.await(() -> entry.api().inFlight() == 0);
+  }
+
+  @Test
+  void shouldTakeACallerThatLeavesOutOfTheQueue() throws IOException {
+    fixture.admission.holdAll = true;
+
+    CallerSession session = entry.send(CallerMessage.generation());
+    RelayFixture.await(() -> fixture.admission.held.size() == 1);
+    session.close();
+
+    RelayFixture.await(() -> fixture.admission.held.get(0).isCancelled());
+  }
+
+  @Test
+  void shouldServeTheNextRequestOnTheSameConnection() throws IOException {
+    fixture.admission.upstreams(engine);
+    CountDownLatch goOn = new CountDownLatch(1);
+    engine.on(
+        "POST /v1/completions",
+        connection -> {
+          connection.beginStream("g1", "boot-engine-1");
+          connection.await(goOn);
+          connection.token("g1", 0);
+          connection.finish("g1", 1);
+        });
+
+    CallerSession session = entry.send(CallerMessage.generation());
+    RelayFixture.await(() -> engine.count("POST") == 1);
+    session.sendMore(CallerMessage.of("GET", "/v1/entries"));
+    goOn.countDown();
+
+    assertThat(Tokens.indices(session.readHead().readBody())).containsExactly(0, 1).inOrder();
+    assertThat(session.readHead().readBody()).contains("ttl_seconds");
+  }
+
+  @Test
+  void shouldRefuseABodyThatIsTooLargeForTheRoute() throws IOException {
+    String prompt = "p".repeat(5_000);
+    CallerMessage message =
+        CallerMessage.generation()
+            .withBody("{\"model\":\"planner\",\"prompt\":\"" + prompt + "\"}");
+
+    CallerSession session = entry.send(message).readHead();
+
+    assertThat(session.status()).isEqualTo(413);
+    assertThat(session.readBody()).contains("at most 4096 bytes");
+  }
+
+  @Test
+  void shouldRefuseMoreConcurrentRequestsThanTheOrganisationMayHave() throws IOException {
+    fixture.admission.upstreams(engine);
+    engine.on("POST /v1/completions", ScriptedConnection::hang);
+    CallerMessage message = CallerMessage.generation().withHeader("X-Organisation", "small");
+
+    entry.send(message);
+    RelayFixture.await(() -> engine.count("POST") == 1);
+    CallerSession second = entry.send(message).readHead();
+
+    assertThat(second.status()).isEqualTo(429);
+    assertThat(second.header("Retry-After")).isEqualTo("1");
+    assertThat(second.readBody()).contains("organisation-limit");
+  }
+
+  @Test
+  void shouldRefuseASenderThatTakesTooLong() throws IOException {
+    CallerMessage message = CallerMessage.generation().withHeader("Content-Length", "500");
+
+    CallerSession session = entry.send(message).readHead();
+
+    assertThat(session.status()).isEqualTo(408);
+    RelayFixture.await(() -> entry.api().inFlight() == 0);
+  }
+
+  @Test
+  void shouldRefuseACallerWithoutTheOrganisationsKey() throws IOException {
+    CallerMessage message =
+        CallerMessage.generation()
+            .withHeader("X-Organisation", "keyed")
+            .withHeader("Authorization", "Bearer wrong");
+
+    CallerSession session = entry.send(message).readHead();
+
+    assertThat(session.status()).isEqualTo(401);
+    assertThat(session.readBody()).contains("unauthorised");
+  }
+
+  @Test
+  void shouldLetACallerWithTheOrganisationsKeyIn() throws IOException {
+    CallerMessage message =
+        CallerMessage.of("GET", "/nowhere/at-all")
+            .withHeader("X-Organisation", "keyed")
+            .withHeader("Authorization", "Bearer secret");
+
+    CallerSession session = entry.send(message).readHead();
+
+    assertThat(session.status()).isEqualTo(404);
+    assertThat(session.readBody()).contains("unknown-route");
+  }
+
+  @Test
+  void shouldRefuseMalformedJsonWithWhatAndWhere() throws IOException {
+    CallerSession session =
+        entry.send(CallerMessage.generation().withBody("{\"model\":")).readHead();
+
+    assertThat(session.status()).isEqualTo(400);
+    assertThat(session.readBody()).contains("line 1");
+  }
+}
--- a/src/test/java/org/cuminrack/relay/CallerSession.java
+++ b/src/test/java/org/cuminrack/relay/CallerSession.java
@@ -45,8 +45,14 @@
     return session;
   }
 
+  /** Sends another request over the same connection. */
+  void sendMore(CallerMessage message) throws IOException {
+    socket.getOutputStream().write(message.bytes());
+  }
+
   /** Reads status line and headers. */
   CallerSession readHead() throws IOException {
+    headers.clear();
     status = readLine();
     for (String line = readLine(); !line.isEmpty(); line = readLine()) {
       int colon = line.indexOf(':');
--- a/src/test/java/org/cuminrack/relay/FakeAdmission.java
+++ b/src/test/java/org/cuminrack/relay/FakeAdmission.java
@@ -20,7 +20,9 @@
   private final FakeCrashReports crashReports;
   final List<AdmissionRequest> asked = new CopyOnWriteArrayList<>();
   final List<TicketOutcome> outcomes = new CopyOnWriteArrayList<>();
+  final List<CompletableFuture<AdmissionOutcome>> held = new CopyOnWriteArrayList<>();
   volatile RefusalReason refuseWith;
+  volatile boolean holdAll;
 
   FakeAdmission(FakeCrashReports crashReports) {
     this.crashReports = crashReports;
@@ -36,6 +38,11 @@
   @Override
   public CompletableFuture<AdmissionOutcome> admit(AdmissionRequest request) {
     asked.add(request);
+    if (holdAll) {
+      CompletableFuture<AdmissionOutcome> waiting = new CompletableFuture<>();
+      held.add(waiting);
+      return waiting;
+    }
     return CompletableFuture.completedFuture(decide(request));
   }
 
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/PoisonTest.java
@@ -0,0 +1,128 @@
+package org.cuminrack.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import org.cuminrack.admission.Fingerprint;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PoisonTest {
+  private static final String POISON = "{\"model\":\"planner\",\"prompt\":\"poison\"}";
+
+  private final RelayFixture fixture = RelayFixture.create();
+  private final RelayFixture.Entry entry = fixture.entry("entry-1");
+  private final RelayFixture.Entry otherEntry = fixture.entry("entry-2");
+  private final ScriptedUpstream first = fixture.upstream("engine-1");
+  private final ScriptedUpstream second = fixture.upstream("engine-2");
+  private final ScriptedUpstream third = fixture.upstream("engine-3");
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  private static ScriptedUpstream.Script crashingOnPoison(ScriptedUpstream engine) {
+    return connection -> {
+      if (connection.body().contains("poison")) {
+        engine.crash();
+        return;
+      }
+      connection.beginStream("g-" + engine.name(), engine.bootId());
+      connection.tokens("g-" + engine.name(), 0, 2);
+      connection.finish("g-" + engine.name(), 3);
+    };
+  }
+
+  private void scriptAll() {
+    fixture.admission.upstreams(first, second, third);
+    first.on("POST /v1/completions", crashingOnPoison(first));
+    second.on("POST /v1/completions", crashingOnPoison(second));
+    third.on("POST /v1/completions", crashingOnPoison(third));
+  }
+
+  @Test
+  void shouldLoseAtMostTwoEnginesToARequestThatCrashesThem() throws IOException {
+    scriptAll();
+    CallerMessage poison = CallerMessage.generation().withBody(POISON);
+
+    CallerSession session = entry.send(poison).readHead();
+    CallerSession resent = otherEntry.send(poison).readHead();
+
+    assertThat(session.status()).isEqualTo(502);
+    assertThat(resent.status()).isEqualTo(422);
+    assertThat(resent.readBody()).contains("poison");
+    assertThat(first.requests).hasSize(1);
+    assertThat(second.requests).hasSize(1);
+    assertThat(third.requests).isEmpty();
+  }
+
+  @Test
+  void shouldAnswerAndClearAnInnocentNeighbour() throws IOException {
+    scriptAll();
+    CountDownLatch crashed = new CountDownLatch(1);
+    first.on(
+        "POST /v1/completions",
+        connection -> {
+          connection.beginStream("g1", first.bootId());
+          connection.await(crashed);
+        });
+
+    CallerSession neighbour = entry.send(CallerMessage.generation());
+    RelayFixture.await(() -> first.count("POST") == 1);
+    first.crash();
+    crashed.countDown();
+    String body = neighbour.readHead().readBody();
+
+    assertThat(Tokens.indices(body)).isEqualTo(Tokens.upTo(3));
+    RelayFixture.await(() -> !fixture.crashReports.cleared.isEmpty());
+    assertThat(fixture.crashReports.cleared).containsExactly(fingerprint(CallerMessage.PROMPT));
+    assertThat(fixture.crashReports.suspects()).isEqualTo(0);
+  }
+
+  @Test
+  void shouldRunNothingAgainWhereTheCrashCannotBeToldToEveryEntry() throws IOException {
+    scriptAll();
+    fixture.crashReports.reachable = false;
+
+    CallerSession session = entry.send(CallerMessage.generation().withBody(POISON)).readHead();
+
+    assertThat(session.status()).isEqualTo(502);
+    assertThat(session.readBody()).contains("\"ran\":\"unknown\"");
+    assertThat(second.requests).isEmpty();
+  }
+
+  @Test
+  void shouldNotSuspectAnybodyWhereOnlyTheLinkBroke() throws IOException {
+    scriptAll();
+    first.on("POST /v1/completions", ScriptedConnection::reset);
+    first.on(
+        "GET /v1/status",
+        connection -> connection.whole(200, java.util.Map.of(), "{\"boot_id\":\"boot-engine-1\"}"));
+
+    CallerSession session = entry.send(CallerMessage.generation()).readHead();
+
+    assertThat(Tokens.indices(session.readBody())).isEqualTo(Tokens.upTo(3));
+    assertThat(fixture.crashReports.suspects()).isEqualTo(0);
+  }
+
+  @Test
+  void shouldSuspectTheRequestWhereAnotherLifeAnswers() throws IOException {
+    scriptAll();
+    first.on("POST /v1/completions", ScriptedConnection::reset);
+    first.on(
+        "GET /v1/status",
+        connection -> connection.whole(200, java.util.Map.of(), "{\"boot_id\":\"new-life\"}"));
+    fixture.admission.upstreams(first);
+
+    entry.send(CallerMessage.generation()).readHead();
+
+    assertThat(fixture.crashReports.crashes(fingerprint(CallerMessage.PROMPT))).isEqualTo(1);
+  }
+
+  private static Fingerprint fingerprint(String body) {
+    return Fingerprint.of(
+        "lyzicka", "planner", body.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+}
