--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/CallerExchanges.java
@@ -0,0 +1,16 @@
+package org.cuminrack.relay;
+
+import io.undertow.server.HttpServerExchange;
+import org.xnio.IoUtils;
+
+/** Ends of exchanges with callers. */
+final class CallerExchanges {
+
+  private CallerExchanges() {}
+
+  /** Closes the caller's connection and ends the exchange, whatever of it is unsent. */
+  static void drop(HttpServerExchange exchange) {
+    IoUtils.safeClose(exchange.getConnection());
+    exchange.endExchange();
+  }
+}
--- a/src/main/java/org/cuminrack/relay/CallerStream.java
+++ b/src/main/java/org/cuminrack/relay/CallerStream.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
@@ -164,8 +163,7 @@
   /** Drops the caller's connection. */
   void abort() {
     closed = true;
-    IoUtils.safeClose(exchange.getConnection());
-    exchange.endExchange();
+    CallerExchanges.drop(exchange);
   }
 
   /** The caller has closed its connection. */
--- a/src/main/java/org/cuminrack/relay/PlainCall.java
+++ b/src/main/java/org/cuminrack/relay/PlainCall.java
@@ -64,10 +64,27 @@
     if (runsOnce()) {
       claim.ask(admission.remaining(), this::claimed);
     } else {
+      CallerWatch.begin(caller.exchange(), this::abandoned);
       askAdmission();
     }
   }
 
+  /** The caller of a call that may be repeated has left. */
+  private void abandoned() {
+    if (ended) {
+      return;
+    }
+    context.counters().add(RelayCounters.CALLERS_GONE);
+    callerAnswered = true;
+    admission.cancel();
+    if (exchange != null) {
+      exchange.close();
+      dispatch.finish(Result.CANCELLED, 0);
+    }
+    conclude(new CallResult.Unknown(), endOfWork);
+    CallerExchanges.drop(caller.exchange());
+  }
+
   private void claimed(ClaimVerdict verdict) {
     Refusals refusals = context.refusals();
     if (verdict instanceof ClaimVerdict.Granted) {
@@ -269,6 +286,7 @@
     if (!callerAnswered) {
       callerAnswered = true;
       answer.send(caller.exchange());
+      io.after(context.bounds().slowCaller().toMillis(), this::dropSlowCaller);
     }
   }
 
@@ -280,6 +298,13 @@
     }
   }
 
+  private void dropSlowCaller() {
+    if (!caller.exchange().isComplete()) {
+      context.counters().add(RelayCounters.SLOW_CALLERS);
+      CallerExchanges.drop(caller.exchange());
+    }
+  }
+
   private void stopSilenceTimer() {
     if (silenceTimer != null) {
       silenceTimer.remove();
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/GoldenSession.java
@@ -0,0 +1,106 @@
+package org.cuminrack.relay;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
+
+/** Writes down what callers and upstreams see, without what differs from run to run. */
+final class GoldenSession {
+  private static final Pattern EVENT_ID = Pattern.compile("(?m)^id: (\\S+)$");
+  private static final Pattern PORT = Pattern.compile("127\\.0\\.0\\.1:\\d+");
+  private static final Set<String> VOLATILE_HEADERS = Set.of("date");
+  private static final EventIds EVENT_IDS = new EventIds(RelayFixture.KEY);
+
+  private final StringBuilder transcript = new StringBuilder();
+
+  /** Notes what happens between the messages. */
+  GoldenSession note(String text) {
+    transcript.append("# ").append(text).append("\n\n");
+    return this;
+  }
+
+  /** Sends a request and notes it. */
+  CallerSession send(RelayFixture.Entry entry, String entryName, CallerMessage message)
+      throws IOException {
+    transcript.append("caller -> ").append(entryName).append('\n');
+    transcript.append(message.method()).append(' ').append(message.path()).append('\n');
+    message.headers().forEach(this::header);
+    transcript.append('\n');
+    if (!message.body().isEmpty()) {
+      transcript.append(message.body()).append("\n\n");
+    }
+    return entry.send(message);
+  }
+
+  /** Reads the head of the answer and notes it. */
+  void head(CallerSession session, String entryName) throws IOException {
+    session.readHead();
+    transcript.append(entryName).append(" -> caller\n").append(session.status()).append('\n');
+    new TreeMap<>(session.headers()).forEach(this::header);
+    transcript.append('\n');
+  }
+
+  /** Notes a part of the body. */
+  String body(String text) {
+    transcript.append(normalised(text)).append(text.endsWith("\n") ? "" : "\n\n");
+    return text;
+  }
+
+  /** Reads the whole answer and notes it. */
+  String answer(CallerSession session, String entryName) throws IOException {
+    head(session, entryName);
+    return body(session.readBody());
+  }
+
+  /** Notes every request that an upstream has got, but for probes of its status. */
+  GoldenSession seenBy(ScriptedUpstream upstream) {
+    transcript.append(upstream.name()).append(" has seen\n");
+    for (String line : upstream.requests) {
+      if (!line.startsWith("GET /v1/status")) {
+        transcript.append(line).append('\n');
+      }
+    }
+    transcript.append('\n');
+    return this;
+  }
+
+  private void header(String name, String value) {
+    if (VOLATILE_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+      return;
+    }
+    boolean isId = name.equals("Last-Event-ID");
+    transcript.append(name).append(": ").append(isId ? readable(value) : value).append('\n');
+  }
+
+  private static String normalised(String text) {
+    String readable = EVENT_ID.matcher(text).replaceAll(id -> "id: " + readable(id.group(1)));
+    return PORT.matcher(readable).replaceAll("127.0.0.1:PORT");
+  }
+
+  private static String readable(String eventId) {
+    Either<String, EventId> read = EVENT_IDS.read("lyzicka", eventId);
+    if (read.isLeft()) {
+      return "(not authentic)";
+    }
+    EventId id = read.get();
+    String end = id.last() ? " last" : "";
+    return "("
+        + id.upstream()
+        + " "
+        + id.bootId()
+        + " "
+        + id.generation()
+        + " "
+        + id.index()
+        + end
+        + ")";
+  }
+
+  @Override
+  public String toString() {
+    return transcript.toString();
+  }
+}
--- a/src/test/java/org/cuminrack/relay/RelayFixture.java
+++ b/src/test/java/org/cuminrack/relay/RelayFixture.java
@@ -13,7 +13,7 @@
 
 /** Entries on loopback that share fakes of everything around the data path. */
 final class RelayFixture implements AutoCloseable {
-  private static final ByteString KEY = ByteString.copyFromUtf8("key-shared-by-all-entries");
+  static final ByteString KEY = ByteString.copyFromUtf8("key-shared-by-all-entries");
   private static final long WAIT_BOUND_NANOS = Duration.ofSeconds(15).toNanos();
   private static final Duration ADDRESS_TTL = Duration.ofSeconds(30);
 
