--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/MeasuredCaller.java
@@ -0,0 +1,108 @@
+package org.cuminrack.relay;
+
+import com.google.protobuf.ByteString;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Recorder;
+
+/** A caller of a measurement: reads one stream and notes when its tokens come. */
+final class MeasuredCaller implements UpstreamListener {
+  private static final String BODY = "{\"model\":\"measured\",\"prompt\":\"a b c\"}";
+  private static final int MAX_EVENT_BYTES = 64 << 10;
+  private static final String SENT_NANOS = "\"sent_nanos\":";
+
+  private final Path path;
+  private final CountDownLatch ended;
+  private final EventStreamParser parser = new EventStreamParser(MAX_EVENT_BYTES, this::event);
+  private long startNanos;
+  private long lastNanos;
+  private int tokens;
+
+  MeasuredCaller(Path path, CountDownLatch ended) {
+    this.path = path;
+    this.ended = ended;
+  }
+
+  /** What the callers on one way to the engine note, in microseconds. */
+  static final class Path {
+    final Recorder firstToken = new Recorder(3);
+    final Recorder betweenTokens = new Recorder(3);
+    final Recorder transit = new Recorder(3);
+    final java.util.concurrent.atomic.LongAdder tokens =
+        new java.util.concurrent.atomic.LongAdder();
+    final java.util.concurrent.atomic.LongAdder failures =
+        new java.util.concurrent.atomic.LongAdder();
+  }
+
+  void begin(String address, IoContext io) {
+    HeaderMap headers = new HeaderMap();
+    headers.put(RelayHeaders.ORGANISATION, FixedSurroundings.ORGANISATION);
+    headers.put(RelayHeaders.REQUEST_ID, "direct");
+    headers.put(Headers.CONTENT_TYPE, "application/json");
+    startNanos = System.nanoTime();
+    io.open(
+        new UpstreamRequest(
+            address, Methods.POST, "/v1/completions", headers, ByteString.copyFromUtf8(BODY)),
+        this);
+  }
+
+  private void event(String id, byte[] data) {
+    String text = new String(data, StandardCharsets.UTF_8);
+    int at = text.indexOf(SENT_NANOS);
+    if (at < 0) {
+      return;
+    }
+    long nowNanos = System.nanoTime();
+    long sentNanos = Long.parseLong(text.substring(at + SENT_NANOS.length(), text.length() - 1));
+    path.transit.recordValue(micros(nowNanos - sentNanos));
+    if (tokens == 0) {
+      path.firstToken.recordValue(micros(nowNanos - startNanos));
+    } else {
+      path.betweenTokens.recordValue(micros(nowNanos - lastNanos));
+    }
+    lastNanos = nowNanos;
+    tokens++;
+    path.tokens.increment();
+  }
+
+  private static long micros(long nanos) {
+    return Math.max(0, TimeUnit.NANOSECONDS.toMicros(nanos));
+  }
+
+  @Override
+  public void notSent(NotSent reason) {
+    fail();
+  }
+
+  @Override
+  public void answered(int status, HeaderMap headers) {
+    if (status != 200) {
+      path.failures.increment();
+    }
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    parser.feed(bytes);
+  }
+
+  @Override
+  public void completed() {
+    ended.countDown();
+  }
+
+  @Override
+  public void broken(String detail) {
+    fail();
+  }
+
+  private void fail() {
+    path.failures.increment();
+    ended.countDown();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/MeasuredEngine.java
@@ -0,0 +1,151 @@
+package org.cuminrack.relay;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * An engine for measurements: sends each stream's tokens at a fixed interval, or as fast as they
+ * are taken, with the time of sending in each.
+ */
+final class MeasuredEngine implements HttpHandler {
+  static final String BOOT_ID = "measured";
+  private static final int TOKENS_A_BURST = 64;
+
+  private final int tokensPerStream;
+  private final long intervalMillis;
+  private final AtomicLong nextGeneration = new AtomicLong();
+
+  /**
+   * Makes an engine.
+   *
+   * @param intervalMillis between two tokens; 0 for as fast as they are taken
+   */
+  MeasuredEngine(int tokensPerStream, long intervalMillis) {
+    this.tokensPerStream = tokensPerStream;
+    this.intervalMillis = intervalMillis;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (received, body) ->
+                received.dispatch(SameThreadExecutor.INSTANCE, () -> begin(received)));
+  }
+
+  private void begin(HttpServerExchange exchange) {
+    String generation = "g" + nextGeneration.incrementAndGet();
+    String requestId = exchange.getRequestHeaders().getFirst(RelayHeaders.REQUEST_ID);
+    exchange.getResponseHeaders().put(RelayHeaders.REQUEST_ID, requestId);
+    exchange.getResponseHeaders().put(RelayHeaders.GENERATION_ID, generation);
+    exchange.getResponseHeaders().put(RelayHeaders.BOOT_ID, BOOT_ID);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+    new Stream(exchange, generation).begin();
+  }
+
+  /** One generation being sent. */
+  private final class Stream {
+    private final HttpServerExchange exchange;
+    private final String generation;
+    private final StreamSinkChannel sink;
+    private ByteBuffer pending = ByteBuffer.allocate(0);
+    private XnioExecutor.Key timer = () -> false;
+    private int index;
+
+    Stream(HttpServerExchange exchange, String generation) {
+      this.exchange = exchange;
+      this.generation = generation;
+      this.sink = exchange.getResponseChannel();
+    }
+
+    void begin() {
+      sink.getWriteSetter().set(channel -> proceed());
+      if (intervalMillis > 0) {
+        timer =
+            exchange
+                .getIoThread()
+                .executeAtInterval(this::sendOne, intervalMillis, TimeUnit.MILLISECONDS);
+        sendOne();
+      } else {
+        sink.resumeWrites();
+      }
+    }
+
+    private void sendOne() {
+      if (index < tokensPerStream && !pending.hasRemaining()) {
+        pending = bytes(event());
+        write();
+      }
+    }
+
+    private void proceed() {
+      if (!pending.hasRemaining() && index < tokensPerStream && intervalMillis == 0) {
+        pending = bytes(burst());
+      }
+      write();
+    }
+
+    private String burst() {
+      StringBuilder events = new StringBuilder();
+      for (int i = 0; i < TOKENS_A_BURST && index < tokensPerStream; i++) {
+        events.append(event());
+      }
+      return events.toString();
+    }
+
+    private String event() {
+      String rest =
+          index == tokensPerStream - 1 ? "\"finish_reason\":\"stop\"" : "\"text\":\"word \"";
+      String event =
+          "id: "
+              + generation
+              + ":"
+              + index
+              + "\ndata: {\"index\":"
+              + index
+              + ","
+              + rest
+              + ",\"sent_nanos\":"
+              + System.nanoTime()
+              + "}\n\n";
+      index++;
+      return event;
+    }
+
+    private void write() {
+      try {
+        int count = 1;
+        while (pending.hasRemaining() && count > 0) {
+          count = sink.write(pending);
+        }
+        boolean sent = !pending.hasRemaining() && sink.flush();
+        if (sent && index == tokensPerStream) {
+          timer.remove();
+          exchange.endExchange();
+        } else if (sent && intervalMillis > 0) {
+          sink.suspendWrites();
+        } else {
+          sink.resumeWrites();
+        }
+      } catch (IOException e) {
+        timer.remove();
+        IoUtils.safeClose(exchange.getConnection());
+      }
+    }
+  }
+
+  private static ByteBuffer bytes(String text) {
+    return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/RelayMeasurement.java
@@ -0,0 +1,176 @@
+package org.cuminrack.relay;
+
+import com.google.protobuf.ByteString;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.cuminrack.http.HttpServer;
+import org.cuminrack.time.Clock;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Measures what an entry's data path costs: streams through an entry and streams straight to the
+ * same engine at the same time, in one process on loopback. Times are of the callers' clocks, in
+ * microseconds; processor time is that of the entry's I/O threads alone.
+ */
+public final class RelayMeasurement {
+  private static final int CALLER_THREADS = 2;
+  private static final int BUFFER_BYTES = 16 << 10;
+  private static final long TOKEN_INTERVAL_MILLIS = 40;
+  private static final int PACED_TOKENS = 200;
+  private static final int WARM_UP_STREAMS = 50;
+  private static final int FLOOD_STREAMS = 16;
+  private static final int FLOOD_TOKENS = 40_000;
+  private static final Duration TIMEOUT = Duration.ofSeconds(60);
+
+  private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+  private final Set<Long> entryThreads = ConcurrentHashMap.newKeySet();
+  private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+  private final PrintStream out;
+
+  private RelayMeasurement(PrintStream out) {
+    this.out = out;
+  }
+
+  /** Runs the measurement, about half a minute, and prints its table. */
+  public static void run(PrintStream out) throws IOException, InterruptedException {
+    new RelayMeasurement(out).measure();
+  }
+
+  /** Runs the measurement by itself. */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    run(System.out);
+  }
+
+  private void measure() throws IOException, InterruptedException {
+    XnioWorker callers = Xnio.getInstance().createWorker(callerOptions());
+    out.println(
+        "streams path first_p50_us first_p99_us gap_p50_us gap_p99_us transit_p99_us failed");
+    load(callers, WARM_UP_STREAMS, FLOOD_TOKENS / WARM_UP_STREAMS, 0, false);
+    load(callers, 100, PACED_TOKENS, TOKEN_INTERVAL_MILLIS, true);
+    load(callers, 1000, PACED_TOKENS, TOKEN_INTERVAL_MILLIS, true);
+    load(callers, FLOOD_STREAMS, FLOOD_TOKENS, 0, true);
+    callers.shutdownNow();
+  }
+
+  private static OptionMap callerOptions() {
+    return OptionMap.builder()
+        .set(Options.WORKER_IO_THREADS, CALLER_THREADS)
+        .set(Options.THREAD_DAEMON, true)
+        .set(Options.TCP_NODELAY, true)
+        .getMap();
+  }
+
+  private void load(XnioWorker callers, int streams, int tokens, long intervalMillis, boolean print)
+      throws InterruptedException {
+    HttpServer engine = serve(new MeasuredEngine(tokens, intervalMillis));
+    String engineAddress = "127.0.0.1:" + engine.port();
+    HttpServer entry = serve(counted(entryApi(engineAddress)));
+    String entryAddress = "127.0.0.1:" + entry.port();
+    MeasuredCaller.Path direct = new MeasuredCaller.Path();
+    MeasuredCaller.Path relayed = new MeasuredCaller.Path();
+    boolean paced = intervalMillis > 0;
+    CountDownLatch ended = new CountDownLatch(paced ? 2 * streams : streams);
+    long startNanos = System.nanoTime();
+    for (int i = 0; i < streams; i++) {
+      begin(callers, entryAddress, relayed, ended);
+      if (paced) {
+        begin(callers, engineAddress, direct, ended);
+        spread(startNanos, i, streams, intervalMillis);
+      }
+    }
+    boolean whole = ended.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    if (print) {
+      print(streams, paced ? "direct" : null, direct, whole);
+      print(streams, paced ? "relayed" : "flood", relayed, whole);
+      printProcessorTime(relayed);
+    }
+    entryThreads.clear();
+    entry.stop();
+    engine.stop();
+  }
+
+  /** Spreads the streams' beginnings, so that their tokens don't all fall on the same instant. */
+  private static void spread(long startNanos, int index, int streams, long intervalMillis)
+      throws InterruptedException {
+    long spreadNanos = TimeUnit.MILLISECONDS.toNanos(intervalMillis) * 25;
+    long dueNanos = startNanos + spreadNanos * index / streams;
+    long waitNanos = dueNanos - System.nanoTime();
+    if (waitNanos > 0) {
+      TimeUnit.NANOSECONDS.sleep(waitNanos);
+    }
+  }
+
+  private void begin(
+      XnioWorker callers, String address, MeasuredCaller.Path path, CountDownLatch ended) {
+    IoContext io = new IoContext(callers.getIoThread(), buffers, RelayBounds.defaults());
+    io.execute(() -> new MeasuredCaller(path, ended).begin(address, io));
+  }
+
+  private static CallerApi entryApi(String engineAddress) {
+    FixedSurroundings fixed = new FixedSurroundings(engineAddress);
+    RelaySettings settings =
+        new RelaySettings(
+            "entry",
+            "127.0.0.1:1",
+            Duration.ofSeconds(30),
+            ByteString.copyFromUtf8("a key for measurements only"),
+            RelayBounds.defaults());
+    return new CallerApi(fixed, fixed, null, fixed, settings, Clock.system());
+  }
+
+  private HttpHandler counted(HttpHandler next) {
+    return exchange -> {
+      entryThreads.add(Thread.currentThread().getId());
+      next.handleRequest(exchange);
+    };
+  }
+
+  private static HttpServer serve(HttpHandler handler) {
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    HttpServer server = new HttpServer(anyPort, handler, 1 << 20);
+    server.start();
+    return server;
+  }
+
+  private void print(int streams, String name, MeasuredCaller.Path path, boolean whole) {
+    if (name == null) {
+      return;
+    }
+    Histogram first = path.firstToken.getIntervalHistogram();
+    Histogram gap = path.betweenTokens.getIntervalHistogram();
+    Histogram transit = path.transit.getIntervalHistogram();
+    out.printf(
+        "%d %s %d %d %d %d %d %s%n",
+        streams,
+        name,
+        first.getValueAtPercentile(50),
+        first.getValueAtPercentile(99),
+        gap.getValueAtPercentile(50),
+        gap.getValueAtPercentile(99),
+        transit.getValueAtPercentile(99),
+        whole ? path.failures.sum() : "not-ended");
+  }
+
+  private void printProcessorTime(MeasuredCaller.Path path) {
+    long nanos = entryThreads.stream().mapToLong(threads::getThreadCpuTime).sum();
+    double tokens = path.tokens.sum();
+    out.printf(
+        "tokens=%.0f entry_cpu_us_per_token=%.2f tokens_per_core_second=%.0f%n",
+        tokens, nanos / 1000.0 / tokens, tokens * 1e9 / nanos);
+  }
+}
