--- a/src/main/java/org/cuminrack/relay/CallerStream.java
+++ b/src/main/java/org/cuminrack/relay/CallerStream.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.cuminrack.time.Clock;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
@@ -18,16 +20,22 @@
   private static final int STATUS_OK = 200;
   private static final int INITIAL_BYTES = 1 << 10;
 
+  /** How long a caller hears nothing before it is sent a comment. */
+  private static final long HEARTBEAT_NANOS = Duration.ofSeconds(1).toNanos();
+
   private final HttpServerExchange exchange;
+  private final Clock clock;
   private final Listener listener;
   private ByteBuffer pending = ByteBuffer.allocate(INITIAL_BYTES);
   private StreamSinkChannel sink;
+  private long flushedNanos;
   private boolean blocked;
   private boolean ending;
   private boolean closed;
 
-  CallerStream(HttpServerExchange exchange, Listener listener) {
+  CallerStream(HttpServerExchange exchange, Clock clock, Listener listener) {
     this.exchange = exchange;
+    this.clock = clock;
     this.listener = listener;
   }
 
@@ -43,15 +51,16 @@
     void gone();
   }
 
-  /** Tells whether the answer has begun, so that no other answer can be given any more. */
-  boolean isBegun() {
-    return sink != null;
-  }
-
+  /** Tells whether the caller has not taken everything yet. */
   boolean isBlocked() {
     return blocked;
   }
 
+  /** Tells whether the caller has left something untaken for longer than this. */
+  boolean isBlockedFor(Duration bound) {
+    return blocked && clock.nanoTime() - flushedNanos > bound.toNanos();
+  }
+
   /** Adds one event; it leaves with the next {@link #flush}. */
   void event(String id, byte[] data) {
     append("id: ");
@@ -61,10 +70,13 @@
     append("\n\n");
   }
 
-  /** Shows the caller that the connection lives, and this entry whether the caller does. */
+  /** Shows a caller of a quiet stream that the connection lives, and this entry that it does. */
   void heartbeat() {
-    append(":\n\n");
-    flush();
+    boolean begun = sink != null && !ending;
+    if (begun && !blocked && clock.nanoTime() - flushedNanos > HEARTBEAT_NANOS) {
+      append(":\n\n");
+      flush();
+    }
   }
 
   /** Adds the typed end of an answer that can't be completed, then ends it. */
@@ -92,6 +104,7 @@
       return;
     }
     begin();
+    flushedNanos = clock.nanoTime();
     pending.flip();
     try {
       write();
--- a/src/main/java/org/cuminrack/relay/EngineStream.java
+++ b/src/main/java/org/cuminrack/relay/EngineStream.java
@@ -1,12 +1,7 @@
 package org.cuminrack.relay;
 
-import com.google.protobuf.ByteString;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import io.undertow.util.Methods;
-import java.time.Duration;
 import java.util.Optional;
-import org.cuminrack.http.Json;
 import org.cuminrack.time.Clock;
 
 /**
@@ -18,24 +13,16 @@
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_GONE = 410;
-  private static final long FIRST_BACKOFF_MILLIS = 20;
-  private static final long MAX_BACKOFF_MILLIS = 500;
-  private static final int MAX_GAPS_AT_ONE_TOKEN = 3;
 
   private final EngineTarget target;
   private final IoContext io;
-  private final Clock clock;
+  private final StreamTiming timing;
   private final RelayCounters.Table counters;
   private final EngineStreamListener listener;
   private EngineLink link;
   private String requestId;
   private String generation;
-  private int lastIndex = -1;
-  private int gapsHere;
-  private long lastHeardNanos;
-  private long lastTokenNanos;
-  private long linkOpenedNanos;
-  private long backoffMillis = FIRST_BACKOFF_MILLIS;
+  private TokenSequence sequence = TokenSequence.after(-1);
   private boolean late;
   private boolean suspended;
   private boolean ended;
@@ -48,39 +35,30 @@
       EngineStreamListener listener) {
     this.target = target;
     this.io = io;
-    this.clock = clock;
+    this.timing = new StreamTiming(clock, io.bounds());
     this.counters = counters;
     this.listener = listener;
-    this.lastHeardNanos = clock.nanoTime();
-    this.lastTokenNanos = lastHeardNanos;
   }
 
   /** Sends the request to the engine. */
   void begin(GenerationRequest request, String id) {
     requestId = id;
-    HeaderMap headers = new HeaderMap();
-    headers.put(Headers.CONTENT_TYPE, "application/json");
-    headers.put(RelayHeaders.REQUEST_ID, id);
-    ByteString body = ByteString.copyFrom(Json.bytes(request.engineBody(id)));
-    open(
-        new UpstreamRequest(target.address(), Methods.POST, "/v1/completions", headers, body),
-        true);
+    open(EngineRequests.begin(target, request, id), true);
   }
 
   /** Goes on with a generation that an engine holds, after the given token. */
   void goOn(String generationId, int afterIndex) {
     generation = generationId;
-    lastIndex = afterIndex;
+    sequence = TokenSequence.after(afterIndex);
     openResume();
   }
 
   private void openResume() {
-    String path = "/v1/generations/" + generation + "/events?after=" + lastIndex;
-    open(UpstreamRequest.get(target.address(), path), false);
+    open(EngineRequests.events(target, generation, sequence.lastIndex()), false);
   }
 
   private void open(UpstreamRequest request, boolean first) {
-    linkOpenedNanos = clock.nanoTime();
+    timing.opened();
     link = new EngineLink(this, first);
     link.attach(io.open(request, link));
     if (suspended) {
@@ -96,10 +74,6 @@
     return generation;
   }
 
-  int lastIndex() {
-    return lastIndex;
-  }
-
   boolean isCurrent(EngineLink candidate) {
     return !ended && link == candidate;
   }
@@ -125,7 +99,7 @@
   }
 
   void answered(int status, HeaderMap headers) {
-    lastHeardNanos = clock.nanoTime();
+    timing.heard();
     if (generation == null) {
       answeredFirst(status, headers);
     } else if (status == STATUS_NOT_FOUND || status == STATUS_GONE) {
@@ -166,7 +140,7 @@
   }
 
   void event(String id, byte[] json) {
-    lastHeardNanos = clock.nanoTime();
+    timing.heard();
     Optional<TokenData> data = TokenData.read(json);
     if (data.isEmpty()) {
       return;
@@ -175,35 +149,32 @@
     if (!id.equals(generation + ":" + token.index())) {
       counters.add(RelayCounters.CROSSED_ANSWERS);
       replace();
-    } else if (token.index() <= lastIndex) {
-      counters.add(RelayCounters.DUPLICATES_DROPPED);
-    } else if (token.index() > lastIndex + 1) {
-      gap();
     } else {
-      deliver(token, json);
+      take(token, json);
     }
   }
 
-  private void gap() {
-    gapsHere++;
-    counters.add(RelayCounters.GAPS_REPAIRED);
-    if (gapsHere > MAX_GAPS_AT_ONE_TOKEN) {
-      cancel();
-      listener.lost(EngineLoss.GENERATION_GONE);
-    } else {
-      replace();
+  private void take(TokenData token, byte[] json) {
+    switch (sequence.take(token.index())) {
+      case NEXT -> deliver(token, json);
+      case DUPLICATE -> counters.add(RelayCounters.DUPLICATES_DROPPED);
+      case GAP -> {
+        counters.add(RelayCounters.GAPS_REPAIRED);
+        replace();
+      }
+      case LOST -> {
+        cancel();
+        listener.lost(EngineLoss.GENERATION_GONE);
+      }
     }
   }
 
-  private void deliver(TokenData token, byte[] data) {
-    lastIndex = token.index();
-    lastTokenNanos = lastHeardNanos;
-    gapsHere = 0;
-    backoffMillis = FIRST_BACKOFF_MILLIS;
+  private void deliver(TokenData token, byte[] json) {
+    timing.token();
     if (token.finished()) {
       end();
     }
-    listener.token(token, data);
+    listener.token(token, json);
   }
 
   /** Called after the events of one read. */
@@ -228,14 +199,13 @@
 
   private void retryLater() {
     link.close();
-    if (elapsed(lastHeardNanos).compareTo(io.bounds().engineLoss()) > 0) {
+    if (timing.isOutOfReach()) {
       lose(EngineLoss.OUT_OF_REACH);
       return;
     }
     EngineLink broken = link;
-    linkOpenedNanos = clock.nanoTime();
-    io.after(backoffMillis, () -> reopen(broken));
-    backoffMillis = Math.min(backoffMillis * 2, MAX_BACKOFF_MILLIS);
+    timing.opened();
+    io.after(timing.nextBackoffMillis(), () -> reopen(broken));
   }
 
   private void reopen(EngineLink broken) {
@@ -259,24 +229,14 @@
     if (ended || suspended) {
       return;
     }
-    if (elapsed(lastTokenNanos).compareTo(io.bounds().stall()) > 0) {
+    if (timing.isStalled()) {
       cancel();
       listener.lost(EngineLoss.OUT_OF_REACH);
-    } else if (isSilent()) {
+    } else if (timing.isSilent()) {
       broken();
     }
   }
 
-  private boolean isSilent() {
-    Duration silence = io.bounds().silence();
-    return elapsed(lastHeardNanos).compareTo(silence) > 0
-        && elapsed(linkOpenedNanos).compareTo(silence) > 0;
-  }
-
-  private Duration elapsed(long sinceNanos) {
-    return Duration.ofNanos(clock.nanoTime() - sinceNanos);
-  }
-
   /** Takes no more events for now. */
   void suspend() {
     suspended = true;
@@ -286,8 +246,7 @@
   /** Goes on taking events. */
   void resume() {
     suspended = false;
-    lastHeardNanos = clock.nanoTime();
-    lastTokenNanos = lastHeardNanos;
+    timing.token();
     link.resume();
   }
 
@@ -300,10 +259,7 @@
   void cancel() {
     end();
     if (generation != null) {
-      String path = "/v1/generations/" + generation;
-      UpstreamExchange cancelling =
-          io.open(UpstreamRequest.delete(target.address(), path), new IgnoredAnswer());
-      io.after(io.bounds().silence().toMillis(), cancelling::close);
+      EngineRequests.cancel(target, generation, io);
     }
   }
 
--- a/src/main/java/org/cuminrack/relay/Generation.java
+++ b/src/main/java/org/cuminrack/relay/Generation.java
@@ -5,7 +5,6 @@
 import org.cuminrack.admission.RefusalReason;
 import org.cuminrack.admission.Ticket;
 import org.cuminrack.admission.TicketOutcome.Result;
-import org.cuminrack.http.Json;
 import org.cuminrack.http.ProblemDocument;
 import org.cuminrack.http.Ran;
 import org.xnio.XnioExecutor;
@@ -19,24 +18,16 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final long TICKS_A_SILENCE = 4;
 
-  /** How long a caller hears nothing before it is sent a comment. */
-  private static final long HEARTBEAT_NANOS = Duration.ofSeconds(1).toNanos();
-
   private final RelayContext context;
   private final CallerRequest caller;
   private final GenerationRequest request;
   private final IoContext io;
-  private final CallerStream callerStream;
+  private final GenerationAnswer answer;
   private final AdmissionClient admission;
   private XnioExecutor.Key ticker;
   private Dispatch dispatch;
   private EngineStream engine;
-  private EventIds.Writer ids;
   private Ran ran = Ran.NO;
-  private int tokens;
-  private int lastIndexSent = -1;
-  private long blockedSinceNanos;
-  private long lastSentNanos;
   private boolean resumed;
   private boolean ended;
 
@@ -45,7 +36,7 @@
     this.caller = caller;
     this.request = request;
     this.io = IoContext.of(caller.exchange(), context.bounds());
-    this.callerStream = new CallerStream(caller.exchange(), this);
+    this.answer = new GenerationAnswer(context, caller, request, this);
     this.admission = new AdmissionClient(context, io, shape());
   }
 
@@ -63,7 +54,7 @@
   /** Begins a new generation. */
   void start() {
     startTicker();
-    CallerWatch.begin(caller.exchange(), callerStream::abandoned);
+    CallerWatch.begin(caller.exchange(), answer.stream()::abandoned);
     admission.ask(this::admitted);
   }
 
@@ -71,14 +62,14 @@
   void goOn(EventId id) {
     resumed = true;
     ran = Ran.UNKNOWN;
-    lastIndexSent = id.index();
+    answer.goesOnAfter(id.index());
     startTicker();
     if (id.last()) {
       stop();
-      callerStream.endWhole();
+      answer.stream().endWhole();
       return;
     }
-    CallerWatch.begin(caller.exchange(), callerStream::abandoned);
+    CallerWatch.begin(caller.exchange(), answer.stream()::abandoned);
     EngineTarget target = new EngineTarget(id.upstream(), id.address(), id.bootId());
     context.running().add(target, request.fingerprint());
     engine = new EngineStream(target, io, context.clock(), context.counters(), this);
@@ -156,34 +147,19 @@
 
   @Override
   public void token(TokenData token, byte[] data) {
-    if (ids == null) {
-      ids =
-          context
-              .eventIds()
-              .writer(
-                  request.organisation(),
-                  engine.target(),
-                  engine.generation(),
-                  request.fingerprint());
-    }
     if (dispatch != null) {
       dispatch.answerBegan();
     }
-    tokens++;
-    lastIndexSent = token.index();
-    context.counters().add(RelayCounters.TOKENS);
-    callerStream.event(ids.write(token), data);
+    answer.token(engine, token, data);
     if (token.finished()) {
       finish(Result.COMPLETED);
-      callerStream.endWhole();
     }
   }
 
   @Override
   public void turnEnded() {
-    if (!ended && tokens > 0) {
-      lastSentNanos = context.clock().nanoTime();
-      callerStream.flush();
+    if (!ended && answer.tokens() > 0) {
+      answer.stream().flush();
     }
   }
 
@@ -207,11 +183,11 @@
       return;
     }
     if (dispatch != null) {
-      dispatch.finish(Result.LOST, tokens);
+      dispatch.finish(Result.LOST, answer.tokens());
     }
-    if (resumed || tokens > 0) {
+    if (resumed || answer.tokens() > 0) {
       context.counters().add(RelayCounters.GENERATIONS_LOST);
-      end(context.refusals().generationLost(lastIndexSent));
+      end(context.refusals().generationLost(answer.lastIndex()));
     } else if (crashIsKnown) {
       admission.exclude(engine.target().upstream());
       tryElsewhere(engine.target().upstream() + " was lost");
@@ -241,45 +217,35 @@
   }
 
   private void tick() {
-    if (ended && !callerStream.isBlocked()) {
+    if (ended && !answer.stream().isBlocked()) {
       ticker.remove();
       return;
     }
-    boolean waiting = !resumed && tokens == 0 && engine != null;
-    if (callerStream.isBlocked()) {
+    boolean waiting = !resumed && answer.tokens() == 0 && engine != null;
+    if (answer.stream().isBlocked()) {
       checkSlowCaller();
     } else if (waiting && admission.remaining().isZero()) {
       engine.cancel();
       end(context.refusals().timedOut(ran));
     } else if (engine != null) {
       engine.tick();
-      heartbeat();
-    }
-  }
-
-  private void heartbeat() {
-    long nowNanos = context.clock().nanoTime();
-    if (!ended && tokens > 0 && nowNanos - lastSentNanos > HEARTBEAT_NANOS) {
-      lastSentNanos = nowNanos;
-      callerStream.heartbeat();
+      answer.stream().heartbeat();
     }
   }
 
   private void checkSlowCaller() {
-    Duration blocked = Duration.ofNanos(context.clock().nanoTime() - blockedSinceNanos);
-    if (blocked.compareTo(context.bounds().slowCaller()) > 0) {
+    if (answer.stream().isBlockedFor(context.bounds().slowCaller())) {
       context.counters().add(RelayCounters.SLOW_CALLERS);
       if (!ended) {
         engine.cancel();
       }
       finish(Result.CANCELLED);
-      callerStream.abort();
+      answer.stream().abort();
     }
   }
 
   @Override
   public void blocked() {
-    blockedSinceNanos = context.clock().nanoTime();
     if (!ended) {
       engine.suspend();
     }
@@ -313,7 +279,7 @@
 
   private void release(Result result) {
     if (dispatch != null) {
-      dispatch.finish(result, tokens);
+      dispatch.finish(result, answer.tokens());
     } else if (resumed && engine != null) {
       context.running().remove(engine.target(), request.fingerprint());
     }
@@ -322,12 +288,7 @@
   private void end(ProblemDocument problem) {
     stop();
     release(Result.CANCELLED);
-    if (tokens > 0) {
-      context.counters().add(RelayCounters.REFUSALS);
-      callerStream.endWithError(Json.bytes(problem));
-    } else {
-      caller.answer(context, problem);
-    }
+    answer.end(problem);
   }
 
   private void stop() {
--- a/src/main/java/org/cuminrack/relay/PlainCall.java
+++ b/src/main/java/org/cuminrack/relay/PlainCall.java
@@ -25,13 +25,12 @@
   private final IoContext io;
   private final AdmissionClient admission;
   private final CallClaim claim;
-  private final Runnable endOfWork;
+  private final CallAnswer callerAnswer;
   private XnioExecutor.Key deadlineTimer;
   private XnioExecutor.Key silenceTimer;
   private Dispatch dispatch;
   private PlainExchange exchange;
   private Ran ran = Ran.NO;
-  private boolean callerAnswered;
   private boolean ended;
 
   private PlainCall(RelayContext context, CallerRequest caller, PlainRequest request, CallKey key) {
@@ -41,8 +40,7 @@
     this.io = IoContext.of(caller.exchange(), context.bounds());
     this.admission = new AdmissionClient(context, io, request.shape());
     this.claim = key == null ? null : new CallClaim(context, io, request, key);
-    this.endOfWork =
-        context.inFlight().begin("call " + request.path() + " of " + request.organisation());
+    this.callerAnswer = new CallAnswer(context, caller, io, request);
   }
 
   /** A call that may be repeated. */
@@ -75,14 +73,12 @@
       return;
     }
     context.counters().add(RelayCounters.CALLERS_GONE);
-    callerAnswered = true;
     admission.cancel();
     if (exchange != null) {
       exchange.close();
       dispatch.finish(Result.CANCELLED, 0);
     }
-    conclude(new CallResult.Unknown(), endOfWork);
-    CallerExchanges.drop(caller.exchange());
+    conclude(new CallResult.Unknown(), callerAnswer::drop);
   }
 
   private void claimed(ClaimVerdict verdict) {
@@ -90,15 +86,15 @@
     if (verdict instanceof ClaimVerdict.Granted) {
       askAdmission();
     } else if (verdict instanceof ClaimVerdict.Done done) {
-      answer(PlainAnswer.of(done.answer()));
+      callerAnswer.give(PlainAnswer.of(done.answer()));
     } else if (verdict instanceof ClaimVerdict.InProgress found) {
-      answer(refusals.inProgress(found.retryAfter()));
+      callerAnswer.give(refusals.inProgress(found.retryAfter()));
     } else if (verdict instanceof ClaimVerdict.KeyReused) {
-      answer(refusals.keyReused());
+      callerAnswer.give(refusals.keyReused());
     } else if (verdict instanceof ClaimVerdict.Unavailable found) {
-      answer(refusals.ledgerUnavailable(found.retryAfter()));
+      callerAnswer.give(refusals.ledgerUnavailable(found.retryAfter()));
     } else {
-      answer(refusals.outcomeUnknown());
+      callerAnswer.give(refusals.outcomeUnknown());
     }
   }
 
@@ -152,7 +148,7 @@
   public void answered(PlainAnswer answer) {
     dispatch.finish(Result.COMPLETED, 0);
     PlainAnswer given = runsOnce() ? PlainAnswer.of(answer.stored()) : answer;
-    conclude(new CallResult.Done(given.stored()), () -> answer(given));
+    conclude(new CallResult.Done(given.stored()), () -> callerAnswer.give(given));
   }
 
   @Override
@@ -173,7 +169,7 @@
   private void tooLarge() {
     String detail = "expected an answer of at most " + context.bounds().maxAnswerBytes() + " bytes";
     ProblemDocument problem = context.refusals().upstreamFailed(detail, ran);
-    conclude(new CallResult.Unknown(), () -> answer(problem));
+    conclude(new CallResult.Unknown(), () -> callerAnswer.give(problem));
   }
 
   private void lost(EngineLoss loss) {
@@ -195,17 +191,18 @@
     admission.exclude(dispatch.target().upstream());
     if (runsOnce()) {
       context.counters().add(RelayCounters.UNKNOWN_OUTCOMES);
-      conclude(new CallResult.Unknown(), () -> answer(context.refusals().outcomeUnknown()));
+      conclude(
+          new CallResult.Unknown(), () -> callerAnswer.give(context.refusals().outcomeUnknown()));
     } else if (crashIsKnown) {
       tryElsewhere();
     } else {
-      answer(context.refusals().upstreamFailed("the upstream was lost", ran));
+      callerAnswer.give(context.refusals().upstreamFailed("the upstream was lost", ran));
     }
   }
 
   /** Only for calls that may be repeated, and for those of which no byte has left. */
   private void tryElsewhere() {
-    if (callerAnswered) {
+    if (callerAnswer.isGiven()) {
       giveUp(context.refusals().timedOut(ran));
     } else if (admission.mayAskAgain()) {
       askAdmission();
@@ -224,7 +221,7 @@
     if (runsOnce() && exchange != null && exchange.mayHaveRun()) {
       throw new IllegalStateException("a call that may have run must not be recorded as not run");
     }
-    conclude(new CallResult.NotRun(), () -> answer(problem));
+    conclude(new CallResult.NotRun(), () -> callerAnswer.give(problem));
   }
 
   private void silent(PlainExchange silentExchange) {
@@ -241,12 +238,11 @@
    * waited for, so that its claim ends with the answer if there is one.
    */
   private void deadlinePassed() {
-    if (ended || callerAnswered) {
+    if (ended || callerAnswer.isGiven()) {
       return;
     }
     if (runsOnce() && exchange.mayHaveRun()) {
-      callerAnswered = true;
-      caller.answer(context, context.refusals().timedOut(Ran.UNKNOWN));
+      callerAnswer.giveEarly(context.refusals().timedOut(Ran.UNKNOWN));
       io.after(context.bounds().lateAnswer().toMillis(), this::lateAnswerMissed);
     } else {
       boolean mayHaveRun = exchange.mayHaveRun() || ran == Ran.UNKNOWN;
@@ -281,30 +277,6 @@
     }
   }
 
-  private void answer(PlainAnswer answer) {
-    endOfWork.run();
-    if (!callerAnswered) {
-      callerAnswered = true;
-      answer.send(caller.exchange());
-      io.after(context.bounds().slowCaller().toMillis(), this::dropSlowCaller);
-    }
-  }
-
-  private void answer(ProblemDocument problem) {
-    endOfWork.run();
-    if (!callerAnswered) {
-      callerAnswered = true;
-      caller.answer(context, problem);
-    }
-  }
-
-  private void dropSlowCaller() {
-    if (!caller.exchange().isComplete()) {
-      context.counters().add(RelayCounters.SLOW_CALLERS);
-      CallerExchanges.drop(caller.exchange());
-    }
-  }
-
   private void stopSilenceTimer() {
     if (silenceTimer != null) {
       silenceTimer.remove();
