--- a/src/main/java/org/cuminrack/relay/CallerStream.java
+++ b/src/main/java/org/cuminrack/relay/CallerStream.java
@@ -6,7 +6,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import org.xnio.IoUtils;
+import java.time.Duration;
+import org.cuminrack.time.Clock;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
@@ -19,16 +20,22 @@
   private static final int STATUS_OK = 200;
   private static final int INITIAL_BYTES = 1 << 10;
 
+  /** How long a caller hears nothing before it is sent a comment. */
+  private static final long HEARTBEAT_NANOS = Duration.ofSeconds(1).toNanos();
+
   private final HttpServerExchange exchange;
+  private final Clock clock;
   private final Listener listener;
   private ByteBuffer pending = ByteBuffer.allocate(INITIAL_BYTES);
   private StreamSinkChannel sink;
+  private long flushedNanos;
   private boolean blocked;
   private boolean ending;
   private boolean closed;
 
-  CallerStream(HttpServerExchange exchange, Listener listener) {
+  CallerStream(HttpServerExchange exchange, Clock clock, Listener listener) {
     this.exchange = exchange;
+    this.clock = clock;
     this.listener = listener;
   }
 
@@ -44,15 +51,16 @@
     void gone();
   }
 
-  /** Tells whether the answer has begun, so that no other answer can be given any more. */
-  boolean isBegun() {
-    return sink != null;
-  }
-
+  /** Tells whether the caller has not taken everything yet. */
   boolean isBlocked() {
     return blocked;
   }
 
+  /** Tells whether the caller has left something untaken for longer than this. */
+  boolean isBlockedFor(Duration bound) {
+    return blocked && clock.nanoTime() - flushedNanos > bound.toNanos();
+  }
+
   /** Adds one event; it leaves with the next {@link #flush}. */
   void event(String id, byte[] data) {
     append("id: ");
@@ -62,6 +70,15 @@
     append("\n\n");
   }
 
+  /** Shows a caller of a quiet stream that the connection lives, and this entry that it does. */
+  void heartbeat() {
+    boolean begun = sink != null && !ending;
+    if (begun && !blocked && clock.nanoTime() - flushedNanos > HEARTBEAT_NANOS) {
+      append(":\n\n");
+      flush();
+    }
+  }
+
   /** Adds the typed end of an answer that can't be completed, then ends it. */
   void endWithError(byte[] problem) {
     append("event: error\ndata: ");
@@ -87,6 +104,7 @@
       return;
     }
     begin();
+    flushedNanos = clock.nanoTime();
     pending.flip();
     try {
       write();
@@ -158,8 +176,12 @@
   /** Drops the caller's connection. */
   void abort() {
     closed = true;
-    IoUtils.safeClose(exchange.getConnection());
-    exchange.endExchange();
+    CallerExchanges.drop(exchange);
+  }
+
+  /** The caller has closed its connection. */
+  void abandoned() {
+    gone();
   }
 
   private void gone() {
--- a/src/main/java/org/cuminrack/relay/Generation.java
+++ b/src/main/java/org/cuminrack/relay/Generation.java
@@ -5,7 +5,6 @@
 import org.cuminrack.admission.RefusalReason;
 import org.cuminrack.admission.Ticket;
 import org.cuminrack.admission.TicketOutcome.Result;
-import org.cuminrack.http.Json;
 import org.cuminrack.http.ProblemDocument;
 import org.cuminrack.http.Ran;
 import org.xnio.XnioExecutor;
@@ -23,16 +22,12 @@
   private final CallerRequest caller;
   private final GenerationRequest request;
   private final IoContext io;
-  private final CallerStream callerStream;
+  private final GenerationAnswer answer;
   private final AdmissionClient admission;
   private XnioExecutor.Key ticker;
   private Dispatch dispatch;
   private EngineStream engine;
-  private EventIds.Writer ids;
   private Ran ran = Ran.NO;
-  private int tokens;
-  private int lastIndexSent = -1;
-  private long blockedSinceNanos;
   private boolean resumed;
   private boolean ended;
 
@@ -41,7 +36,7 @@
     this.caller = caller;
     this.request = request;
     this.io = IoContext.of(caller.exchange(), context.bounds());
-    this.callerStream = new CallerStream(caller.exchange(), this);
+    this.answer = new GenerationAnswer(context, caller, request, this);
     this.admission = new AdmissionClient(context, io, shape());
   }
 
@@ -59,6 +54,7 @@
   /** Begins a new generation. */
   void start() {
     startTicker();
+    CallerWatch.begin(caller.exchange(), answer.stream()::abandoned);
     admission.ask(this::admitted);
   }
 
@@ -66,13 +62,14 @@
   void goOn(EventId id) {
     resumed = true;
     ran = Ran.UNKNOWN;
-    lastIndexSent = id.index();
+    answer.goesOnAfter(id.index());
     startTicker();
     if (id.last()) {
       stop();
-      callerStream.endWhole();
+      answer.stream().endWhole();
       return;
     }
+    CallerWatch.begin(caller.exchange(), answer.stream()::abandoned);
     EngineTarget target = new EngineTarget(id.upstream(), id.address(), id.bootId());
     context.running().add(target, request.fingerprint());
     engine = new EngineStream(target, io, context.clock(), context.counters(), this);
@@ -150,33 +147,19 @@
 
   @Override
   public void token(TokenData token, byte[] data) {
-    if (ids == null) {
-      ids =
-          context
-              .eventIds()
-              .writer(
-                  request.organisation(),
-                  engine.target(),
-                  engine.generation(),
-                  request.fingerprint());
-    }
     if (dispatch != null) {
       dispatch.answerBegan();
     }
-    tokens++;
-    lastIndexSent = token.index();
-    context.counters().add(RelayCounters.TOKENS);
-    callerStream.event(ids.write(token), data);
+    answer.token(engine, token, data);
     if (token.finished()) {
       finish(Result.COMPLETED);
-      callerStream.endWhole();
     }
   }
 
   @Override
   public void turnEnded() {
-    if (!ended && tokens > 0) {
-      callerStream.flush();
+    if (!ended && answer.tokens() > 0) {
+      answer.stream().flush();
     }
   }
 
@@ -200,11 +183,11 @@
       return;
     }
     if (dispatch != null) {
-      dispatch.finish(Result.LOST, tokens);
+      dispatch.finish(Result.LOST, answer.tokens());
     }
-    if (resumed || tokens > 0) {
+    if (resumed || answer.tokens() > 0) {
       context.counters().add(RelayCounters.GENERATIONS_LOST);
-      end(context.refusals().generationLost(lastIndexSent));
+      end(context.refusals().generationLost(answer.lastIndex()));
     } else if (crashIsKnown) {
       admission.exclude(engine.target().upstream());
       tryElsewhere(engine.target().upstream() + " was lost");
@@ -234,36 +217,35 @@
   }
 
   private void tick() {
-    if (ended && !callerStream.isBlocked()) {
+    if (ended && !answer.stream().isBlocked()) {
       ticker.remove();
       return;
     }
-    boolean waiting = !resumed && tokens == 0 && engine != null;
-    if (callerStream.isBlocked()) {
+    boolean waiting = !resumed && answer.tokens() == 0 && engine != null;
+    if (answer.stream().isBlocked()) {
       checkSlowCaller();
     } else if (waiting && admission.remaining().isZero()) {
       engine.cancel();
       end(context.refusals().timedOut(ran));
     } else if (engine != null) {
       engine.tick();
+      answer.stream().heartbeat();
     }
   }
 
   private void checkSlowCaller() {
-    Duration blocked = Duration.ofNanos(context.clock().nanoTime() - blockedSinceNanos);
-    if (blocked.compareTo(context.bounds().slowCaller()) > 0) {
+    if (answer.stream().isBlockedFor(context.bounds().slowCaller())) {
       context.counters().add(RelayCounters.SLOW_CALLERS);
       if (!ended) {
         engine.cancel();
       }
       finish(Result.CANCELLED);
-      callerStream.abort();
+      answer.stream().abort();
     }
   }
 
   @Override
   public void blocked() {
-    blockedSinceNanos = context.clock().nanoTime();
     if (!ended) {
       engine.suspend();
     }
@@ -282,8 +264,11 @@
       return;
     }
     context.counters().add(RelayCounters.CALLERS_GONE);
-    engine.detach();
     stop();
+    admission.cancel();
+    if (engine != null) {
+      engine.detach();
+    }
     io.after(context.bounds().orphan().toMillis(), () -> release(Result.CANCELLED));
   }
 
@@ -294,7 +279,7 @@
 
   private void release(Result result) {
     if (dispatch != null) {
-      dispatch.finish(result, tokens);
+      dispatch.finish(result, answer.tokens());
     } else if (resumed && engine != null) {
       context.running().remove(engine.target(), request.fingerprint());
     }
@@ -303,12 +288,7 @@
   private void end(ProblemDocument problem) {
     stop();
     release(Result.CANCELLED);
-    if (tokens > 0) {
-      context.counters().add(RelayCounters.REFUSALS);
-      callerStream.endWithError(Json.bytes(problem));
-    } else {
-      caller.answer(context, problem);
-    }
+    answer.end(problem);
   }
 
   private void stop() {
