--- a/src/test/java/org/cuminrack/system/Callers.java
+++ b/src/test/java/org/cuminrack/system/Callers.java
@@ -13,6 +13,7 @@
 /** Callers of a test's cluster, over the JDK's own HTTP client. */
 final class Callers {
   private static final Duration TIMEOUT = Duration.ofSeconds(40);
+  private static final Duration READY_TIMEOUT = Duration.ofSeconds(30);
 
   /** A generation's request. */
   record Completion(String model, String prompt, int maxTokens, String priority, boolean stream) {}
@@ -95,4 +96,18 @@
         .forEach(each -> addresses.add(each.asText()));
     return addresses;
   }
+
+  /** Waits until every entry serves both services. */
+  void awaitServing(TestCluster cluster) {
+    for (String entry : cluster.entryAddresses()) {
+      Conditions.await(
+          "generations through " + entry,
+          READY_TIMEOUT,
+          () -> generate(entry, "ready? [[tokens=1]]", 1).isWhole());
+      Conditions.await(
+          "shop calls through " + entry,
+          READY_TIMEOUT,
+          () -> get(entry, "/shop/stock").status() == 200);
+    }
+  }
 }
--- a/src/test/java/org/cuminrack/system/GenerationAnswer.java
+++ b/src/test/java/org/cuminrack/system/GenerationAnswer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.cuminrack.http.Json;
@@ -56,6 +57,22 @@
     }
   }
 
+  /** Returns this answer with the rest that another connection brought. */
+  GenerationAnswer followedBy(GenerationAnswer rest) {
+    GenerationAnswer both = new GenerationAnswer();
+    both.status = rest.status;
+    both.breakage = rest.breakage;
+    both.lastEventId = rest.lastEventId;
+    both.finishReason = rest.finishReason;
+    both.problem = rest.problem;
+    both.done = rest.done;
+    both.indexes.addAll(indexes);
+    both.indexes.addAll(rest.indexes);
+    both.texts.addAll(texts);
+    both.texts.addAll(rest.texts);
+    return both;
+  }
+
   int status() {
     return status;
   }
@@ -75,6 +92,12 @@
     return problem;
   }
 
+  /** Returns when a refusal said that coming back helps. */
+  Duration retryAfter() {
+    JsonNode refusal = Json.readTree(problem.getBytes(StandardCharsets.UTF_8)).get();
+    return Duration.ofMillis(refusal.path("retry_after_millis").asLong(100));
+  }
+
   String lastEventId() {
     return lastEventId;
   }
--- /dev/null
+++ b/src/test/java/org/cuminrack/system/ShopLog.java
@@ -0,0 +1,36 @@
+package org.cuminrack.system;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/** What the shops of a test ran, by their own logs, which outlive their crashes. */
+final class ShopLog {
+  private static final Pattern EXECUTED = Pattern.compile("event=executed key=(\\S+)");
+
+  private ShopLog() {}
+
+  /** Returns how often each key was run, summed over all lives of all shops. */
+  static Map<String, Integer> executionsByKey(Path folder) throws IOException {
+    Map<String, Integer> executions = new HashMap<>();
+    for (Path log : logs(folder)) {
+      Matcher matcher = EXECUTED.matcher(Files.readString(log));
+      while (matcher.find()) {
+        executions.merge(matcher.group(1), 1, Integer::sum);
+      }
+    }
+    return executions;
+  }
+
+  private static List<Path> logs(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return files.filter(each -> each.getFileName().toString().startsWith("shop-")).toList();
+    }
+  }
+}
