Give a blank voter the voters even where no leader is

Any replica now answers the hello of a blank voter with the voters that it knows to be committed. That is safe: a blank disk of a listed incarnation has acknowledged nothing, and with its empty log it can't win against the majority that holds the entry of those voters.

--- a/src/main/java/org/cuminrack/quorum/internal/Formation.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Formation.java
@@ -57,12 +57,18 @@
         : state.timing.electionMinNanos();
   }
 
-  /** Answers a replica that looks for its group, unless this one leads. */
+  /**
+   * Answers a replica that looks for its group. A blank one that is a voter has never acknowledged
+   * anything; it is given the voters, so that it can take part in an election without a leader.
+   */
   void onHello(ReplicaId from, Message.Hello hello) {
     state.send(from, new Message.HelloReply(state.isBlank(), hello.round()));
-    boolean isNew = !state.isBlank() && state.snapshot.index() == 0;
-    if (hello.blank() && isNew && state.snapshot.voters().contains(from)) {
-      state.send(from, new Message.Form(state.snapshot.voters()));
+    if (!hello.blank() || state.isBlank()) {
+      return;
+    }
+    VoterSet committed = state.log.votersAt(state.commitIndex);
+    if (committed.contains(from)) {
+      state.send(from, new Message.Form(committed));
     }
   }
 
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/internal/FormationTest.java
@@ -0,0 +1,111 @@
+package org.cuminrack.quorum.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class FormationTest {
+  private static final Timing TIMING = SimulatedVm.TIMING;
+  private static final Set<String> VMS = Set.of("a", "b", "c");
+  private static final ReplicaId A = new ReplicaId("a", 1);
+  private static final ReplicaId B = new ReplicaId("b", 2);
+  private static final ReplicaId C = new ReplicaId("c", 3);
+  private static final VoterSet VOTERS = VoterSet.of(Map.of("a", 1L, "b", 2L, "c", 3L));
+  private static final long GROUP = 1;
+
+  @Test
+  void shouldFormAGroupOnceAllOthersSayThatTheyAreBlank() {
+    QuorumCore core = core(Recovered.blank(A));
+    long round = roundOf(core.step(List.of(), 0));
+
+    core.step(List.of(reply(B, true, round)), 1);
+    assertThat(core.view().role()).isEqualTo(Role.BLANK);
+    core.step(List.of(reply(C, true, round)), 2);
+
+    assertThat(core.view().voters()).isEqualTo(VOTERS);
+  }
+
+  @Test
+  void shouldNotFormAGroupWhereOneHasALog() {
+    QuorumCore core = core(Recovered.blank(A));
+    long round = roundOf(core.step(List.of(), 0));
+
+    core.step(List.of(reply(B, true, round), reply(C, false, round)), 1);
+
+    assertThat(core.view().role()).isEqualTo(Role.BLANK);
+  }
+
+  @Test
+  void shouldNotFormAGroupOnAnAnswerToAnEarlierQuestion() {
+    QuorumCore core = core(Recovered.blank(A));
+    long first = roundOf(core.step(List.of(), 0));
+    long second = roundOf(core.step(List.of(), TIMING.electionMaxNanos()));
+
+    core.step(List.of(reply(B, true, first), reply(C, true, second)), 1);
+
+    assertThat(core.view().role()).isEqualTo(Role.BLANK);
+  }
+
+  @Test
+  void shouldGiveABlankVoterTheVotersWithoutALeader() {
+    SnapshotImage snapshot = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
+    QuorumCore core = core(new Recovered(A, 1, null, snapshot, List.of()));
+
+    List<Effect> effects = core.step(List.of(received(B, 0, new Message.Hello(true, 7))), 0);
+
+    assertThat(messagesOf(effects)).contains(new Message.Form(VOTERS));
+  }
+
+  @Test
+  void shouldNotMakeANewDiskOfAVoterOne() {
+    SnapshotImage snapshot = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
+    QuorumCore core = core(new Recovered(A, 1, null, snapshot, List.of()));
+    ReplicaId wiped = new ReplicaId("b", 99);
+
+    List<Effect> effects = core.step(List.of(received(wiped, 0, new Message.Hello(true, 7))), 0);
+
+    assertThat(messagesOf(effects)).doesNotContain(new Message.Form(VOTERS));
+  }
+
+  @Test
+  void shouldNotVoteWhileBlank() {
+    QuorumCore core = core(Recovered.blank(B));
+
+    List<Effect> effects = core.step(List.of(received(A, GROUP, new Message.Vote(5, 1))), 0);
+
+    assertThat(core.view().term()).isEqualTo(0);
+    assertThat(messagesOf(effects).stream().noneMatch(each -> each instanceof Message.VoteReply))
+        .isTrue();
+  }
+
+  private static QuorumCore core(Recovered recovered) {
+    return new QuorumCore(recovered, VMS, TIMING, new Random(1), 0);
+  }
+
+  private static Event reply(ReplicaId from, boolean blank, long round) {
+    return received(from, 0, new Message.HelloReply(blank, round));
+  }
+
+  private static Event received(ReplicaId from, long groupId, Message message) {
+    return new Event.Received(new Packet(from, "", Packet.ANY, groupId, 1, message));
+  }
+
+  private static long roundOf(List<Effect> effects) {
+    return messagesOf(effects).stream()
+        .filter(each -> each instanceof Message.Hello)
+        .map(each -> ((Message.Hello) each).round())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static List<Message> messagesOf(List<Effect> effects) {
+    return effects.stream()
+        .filter(each -> each instanceof Effect.Send)
+        .map(each -> ((Effect.Send) each).packet().message())
+        .toList();
+  }
+}
