Count a prompt prefix that running sequences share once

The memory forecast counted every prompt whole, though the engines hold a shared prefix once: at 100% load requests were refused that would have fitted, and goodput fell below least connections.

Prompts are sampled at a few dozen block counts for this, and on the wire.

--- a/src/main/java/org/cuminrack/pool/MemoryForecast.java
+++ b/src/main/java/org/cuminrack/pool/MemoryForecast.java
@@ -17,8 +17,9 @@
   private final double[] mean = new double[HORIZON_TOKENS.length];
   private final double[] variance = new double[HORIZON_TOKENS.length];
 
-  void clear() {
-    Arrays.fill(mean, 0);
+  /** Begins anew, with so many tokens that are held all the time. */
+  void clear(double heldTokens) {
+    Arrays.fill(mean, heldTokens);
     Arrays.fill(variance, 0);
   }
 
--- a/src/main/java/org/cuminrack/pool/PoolContext.java
+++ b/src/main/java/org/cuminrack/pool/PoolContext.java
@@ -84,7 +84,7 @@
     }
     boolean keepsRoom = request.isStandard() && keepsInteractiveRoom();
     double share = keepsRoom ? STANDARD_MEMORY_SHARE : 1;
-    return upstream.memory().fits(request.sequence(), share, anyLengths(), nowNanos);
+    return upstream.memory().fits(request, share, anyLengths(), nowNanos);
   }
 
   /** Returns how loaded an upstream is; 1 is full. */
--- a/src/main/java/org/cuminrack/pool/PoolCore.java
+++ b/src/main/java/org/cuminrack/pool/PoolCore.java
@@ -285,7 +285,7 @@
             alone);
     RunningRequest running = new RunningRequest(ticket, queued, context.nowNanos());
     upstream.admitted(running);
-    context.prefixes().stored(upstream.slot(), queued.request().prefixHashes());
+    context.prefixes().stored(upstream.slot(), queued.prefix());
     holdings.add(upstream, running);
     decisions.add(new PoolDecision.Admitted(queued.id(), ticket));
     return ticketId;
--- a/src/main/java/org/cuminrack/pool/PredictivePlacement.java
+++ b/src/main/java/org/cuminrack/pool/PredictivePlacement.java
@@ -30,12 +30,13 @@
 
   private static void favourPrefixHolders(
       QueuedRequest request, List<UpstreamState> candidates, double[] loads, PoolContext context) {
-    List<Long> hashes = request.request().prefixHashes();
+    List<Long> hashes = request.prefix();
     if (!context.uses(Mechanism.PREFIX_AFFINITY) || hashes.isEmpty()) {
       return;
     }
     PrefixMatch match = context.prefixes().longest(hashes, slotsWithPlace(candidates, loads));
-    double share = (double) match.blocks() / hashes.size();
+    double share =
+        (double) PrefixSample.tokensOf(match.places()) / request.request().promptTokens();
     for (int i = 0; i < loads.length; i++) {
       if ((match.slots() & slotBit(candidates.get(i))) != 0) {
         loads[i] -= AFFINITY_SLACK * share;
--- a/src/main/java/org/cuminrack/pool/PrefixIndex.java
+++ b/src/main/java/org/cuminrack/pool/PrefixIndex.java
@@ -38,16 +38,16 @@
   /**
    * Finds the longest known prefix of a prompt.
    *
-   * @param prefixHashes the prompt's blocks, the first first
+   * @param sample hashes of the prompt's blocks, the first first
    * @param slots bits of the upstreams that count
    */
-  PrefixMatch longest(List<Long> prefixHashes, long slots) {
+  PrefixMatch longest(List<Long> sample, long slots) {
     int from = 0;
-    int to = prefixHashes.size();
+    int to = sample.size();
     long found = 0;
     while (from < to) {
       int middle = (from + to + 1) >>> 1;
-      long holding = holders.getOrDefault(prefixHashes.get(middle - 1), 0L) & slots;
+      long holding = holders.getOrDefault(sample.get(middle - 1), 0L) & slots;
       if (holding != 0) {
         found = holding;
         from = middle;
--- a/src/main/java/org/cuminrack/pool/PrefixSample.java
+++ b/src/main/java/org/cuminrack/pool/PrefixSample.java
@@ -4,27 +4,48 @@
 import java.util.List;
 
 /**
- * Picks the block hashes that are worth sending: at block counts 1, 2, 3, 4, 6, 8, 12, 16, … so
- * that a long prompt costs a few dozen hashes. The counts do not depend on the prompt's length, so
- * that prompts with a common prefix have common hashes.
+ * The block hashes of a prompt that are worth keeping and sending: those at block counts 1 to 8,
+ * then four an octave (10, 12, 14, 16, 20, …), so that a long prompt costs a few dozen hashes. The
+ * counts do not depend on the prompt's length, so that prompts with a common prefix have common
+ * hashes.
  */
 final class PrefixSample {
+  private static final int BLOCK_TOKENS = 16;
+  private static final int STEPS_OF_OCTAVE = 4;
+  private static final int[] BLOCKS = blocks();
+
   private PrefixSample() {}
 
+  /** Returns the sample of the hashes of all of a prompt's blocks. */
   static List<Long> of(List<Long> hashes) {
     List<Long> sample = new ArrayList<>();
-    for (int blocks = 1; blocks <= hashes.size(); blocks = next(blocks)) {
-      sample.add(hashes.get(blocks - 1));
+    for (int place = 0; place < BLOCKS.length && BLOCKS[place] <= hashes.size(); place++) {
+      sample.add(hashes.get(BLOCKS[place] - 1));
     }
     return sample;
   }
 
-  private static int next(int blocks) {
-    int power = Integer.highestOneBit(blocks);
-    boolean isPower = power == blocks;
-    if (blocks == 1) {
-      return 2;
+  /**
+   * Returns the sample of a prompt, given the hashes of all its blocks or the sample itself; a
+   * sample is told by its being shorter than the prompt.
+   */
+  static List<Long> of(List<Long> hashes, int promptTokens) {
+    boolean whole = hashes.size() >= promptTokens / BLOCK_TOKENS;
+    return whole ? of(hashes) : hashes;
+  }
+
+  /** Returns how many tokens of the prompt the first hashes of a sample cover. */
+  static int tokensOf(int places) {
+    return places == 0 ? 0 : BLOCKS[Math.min(places, BLOCKS.length) - 1] * BLOCK_TOKENS;
+  }
+
+  private static int[] blocks() {
+    List<Integer> blocks = new ArrayList<>();
+    int count = 1;
+    while (count < 1 << 16) {
+      blocks.add(count);
+      count += Math.max(1, Integer.highestOneBit(count) / STEPS_OF_OCTAVE);
     }
-    return isPower ? blocks + blocks / 2 : power * 2;
+    return blocks.stream().mapToInt(Integer::intValue).toArray();
   }
 }
--- a/src/main/java/org/cuminrack/pool/QueuedRequest.java
+++ b/src/main/java/org/cuminrack/pool/QueuedRequest.java
@@ -1,5 +1,6 @@
 package org.cuminrack.pool;
 
+import java.util.List;
 import org.cuminrack.admission.AdmissionRequest;
 import org.cuminrack.admission.Priority;
 
@@ -10,9 +11,15 @@
  * @param arrivedNanos when
  * @param costTokens predicted tokens, prompt and output; 1 for a plain call
  * @param sequence its growth in memory, nothing produced yet
+ * @param prefix a sample of the hashes of its prompt's blocks
  */
 record QueuedRequest(
-    long id, AdmissionRequest request, long arrivedNanos, double costTokens, Sequence sequence) {
+    long id,
+    AdmissionRequest request,
+    long arrivedNanos,
+    double costTokens,
+    Sequence sequence,
+    List<Long> prefix) {
 
   boolean isStandard() {
     return request.priority() == Priority.STANDARD;
--- a/src/main/java/org/cuminrack/pool/RequestFactory.java
+++ b/src/main/java/org/cuminrack/pool/RequestFactory.java
@@ -1,5 +1,6 @@
 package org.cuminrack.pool;
 
+import java.util.List;
 import org.cuminrack.admission.AdmissionRequest;
 import org.cuminrack.admission.Priority;
 
@@ -22,7 +23,8 @@
     int promptTokens = request.promptTokens();
     Sequence sequence = new Sequence(lengths, promptTokens, 0, request.maxOutputTokens());
     double cost = promptTokens == 0 ? 1 : promptTokens + outputTokens(lengths, request);
-    return new QueuedRequest(requestId, request, nowNanos, cost, sequence);
+    List<Long> prefix = PrefixSample.of(request.prefixHashes(), promptTokens);
+    return new QueuedRequest(requestId, request, nowNanos, cost, sequence, prefix);
   }
 
   private static double outputTokens(LengthHistogram lengths, AdmissionRequest request) {
--- a/src/main/java/org/cuminrack/pool/Sequence.java
+++ b/src/main/java/org/cuminrack/pool/Sequence.java
@@ -25,4 +25,11 @@
     double now = lengths.survival(producedTokens);
     return now <= 0 ? 0 : lengths.survival(reached) / now;
   }
+
+  /** Returns the same after so many tokens, with so many of the prompt's held by others too. */
+  Sequence after(double tokens, int sharedPromptTokens) {
+    double bounded = maxOutputTokens > 0 ? Math.min(tokens, maxOutputTokens) : tokens;
+    int own = Math.max(0, promptTokens - sharedPromptTokens);
+    return new Sequence(lengths, own, bounded, maxOutputTokens);
+  }
 }
--- a/src/main/java/org/cuminrack/pool/UpstreamMemory.java
+++ b/src/main/java/org/cuminrack/pool/UpstreamMemory.java
@@ -1,11 +1,15 @@
 package org.cuminrack.pool;
 
-/** The forecast of one upstream's key-value memory, worked out anew when it has aged or changed. */
+/**
+ * The forecast of one upstream's key-value memory, worked out anew when it has aged or changed. A
+ * prefix that several running prompts have counts once, for as long as two of them run.
+ */
 final class UpstreamMemory {
   private static final long MAX_AGE_NANOS = 100_000_000L;
 
   private final UpstreamState upstream;
   private final MemoryForecast forecast = new MemoryForecast();
+  private final SharedPrefixes prefixes = new SharedPrefixes();
   private long madeNanos;
   private boolean stale = true;
   private double peakTokens;
@@ -14,11 +18,17 @@
     this.upstream = upstream;
   }
 
-  void added(Sequence sequence) {
-    forecast.add(sequence);
+  void added(QueuedRequest request) {
+    forecast.add(request.sequence().after(0, prefixes.heldTokensOf(request.prefix())));
+    prefixes.add(request.prefix());
     peakTokens = forecast.peakTokens();
   }
 
+  void removed(QueuedRequest request) {
+    prefixes.remove(request.prefix());
+    stale = true;
+  }
+
   void changed() {
     stale = true;
   }
@@ -32,20 +42,21 @@
     return peakTokens / upstream.usableMemoryTokens();
   }
 
-  /** Tells whether one more sequence is predicted to fit into a share of the usable memory. */
-  boolean fits(Sequence more, double share, LengthHistogram inheritedLengths, long nowNanos) {
+  /** Tells whether one more request is predicted to fit into a share of the usable memory. */
+  boolean fits(QueuedRequest more, double share, LengthHistogram inheritedLengths, long nowNanos) {
     if (!upstream.hasMemoryLimit() || upstream.occupied() == 0) {
       return true;
     }
     refresh(inheritedLengths, nowNanos);
-    return forecast.peakTokensWith(more) <= upstream.usableMemoryTokens() * share;
+    Sequence own = more.sequence().after(0, prefixes.heldTokensOf(more.prefix()));
+    return forecast.peakTokensWith(own) <= upstream.usableMemoryTokens() * share;
   }
 
   private void refresh(LengthHistogram inheritedLengths, long nowNanos) {
     if (!stale && nowNanos - madeNanos < MAX_AGE_NANOS) {
       return;
     }
-    forecast.clear();
+    forecast.clear(prefixes.sharedTokens());
     for (RunningRequest each : upstream.running()) {
       forecast.add(grown(each, nowNanos));
     }
@@ -55,12 +66,10 @@
     stale = false;
   }
 
-  private Sequence grown(RunningRequest request, long nowNanos) {
-    Sequence start = request.queued().sequence();
-    double produced = upstream.pace().producedTokens(request.ageNanos(nowNanos));
-    int max = start.maxOutputTokens();
-    double bounded = max > 0 ? Math.min(produced, max) : produced;
-    return new Sequence(start.lengths(), start.promptTokens(), bounded, max);
+  private Sequence grown(RunningRequest running, long nowNanos) {
+    QueuedRequest request = running.queued();
+    double produced = upstream.pace().producedTokens(running.ageNanos(nowNanos));
+    return request.sequence().after(produced, prefixes.sharedTokensOf(request.prefix()));
   }
 
   private void addInherited(LengthHistogram lengths) {
--- a/src/main/java/org/cuminrack/pool/UpstreamState.java
+++ b/src/main/java/org/cuminrack/pool/UpstreamState.java
@@ -126,14 +126,14 @@
 
   void admitted(RunningRequest request) {
     running.put(request.ticket().id(), request);
-    memory.added(request.queued().sequence());
+    memory.added(request.queued());
   }
 
   /** The holder of a request's ticket is gone; the request may still run here. */
   void orphaned(RunningRequest request) {
     running.remove(request.ticket().id());
     inherited.add(1);
-    memory.changed();
+    memory.removed(request.queued());
   }
 
   /** Continues from what a former owner knew. */
@@ -161,7 +161,7 @@
   void finished(RunningRequest request, TicketOutcome outcome, long nowNanos) {
     int occupied = occupied();
     running.remove(request.ticket().id());
-    memory.changed();
+    memory.removed(request.queued());
     switch (outcome.result()) {
       case COMPLETED -> completed(request, outcome, occupied, nowNanos);
       case OVERLOADED -> overloaded(nowNanos);
