Wait where another entry may have owned a pool between two views

An entry that came and began to stop between two views of a pool's owner could have owned the pool while the owner went on without a pause. The pools then wait for the later epoch to be in force, as after a move.

--- a/src/main/java/org/cuminrack/pool/OwnedPool.java
+++ b/src/main/java/org/cuminrack/pool/OwnedPool.java
@@ -27,6 +27,7 @@
   private final Map<Long, Waiter> waiters = new HashMap<>();
   private final RecentSet<Requester> cancelledEarly = new RecentSet<>();
   private final RecentSet<Long> returnedEarly = new RecentSet<>();
+  private long requiredEpoch;
   private boolean active;
   private boolean admitting = true;
   private boolean handedOver;
@@ -42,6 +43,7 @@
     this.core = core;
     this.clock = clock;
     this.hasLease = hasLease;
+    this.requiredEpoch = core.epoch();
     core.formerOwnerMayAdmit();
   }
 
@@ -49,8 +51,20 @@
     return core.key();
   }
 
-  long epoch() {
-    return core.epoch();
+  /** Returns the epoch that must be in force everywhere before this pool admits. */
+  synchronized long epoch() {
+    return requiredEpoch;
+  }
+
+  /** Another entry may have owned the pool unseen: waits for a later epoch to be in force. */
+  void suspendUntil(long laterEpoch) {
+    run(
+        now -> {
+          active = false;
+          handedOver = false;
+          requiredEpoch = laterEpoch;
+          return List.of();
+        });
   }
 
   synchronized boolean isActive() {
--- a/src/main/java/org/cuminrack/pool/PoolCore.java
+++ b/src/main/java/org/cuminrack/pool/PoolCore.java
@@ -17,20 +17,17 @@
  * may be about other requests than its own.
  */
 public final class PoolCore {
-  private static final int EPOCH_SHIFT = 32;
-
   private final PoolKey key;
   private final long epoch;
   private final PoolContext context;
-  private final UpstreamTable upstreams = new UpstreamTable();
+  private final UpstreamTable upstreams;
   private final WaitingRoom waiting;
   private final PlacementPolicy placement;
   private final RequestFactory requests;
-  private final RetryBudget retryBudget = new RetryBudget();
+  private final AdmissionRules rules;
+  private final TicketIssuer issuer;
   private final Holdings holdings = new Holdings();
-  private final FormerOwner formerOwner = new FormerOwner();
   private List<PoolDecision> decisions = new ArrayList<>();
-  private long lastTicket;
   private boolean admitting = true;
 
   /** Creates a pool that nobody owned before under this epoch. */
@@ -38,9 +35,12 @@
     this.key = key;
     this.epoch = epoch;
     this.context = new PoolContext(policy);
+    this.upstreams = new UpstreamTable(context);
     this.waiting = new WaitingRoom(context);
     this.placement = policy.newPlacement();
     this.requests = new RequestFactory(context);
+    this.rules = new AdmissionRules(context, upstreams);
+    this.issuer = new TicketIssuer(key, epoch);
   }
 
   public PoolKey key() {
@@ -58,19 +58,18 @@
    * a hand-over.
    */
   public void formerOwnerMayAdmit() {
-    formerOwner.mayAdmit();
+    upstreams.formerOwnerMayAdmit();
   }
 
   /** Every former owner had stopped by this time; hand-overs may still come. */
   public void formerOwnerStopped(long stoppedNanos) {
-    formerOwner.stopped(stoppedNanos);
-    upstreams.all().forEach(each -> each.formerOwnerStopped(formerOwner.knownFromNanos()));
+    upstreams.formerOwnerStopped(stoppedNanos);
   }
 
   /** Puts new rules in force: what waits and may not run any more is refused at once. */
-  public List<PoolDecision> applyRules(PoolRules rules, long nowNanos) {
+  public List<PoolDecision> applyRules(PoolRules next, long nowNanos) {
     begin(nowNanos);
-    context.setRules(rules);
+    context.setRules(next);
     waiting.applyRules(decisions);
     return end();
   }
@@ -80,23 +79,10 @@
     return upstreams.find(upstream, bootId).isPresent();
   }
 
-  /** Tells whether the pool takes this announcement; a full shard takes no further upstream. */
-  public boolean hasRoomFor(String upstream) {
-    return upstreams.hasRoom() || upstreams.find(upstream).isPresent();
-  }
-
   /** An upstream is there. A boot id that was not known starts at its cold limit. */
   public List<PoolDecision> announced(Announcement announcement, long nowNanos) {
     begin(nowNanos);
-    Optional<UpstreamState> known = upstreams.find(announcement.upstream(), announcement.bootId());
-    if (known.isPresent()) {
-      known.get().announcedAgain(announcement, nowNanos);
-      return end();
-    }
-    forgetFormerLife(announcement.upstream());
-    if (upstreams.hasRoom()) {
-      upstreams.add(announcement, formerOwner.workOf(nowNanos), nowNanos);
-    }
+    upstreams.announced(announcement);
     return end();
   }
 
@@ -123,7 +109,7 @@
   /** An upstream is gone for good. */
   public List<PoolDecision> gone(String upstream, long nowNanos) {
     begin(nowNanos);
-    forgetFormerLife(upstream);
+    upstreams.remove(upstream);
     return end();
   }
 
@@ -135,7 +121,7 @@
   public List<PoolDecision> submit(long requestId, AdmissionRequest request, long nowNanos) {
     begin(nowNanos);
     QueuedRequest queued = requests.create(requestId, request, nowNanos);
-    Optional<RefusalReason> refusal = refusalAtOnce(queued);
+    Optional<RefusalReason> refusal = rules.refusal(queued, admitting);
     if (refusal.isPresent()) {
       waiting.refuse(queued, refusal.get(), upstreams, decisions);
       return end();
@@ -194,9 +180,7 @@
   /** Time has passed: to be called every few tens of milliseconds. */
   public List<PoolDecision> tick(long nowNanos) {
     begin(nowNanos);
-    for (UpstreamState each : upstreams.removeGone(nowNanos)) {
-      context.prefixes().cleared(each.slot());
-    }
+    upstreams.removeGone();
     waiting.expire(upstreams, decisions);
     return end();
   }
@@ -235,28 +219,6 @@
     return decisions;
   }
 
-  private void forgetFormerLife(String upstream) {
-    upstreams.remove(upstream).ifPresent(each -> context.prefixes().cleared(each.slot()));
-  }
-
-  private Optional<RefusalReason> refusalAtOnce(QueuedRequest queued) {
-    if (!admitting) {
-      return Optional.of(RefusalReason.OWNER_MOVING);
-    }
-    AdmissionRequest request = queued.request();
-    if (context.rules().crashesOf(request.fingerprint().hex()) >= WaitingRoom.POISON_CRASHES) {
-      return Optional.of(RefusalReason.POISON);
-    }
-    if (upstreams.candidates(queued, context).isEmpty()) {
-      return Optional.of(RefusalReason.NO_UPSTREAM);
-    }
-    boolean counted = context.uses(Mechanism.RETRY_BUDGET);
-    if (counted && !retryBudget.allows(request.attempt())) {
-      return Optional.of(RefusalReason.RETRY_BUDGET);
-    }
-    return Optional.empty();
-  }
-
   private void pump() {
     if (admitting) {
       waiting.admit(upstreams, placement, this::admit);
@@ -270,25 +232,13 @@
   }
 
   private long admit(QueuedRequest queued, UpstreamState upstream, boolean alone) {
-    long ticketId = (epoch << EPOCH_SHIFT) | ++lastTicket;
-    long dispatchBy = context.nowNanos() + PoolLimits.DISPATCH_BY.toNanos();
-    Announcement to = upstream.announcement();
-    Ticket ticket =
-        new Ticket(
-            ticketId,
-            key.name(),
-            epoch,
-            to.upstream(),
-            to.bootId(),
-            to.address(),
-            dispatchBy,
-            alone);
+    Ticket ticket = issuer.issue(upstream.announcement(), alone, context.nowNanos());
     RunningRequest running = new RunningRequest(ticket, queued, context.nowNanos());
     upstream.admitted(running);
     context.prefixes().stored(upstream.slot(), queued.prefix());
     holdings.add(upstream, running);
     decisions.add(new PoolDecision.Admitted(queued.id(), ticket));
-    return ticketId;
+    return ticket.id();
   }
 
   private void learnLength(RunningRequest request, TicketOutcome outcome) {
--- a/src/main/java/org/cuminrack/pool/PoolOwner.java
+++ b/src/main/java/org/cuminrack/pool/PoolOwner.java
@@ -19,7 +19,7 @@
  *
  * <p>An entry that stays the owner over a change of members goes on without a pause: the hash of a
  * member never changes, so another entry can only have been the owner in between if it has left
- * since, and then its lease had run out or it had stopped by itself.
+ * since, and then its lease had run out. Where it still stops, the pools wait as for a move.
  */
 final class PoolOwner {
   private final Membership membership;
@@ -60,6 +60,7 @@
     Set<Long> present =
         view.members().stream().map(EntryMember::sessionId).collect(Collectors.toSet());
     boolean membersChanged = !present.equals(sessions);
+    boolean unseenOwner = hasUnseenOwner(view);
     sessions = present;
     for (OwnedPool each : pools.values()) {
       if (!isOwner(each.key(), view)) {
@@ -70,9 +71,18 @@
       if (membersChanged) {
         each.membersChanged(present);
       }
+      if (unseenOwner) {
+        each.suspendUntil(view.epoch());
+      }
     }
   }
 
+  /** Tells whether a member came and began to stop between two views; it may not have stopped. */
+  private boolean hasUnseenOwner(ClusterView view) {
+    return view.members().stream()
+        .anyMatch(each -> each.stopping() && !sessions.contains(each.sessionId()));
+  }
+
   /**
    * Lets go of every pool: this entry stops. The hand-overs go out as soon as views name owners.
    */
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/TicketIssuer.java
@@ -0,0 +1,29 @@
+package org.cuminrack.pool;
+
+import org.cuminrack.admission.Ticket;
+
+/** Makes the tickets of one pool; their ids are unique per owner and epoch. */
+final class TicketIssuer {
+  private static final int EPOCH_SHIFT = 32;
+
+  private final PoolKey pool;
+  private final long epoch;
+  private long last;
+
+  TicketIssuer(PoolKey pool, long epoch) {
+    this.pool = pool;
+    this.epoch = epoch;
+  }
+
+  Ticket issue(Announcement to, boolean alone, long nowNanos) {
+    return new Ticket(
+        (epoch << EPOCH_SHIFT) | ++last,
+        pool.name(),
+        epoch,
+        to.upstream(),
+        to.bootId(),
+        to.address(),
+        nowNanos + PoolLimits.DISPATCH_BY.toNanos(),
+        alone);
+  }
+}
--- a/src/main/java/org/cuminrack/pool/UpstreamTable.java
+++ b/src/main/java/org/cuminrack/pool/UpstreamTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,9 +9,38 @@
 
 /** The upstreams of a pool by name; each holds a slot, which is its bit in a long. */
 final class UpstreamTable {
+  private final PoolContext context;
+  private final FormerOwner formerOwner = new FormerOwner();
   private final Map<String, UpstreamState> byName = new LinkedHashMap<>();
   private long slotsTaken;
 
+  UpstreamTable(PoolContext context) {
+    this.context = context;
+  }
+
+  void formerOwnerMayAdmit() {
+    formerOwner.mayAdmit();
+  }
+
+  void formerOwnerStopped(long stoppedNanos) {
+    formerOwner.stopped(stoppedNanos);
+    all().forEach(each -> each.formerOwnerStopped(formerOwner.knownFromNanos()));
+  }
+
+  /** Takes an announcement; a life that wasn't known replaces the former one. */
+  void announced(Announcement announcement) {
+    long nowNanos = context.nowNanos();
+    Optional<UpstreamState> known = find(announcement.upstream(), announcement.bootId());
+    if (known.isPresent()) {
+      known.get().announcedAgain(announcement, nowNanos);
+      return;
+    }
+    remove(announcement.upstream());
+    if (hasRoom()) {
+      add(announcement, formerOwner.workOf(nowNanos), nowNanos);
+    }
+  }
+
   Collection<UpstreamState> all() {
     return byName.values();
   }
@@ -39,31 +67,27 @@
     return state;
   }
 
-  Optional<UpstreamState> remove(String upstream) {
+  void remove(String upstream) {
     UpstreamState removed = byName.remove(upstream);
     if (removed != null) {
       slotsTaken &= ~(1L << removed.slot());
+      context.prefixes().cleared(removed.slot());
     }
-    return Optional.ofNullable(removed);
   }
 
-  /** Forgets upstreams that have been silent for long, and returns them. */
-  List<UpstreamState> removeGone(long nowNanos) {
-    List<UpstreamState> gone = new ArrayList<>();
-    Iterator<UpstreamState> all = byName.values().iterator();
-    while (all.hasNext()) {
-      UpstreamState each = all.next();
-      if (each.isGone(nowNanos)) {
-        all.remove();
-        slotsTaken &= ~(1L << each.slot());
-        gone.add(each);
+  /** Forgets upstreams that have been silent for long. */
+  void removeGone() {
+    List<String> gone = new ArrayList<>();
+    for (UpstreamState each : byName.values()) {
+      if (each.isGone(context.nowNanos())) {
+        gone.add(each.name());
       }
     }
-    return gone;
+    gone.forEach(this::remove);
   }
 
   /** Returns the upstreams that may have new work of a request, whatever their load. */
-  List<UpstreamState> candidates(QueuedRequest request, PoolContext context) {
+  List<UpstreamState> candidates(QueuedRequest request) {
     List<UpstreamState> candidates = new ArrayList<>(byName.size());
     for (UpstreamState each : byName.values()) {
       boolean excluded = request.request().excludedUpstreams().contains(each.name());
@@ -75,7 +99,7 @@
   }
 
   /** Tells whether any upstream may have new work at all. */
-  boolean anyAvailable(PoolContext context) {
+  boolean anyAvailable() {
     for (UpstreamState each : byName.values()) {
       if (each.isAvailable(context.rules(), context.nowNanos())) {
         return true;
--- a/src/main/java/org/cuminrack/pool/WaitingRoom.java
+++ b/src/main/java/org/cuminrack/pool/WaitingRoom.java
@@ -126,7 +126,7 @@
 
   /** Refuses what has waited as long as it may, and everything where no upstream is left. */
   void expire(UpstreamTable upstreams, List<PoolDecision> decisions) {
-    boolean none = !upstreams.anyAvailable(context);
+    boolean none = !upstreams.anyAvailable();
     for (QueuedRequest each : List.copyOf(byId.values())) {
       long waited = context.nowNanos() - each.arrivedNanos();
       if (none) {
@@ -164,7 +164,7 @@
     if (head.isEmpty()) {
       return;
     }
-    List<UpstreamState> candidates = upstreams.candidates(head.get(), context);
+    List<UpstreamState> candidates = upstreams.candidates(head.get());
     Optional<UpstreamState> upstream = suspects.place(candidates);
     if (upstream.isPresent()) {
       byId.remove(head.get().id());
@@ -174,7 +174,7 @@
 
   private Optional<UpstreamState> place(
       QueuedRequest request, UpstreamTable upstreams, PlacementPolicy placement) {
-    List<UpstreamState> candidates = upstreams.candidates(request, context);
+    List<UpstreamState> candidates = upstreams.candidates(request);
     candidates.removeIf(UpstreamState::isAlone);
     return placement.place(request, candidates, context);
   }
--- a/src/test/java/org/cuminrack/pool/OwnerChangeTest.java
+++ b/src/test/java/org/cuminrack/pool/OwnerChangeTest.java
@@ -108,6 +108,21 @@
     assertThat(cluster.admit(owner, 5)).isEmpty();
   }
 
+  @Test
+  void shouldWaitWhereAnotherEntryMayHaveOwnedThePoolUnseen() {
+    startEngine();
+
+    cluster.add("entry-4");
+    cluster.stopping("entry-4");
+    cluster.spreadTo(owner);
+    List<Ticket> before = cluster.admit(owner, 5);
+    cluster.everyoneHas();
+    cluster.pass(SETTLED);
+
+    assertThat(before).isEmpty();
+    assertThat(cluster.admit(owner, 5)).hasSize(COLD);
+  }
+
   @Test
   void shouldTakeTicketsBackAtTheNextOwner() {
     startEngine();
