Replace a silent connection within two seconds

A link that swallows the bytes of open connections showed the stream going on after 2.21 s and an idempotent call after 2.04 s: the bound of silence was itself two seconds, and was looked at four times within it. The bound is now 1.5 s, looked at eight times.

--- a/src/main/java/org/cuminrack/relay/Generation.java
+++ b/src/main/java/org/cuminrack/relay/Generation.java
@@ -16,7 +16,7 @@
  */
 final class Generation implements EngineStreamListener, CallerStream.Listener {
   private static final int STATUS_UNAVAILABLE = 503;
-  private static final long TICKS_A_SILENCE = 4;
+  private static final long TICKS_A_SILENCE = 8;
 
   private final RelayContext context;
   private final CallerRequest caller;
--- a/src/main/java/org/cuminrack/relay/RelayBounds.java
+++ b/src/main/java/org/cuminrack/relay/RelayBounds.java
@@ -37,7 +37,7 @@
   public static RelayBounds defaults() {
     return new RelayBounds(
         Duration.ofMillis(500),
-        Duration.ofSeconds(2),
+        Duration.ofMillis(1500),
         Duration.ofSeconds(6),
         Duration.ofSeconds(60),
         Duration.ofSeconds(20),
--- a/src/test/java/org/cuminrack/relay/FakeAdmission.java
+++ b/src/test/java/org/cuminrack/relay/FakeAdmission.java
@@ -35,6 +35,16 @@
     }
   }
 
+  /** Knows one upstream only, behind another address. */
+  void upstreamAt(ScriptedUpstream upstream, String address) {
+    upstreams.clear();
+    upstreamAlsoAt(upstream, address);
+  }
+
+  void upstreamAlsoAt(ScriptedUpstream upstream, String address) {
+    upstreams.add(new EngineTarget(upstream.name(), address, upstream.bootId()));
+  }
+
   @Override
   public CompletableFuture<AdmissionOutcome> admit(AdmissionRequest request) {
     asked.add(request);
