Compare admission policies side by side in virtual time

The decisions have to be measured before they are tuned. The stand-in's engine model and the pool's decision core run under one virtual clock on the same seeded arrivals; reports, cache events and digests come late as they do in operation. Baselines decide over all engines in one pool, as a balancer does, ours over one pool a data centre.

Ruled out: capacity as the best rate within targets of one engine alone. It left least connections without one preemption at 100%, since it also counted away every run with a preemption. Capacity is now the most that one engine completes in a closed loop up to its warm limit. 32,768 tokens of memory hardly ever filled at the warm limit; the standard engine has 24,576.

--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/LoadCommand.java
@@ -0,0 +1,84 @@
+package org.cuminrack.cli;
+
+import io.vavr.control.Either;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.cuminrack.load.CompareOptions;
+import org.cuminrack.load.CompareRun;
+import org.cuminrack.load.LoadProfile;
+import org.cuminrack.load.ProfileFile;
+import org.cuminrack.pool.PolicyKind;
+import org.cuminrack.standin.EngineProfile;
+import org.cuminrack.yaml.YamlError;
+
+/** {@code cuminrack load}: open-loop load, and the policies measured side by side. */
+public final class LoadCommand implements Command {
+  private static final String COMPARE = "compare";
+
+  @Override
+  public String name() {
+    return "load";
+  }
+
+  @Override
+  public void describe(Subparsers subparsers) {
+    Subparser parser = subparsers.addParser(name());
+    parser.help("sends open-loop load, or compares policies in virtual time");
+    parser.addArgument("mode").nargs("?").choices("run", COMPARE).setDefault("run");
+    parser.addArgument("--profile").required(true).help("lyzicka, kamba or a file");
+    parser.addArgument("--loads").setDefault("70,100,130").help("compare: percents of capacity");
+    parser.addArgument("--policies").setDefault("").help("compare: some of the policies");
+    parser.addArgument("--csv").setDefault("").help("a file for every run's figures");
+    integer(parser, "--seeds", 5, "compare: runs of each policy and load");
+    integer(parser, "--seconds", 300, "measured time of a run");
+    int memoryTokens = EngineProfile.standard().memoryTokens();
+    integer(parser, "--memory-tokens", memoryTokens, "compare: memory of an engine");
+    integer(parser, "--threads", 2, "compare: runs at one time");
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments) {
+    Either<List<YamlError>, LoadProfile> profile = ProfileFile.read(arguments.getString("profile"));
+    if (profile.isLeft()) {
+      profile.getLeft().forEach(each -> System.err.println("cuminrack: " + each));
+      return ExitCode.USAGE;
+    }
+    if (arguments.getString("mode").equals(COMPARE)) {
+      return compare(arguments, profile.get());
+    }
+    return ExitCode.FAILED;
+  }
+
+  private static ExitCode compare(Namespace arguments, LoadProfile profile) {
+    CompareOptions options =
+        new CompareOptions(
+            policies(arguments.getString("policies")),
+            Arrays.stream(arguments.getString("loads").split(",", -1))
+                .map(Integer::valueOf)
+                .toList(),
+            arguments.getInt("seeds"),
+            java.time.Duration.ofSeconds(arguments.getInt("seconds")),
+            arguments.getInt("threads"),
+            EngineProfile.standard().withMemoryTokens(arguments.getInt("memory_tokens")),
+            arguments.getString("csv"));
+    CompareRun.of(profile, options, System.out).run();
+    return ExitCode.DONE;
+  }
+
+  private static List<PolicyKind> policies(String names) {
+    if (names.isEmpty()) {
+      return List.of(PolicyKind.values());
+    }
+    return Arrays.stream(names.split(",", -1))
+        .map(each -> PolicyKind.valueOf(each.toUpperCase(Locale.ROOT).replace('-', '_')))
+        .toList();
+  }
+
+  private static void integer(Subparser parser, String name, int otherwise, String help) {
+    parser.addArgument(name).type(Integer.class).setDefault(otherwise).help(help);
+  }
+}
--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -29,7 +29,8 @@
           new CheckCommand(),
           new StandInCommand(),
           new ControlCommand(),
-          new EntryCommand());
+          new EntryCommand(),
+          new LoadCommand());
 
   private Main() {}
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/CompareRun.java
@@ -0,0 +1,60 @@
+package org.cuminrack.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cuminrack.standin.EngineProfile;
+
+/** The whole comparison of one profile, printed. */
+public final class CompareRun {
+  private final LoadProfile profile;
+  private final CompareOptions options;
+  private final PrintStream out;
+
+  private CompareRun(LoadProfile profile, CompareOptions options, PrintStream out) {
+    this.profile = profile;
+    this.options = options;
+    this.out = out;
+  }
+
+  /** Returns a comparison that prints to a stream. */
+  public static CompareRun of(LoadProfile profile, CompareOptions options, PrintStream out) {
+    return new CompareRun(profile, options, out);
+  }
+
+  /** Runs and prints it. */
+  public void run() {
+    EngineProfile engine = options.engine();
+    double perEngine = new CapacityProbe(profile, engine).perSecond();
+    double perSecondAtFull = perEngine * profile.engines();
+    out.printf(
+        "profile=%s engines=%d memory_tokens=%d capacity_per_engine=%.2f/s capacity=%.2f/s seeds=%d seconds=%d%n%n",
+        profile.name(),
+        profile.engines(),
+        engine.memoryTokens(),
+        perEngine,
+        perSecondAtFull,
+        options.seeds(),
+        options.measured().toSeconds());
+    SteadyLoad load = new SteadyLoad(profile, engine, perSecondAtFull, options.measured());
+    List<RunResult> runs =
+        new Comparison(load, options.threads())
+            .run(options.policies(), options.loadPercents(), options.seeds());
+    ComparisonTable table = ComparisonTable.of(runs);
+    out.println(table.markdown());
+    if (!options.csvFile().isEmpty()) {
+      write(Path.of(options.csvFile()), table.csv());
+    }
+  }
+
+  private static void write(Path file, String text) {
+    try {
+      Files.writeString(file, text);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/Comparison.java
@@ -0,0 +1,48 @@
+package org.cuminrack.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.cuminrack.pool.PolicyKind;
+
+/** Runs policies side by side on the same arrivals. The result does not depend on the threads. */
+public final class Comparison {
+  private final SteadyLoad load;
+  private final int threads;
+
+  Comparison(SteadyLoad load, int threads) {
+    this.load = load;
+    this.threads = threads;
+  }
+
+  /** Runs every policy at every load with every seed, from 1 on. */
+  List<RunResult> run(List<PolicyKind> policies, List<Integer> loadPercents, int seeds) {
+    ExecutorService workers = Executors.newFixedThreadPool(threads);
+    try {
+      List<Future<RunResult>> running = new ArrayList<>();
+      for (int loadPercent : loadPercents) {
+        for (PolicyKind policy : policies) {
+          for (long seed = 1; seed <= seeds; seed++) {
+            long ofRun = seed;
+            running.add(workers.submit(() -> load.run(policy, loadPercent, ofRun)));
+          }
+        }
+      }
+      List<RunResult> results = new ArrayList<>();
+      for (Future<RunResult> each : running) {
+        results.add(each.get());
+      }
+      return results;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted while experiments ran", e);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("an experiment failed", e.getCause());
+    } finally {
+      workers.shutdownNow();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/Figure.java
@@ -0,0 +1,63 @@
+package org.cuminrack.load;
+
+import java.util.Locale;
+
+/** A column of the comparison: what it is called and how it is taken from a run. */
+public enum Figure {
+  STALL("stall_ms"),
+  PREEMPTIONS("preemptions"),
+  GAP_P99("gap_p99_ms"),
+  FIRST_TOKEN_P95("first_p95_ms"),
+  FIRST_TOKEN_P99("first_p99_ms"),
+  INTERACTIVE_P99("interactive_first_p99_ms"),
+  WITHIN("within_%"),
+  GOODPUT("goodput_/s"),
+  GOODPUT_TOKENS("goodput_tokens/s"),
+  WHOLE("whole_/s"),
+  REFUSED("refused_%"),
+  TIMED_OUT("timed_out"),
+  LOST("lost"),
+  CRASHES("crashes");
+
+  private static final double PRINTED_WHOLE_FROM = 100;
+
+  private final String title;
+
+  Figure(String title) {
+    this.title = title;
+  }
+
+  /** Returns the column's title, with its unit. */
+  public String title() {
+    return title;
+  }
+
+  /** Takes the figure from a run. */
+  public double of(RunResult run) {
+    RunMetrics metrics = run.metrics();
+    return switch (this) {
+      case STALL -> metrics.stallMillisPerAdmitted();
+      case PREEMPTIONS -> run.preemptions();
+      case GAP_P99 -> metrics.gapMillis(99);
+      case FIRST_TOKEN_P95 -> metrics.firstTokenMillis(95);
+      case FIRST_TOKEN_P99 -> metrics.firstTokenMillis(99);
+      case INTERACTIVE_P99 -> metrics.interactiveMillis(99);
+      case WITHIN -> metrics.withinTargetsPercent();
+      case GOODPUT -> run.goodputPerSecond();
+      case GOODPUT_TOKENS -> run.goodputTokensPerSecond();
+      case WHOLE -> run.wholePerSecond();
+      case REFUSED -> metrics.refusedPercent();
+      case TIMED_OUT -> metrics.timedOut();
+      case LOST -> metrics.lost();
+      case CRASHES -> run.crashes();
+    };
+  }
+
+  /** Returns a value as it is printed. */
+  static String format(double value) {
+    if (value >= PRINTED_WHOLE_FROM || value == Math.rint(value)) {
+      return String.format(Locale.ROOT, "%.0f", value);
+    }
+    return String.format(Locale.ROOT, "%.2f", value);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/Spread.java
@@ -0,0 +1,30 @@
+package org.cuminrack.load;
+
+import java.util.Arrays;
+import java.util.Collection;
+
+/** The median of some runs, with the least and the greatest. */
+public record Spread(double median, double least, double greatest) {
+
+  /** Returns the spread of one or more values. */
+  public static Spread of(Collection<Double> values) {
+    double[] sorted = values.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+    if (sorted.length == 0) {
+      throw new IllegalArgumentException("values: expected one or more, found none");
+    }
+    int middle = sorted.length / 2;
+    boolean odd = sorted.length % 2 == 1;
+    double median = odd ? sorted[middle] : (sorted[middle - 1] + sorted[middle]) / 2;
+    return new Spread(median, sorted[0], Arrays.stream(sorted).max().getAsDouble());
+  }
+
+  @Override
+  public String toString() {
+    return Figure.format(median)
+        + " ("
+        + Figure.format(least)
+        + "–"
+        + Figure.format(greatest)
+        + ")";
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/TrafficClass.java
@@ -0,0 +1,52 @@
+package org.cuminrack.load;
+
+import java.time.Duration;
+import org.cuminrack.admission.Priority;
+import org.cuminrack.standin.OutputLengths;
+import org.cuminrack.yaml.MappingReader;
+
+/**
+ * Requests of one kind.
+ *
+ * @param name what it is called in reports
+ * @param route the route that its callers name as the model
+ * @param priority how urgent it is
+ * @param share its part of all generations, relative to the other classes
+ * @param prefixes prompt beginnings that each organisation uses over and over
+ * @param prefixTokens length of such a beginning
+ * @param promptTokens length of what follows it, different in each request
+ * @param outputs lengths of its outputs
+ * @param timeout how long a caller waits for the first token
+ */
+public record TrafficClass(
+    String name,
+    String route,
+    Priority priority,
+    int share,
+    int prefixes,
+    int prefixTokens,
+    int promptTokens,
+    OutputLengths outputs,
+    Duration timeout) {
+  private static final double PERCENT = 100;
+
+  static TrafficClass read(MappingReader reader) {
+    return new TrafficClass(
+        reader.name("name"),
+        reader.name("route"),
+        reader.choice("priority", Priority.class),
+        reader.number("share", 1, 1_000),
+        reader.number("prefixes", 1, 1_000),
+        reader.number("prefix_tokens", 0, 100_000),
+        reader.number("prompt_tokens", 1, 100_000),
+        outputs(reader),
+        Duration.ofMillis(reader.number("timeout_millis", 100, 600_000)));
+  }
+
+  private static OutputLengths outputs(MappingReader reader) {
+    return new OutputLengths(
+        reader.number("output_median_tokens", 1, 100_000),
+        reader.number("output_sigma_percent", 0, 300) / PERCENT,
+        reader.number("output_max_tokens", 1, 100_000));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load against entries, and experiments with the decisions in virtual time. */
+package org.cuminrack.load;
--- a/src/main/java/org/cuminrack/standin/EngineProfile.java
+++ b/src/main/java/org/cuminrack/standin/EngineProfile.java
@@ -39,7 +39,7 @@
 
   private static final EngineProfile STANDARD =
       new EngineProfile(
-          14_000, 600, 30, 192, 32_768, 64, 256, 4, 32, 4.0, 24, 30_000, FallOver.CRASH);
+          14_000, 600, 30, 192, 24_576, 64, 256, 4, 32, 4.0, 24, 30_000, FallOver.CRASH);
 
   /** An engine whose full step at its warm limit takes 39 ms. */
   public static EngineProfile standard() {
--- a/src/main/java/org/cuminrack/standin/LaggingCacheEvents.java
+++ b/src/main/java/org/cuminrack/standin/LaggingCacheEvents.java
@@ -7,7 +7,7 @@
 import java.util.SplittableRandom;
 
 /** Holds batches of cache changes back and loses some of them. */
-final class LaggingCacheEvents {
+public final class LaggingCacheEvents {
   private static final int PERCENT = 100;
 
   private final long lagNanos;
@@ -16,14 +16,14 @@
   private final Deque<Batch> held = new ArrayDeque<>();
   private long sequence;
 
-  LaggingCacheEvents(Duration lag, int lossPercent, long seed) {
+  public LaggingCacheEvents(Duration lag, int lossPercent, long seed) {
     this.lagNanos = lag.toNanos();
     this.lossPercent = lossPercent;
     this.random = new SplittableRandom(seed);
   }
 
   /** Takes a batch in at an instant; a lost batch uses its number up. */
-  void add(long nanos, CacheChange change) {
+  public void add(long nanos, CacheChange change) {
     if (change.isEmpty()) {
       return;
     }
@@ -34,7 +34,7 @@
   }
 
   /** Returns the next batch that is old enough to be sent. */
-  Optional<Batch> next(long nanos) {
+  public Optional<Batch> next(long nanos) {
     Batch first = held.peekFirst();
     if (first == null || first.nanos > nanos - lagNanos) {
       return Optional.empty();
@@ -43,5 +43,5 @@
   }
 
   /** A batch and its number. */
-  record Batch(long nanos, long sequence, CacheChange change) {}
+  public record Batch(long nanos, long sequence, CacheChange change) {}
 }
--- a/src/main/java/org/cuminrack/standin/LaggingLoad.java
+++ b/src/main/java/org/cuminrack/standin/LaggingLoad.java
@@ -5,16 +5,16 @@
 import java.util.Deque;
 
 /** Remembers samples of a load and gives back the one of a while ago. */
-final class LaggingLoad {
+public final class LaggingLoad {
   private final long lagNanos;
   private final Deque<Sample> samples = new ArrayDeque<>();
 
-  LaggingLoad(Duration lag) {
+  public LaggingLoad(Duration lag) {
     this.lagNanos = lag.toNanos();
   }
 
   /** Adds the load at an instant and returns the newest one that is old enough. */
-  EngineLoad sample(long nanos, EngineLoad load) {
+  public EngineLoad sample(long nanos, EngineLoad load) {
     samples.addLast(new Sample(nanos, load));
     Sample chosen = samples.peekFirst();
     while (samples.peekFirst() != null && samples.peekFirst().nanos <= nanos - lagNanos) {
