Send open-loop load to entries and report it

cuminrack load plays a profile's seeded arrivals against entries whatever the answers are, checks every answer index by index and word by word, and reports by HdrHistogram as text, CSV and SVG. Time to the first token counts from the planned arrival, so that a late sender does not hide a wait.

The caller now keeps the connection open as browsers do and judges a closed one by what came.

--- a/src/main/java/org/cuminrack/cli/LoadCommand.java
+++ b/src/main/java/org/cuminrack/cli/LoadCommand.java
@@ -1,6 +1,7 @@
 package org.cuminrack.cli;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -9,10 +10,13 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.load.CompareOptions;
 import org.cuminrack.load.CompareRun;
+import org.cuminrack.load.LoadOptions;
 import org.cuminrack.load.LoadProfile;
+import org.cuminrack.load.LoadRun;
 import org.cuminrack.load.ProfileFile;
 import org.cuminrack.pool.PolicyKind;
 import org.cuminrack.standin.EngineProfile;
+import org.cuminrack.time.Clock;
 import org.cuminrack.yaml.YamlError;
 
 /** {@code cuminrack load}: open-loop load, and the policies measured side by side. */
@@ -30,6 +34,14 @@
     parser.help("sends open-loop load, or compares policies in virtual time");
     parser.addArgument("mode").nargs("?").choices("run", COMPARE).setDefault("run");
     parser.addArgument("--profile").required(true).help("lyzicka, kamba or a file");
+    parser.addArgument("--entries").setDefault("").help("run: HOST:PORT,… of the entries");
+    parser
+        .addArgument("--rate")
+        .type(Double.class)
+        .setDefault(2.0)
+        .help("run: generations a second");
+    parser.addArgument("--report").setDefault("").help("run: a folder for CSV and plot");
+    integer(parser, "--seed", 1, "run: chooses the arrivals");
     parser.addArgument("--loads").setDefault("70,100,130").help("compare: percents of capacity");
     parser.addArgument("--policies").setDefault("").help("compare: some of the policies");
     parser.addArgument("--csv").setDefault("").help("a file for every run's figures");
@@ -50,7 +62,24 @@
     if (arguments.getString("mode").equals(COMPARE)) {
       return compare(arguments, profile.get());
     }
-    return ExitCode.FAILED;
+    return send(arguments, profile.get());
+  }
+
+  private static ExitCode send(Namespace arguments, LoadProfile profile) {
+    String entries = arguments.getString("entries");
+    if (entries.isEmpty()) {
+      System.err.println("cuminrack: --entries: expected HOST:PORT,…, found nothing");
+      return ExitCode.USAGE;
+    }
+    LoadOptions options =
+        new LoadOptions(
+            List.of(entries.split(",", -1)),
+            arguments.getDouble("rate"),
+            Duration.ofSeconds(arguments.getInt("seconds")),
+            arguments.getInt("seed"),
+            arguments.getString("report"));
+    boolean good = LoadRun.of(profile, options, Clock.system(), System.out).run();
+    return good ? ExitCode.DONE : ExitCode.FAILED;
   }
 
   private static ExitCode compare(Namespace arguments, LoadProfile profile) {
@@ -61,7 +90,7 @@
                 .map(Integer::valueOf)
                 .toList(),
             arguments.getInt("seeds"),
-            java.time.Duration.ofSeconds(arguments.getInt("seconds")),
+            Duration.ofSeconds(arguments.getInt("seconds")),
             arguments.getInt("threads"),
             EngineProfile.standard().withMemoryTokens(arguments.getInt("memory_tokens")),
             arguments.getString("csv"));
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/LoadRun.java
@@ -0,0 +1,158 @@
+package org.cuminrack.load;
+
+import io.undertow.util.Methods;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.time.Clock;
+
+/** Sends a profile's load to entries on a fixed schedule, whatever the answers are. */
+public final class LoadRun {
+  private static final Duration RUN_OUT = Duration.ofMinutes(2);
+  private static final int PERCENT = 100;
+  private static final long NANOS_PER_MICRO = 1_000;
+
+  private final LoadProfile profile;
+  private final LoadOptions options;
+  private final Clock clock;
+  private final PrintStream out;
+  private final CallerConnections connections = new CallerConnections();
+  private final HttpClient client = new HttpClient();
+  private final ConcurrentLinkedQueue<CompletableFuture<StreamedCall>> calls =
+      new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<CompletableFuture<?>> orders = new ConcurrentLinkedQueue<>();
+  private final OrderCounts orderCounts = new OrderCounts();
+  private final SplittableRandom random;
+  private long startNanos;
+  private int nextEntry;
+  private int nextOrder;
+
+  private LoadRun(LoadProfile profile, LoadOptions options, Clock clock, PrintStream out) {
+    this.profile = profile;
+    this.options = options;
+    this.clock = clock;
+    this.out = out;
+    this.random = new SplittableRandom(options.seed());
+  }
+
+  /** Returns a run that prints its report to a stream. */
+  public static LoadRun of(LoadProfile profile, LoadOptions options, Clock clock, PrintStream out) {
+    return new LoadRun(profile, options, clock, out);
+  }
+
+  /**
+   * Sends the load, waits for the answers and prints the report; returns false for a bad answer.
+   */
+  public boolean run() {
+    List<PlannedRequest> plan =
+        Workload.of(profile, options.seed()).plan(options.perSecond(), options.length());
+    connections.start();
+    client.start();
+    ScheduledExecutorService schedule = Executors.newSingleThreadScheduledExecutor();
+    try {
+      startNanos = clock.nanoTime();
+      for (PlannedRequest each : plan) {
+        schedule.schedule(() -> send(each), each.atNanos(), TimeUnit.NANOSECONDS);
+      }
+      schedule.shutdown();
+      if (!schedule.awaitTermination(
+          options.length().plus(RUN_OUT).toMillis(), TimeUnit.MILLISECONDS)) {
+        out.println("arrivals late: the load tool could not keep its schedule");
+      }
+      List<StreamedCall> ended = await();
+      return report(ended, calls.size());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    } finally {
+      schedule.shutdownNow();
+      connections.stop();
+      client.stop();
+    }
+  }
+
+  private void send(PlannedRequest request) {
+    StreamedCall call = new StreamedCall(request, nextEntry(), () -> clock.nanoTime() - startNanos);
+    calls.add(call.send(connections));
+    for (OrderTraffic each : profile.orders()) {
+      sendOrders(each);
+    }
+  }
+
+  private void sendOrders(OrderTraffic traffic) {
+    int count = traffic.perHundredGenerations() / PERCENT;
+    count += random.nextInt(PERCENT) < traffic.perHundredGenerations() % PERCENT ? 1 : 0;
+    for (int i = 0; i < count; i++) {
+      boolean lookup = random.nextInt(PERCENT) < traffic.lookupPercent();
+      sendOrder(traffic.route(), lookup);
+    }
+  }
+
+  private void sendOrder(String route, boolean lookup) {
+    nextOrder++;
+    String path = "/" + route + (lookup ? "/stock/" : "/orders/") + nextOrder;
+    HttpCall call = HttpCall.of(lookup ? Methods.GET : Methods.POST, nextEntry(), path);
+    call.withHeader("X-Organisation", profile.organisations().get(0).name());
+    if (!lookup) {
+      call.withHeader(
+          "Idempotency-Key", "load-" + options.seed() + "-" + startNanos + "-" + nextOrder);
+    }
+    HttpCall whole = lookup ? call : call.withJson(Map.of("item", nextOrder));
+    orderCounts.sent();
+    long sentNanos = clock.nanoTime();
+    orders.add(
+        client
+            .send(whole)
+            .thenAccept(
+                answer ->
+                    answer
+                        .peek(
+                            each ->
+                                orderCounts.answered(
+                                    each.status(),
+                                    (clock.nanoTime() - sentNanos) / NANOS_PER_MICRO))
+                        .peekLeft(ignored -> orderCounts.failed())));
+  }
+
+  private String nextEntry() {
+    return options.entries().get(nextEntry++ % options.entries().size());
+  }
+
+  private List<StreamedCall> await() throws InterruptedException {
+    CompletableFuture<?> all = CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]));
+    try {
+      all.get(RUN_OUT.toMillis(), TimeUnit.MILLISECONDS);
+      CompletableFuture.allOf(orders.toArray(new CompletableFuture<?>[0])).join();
+    } catch (TimeoutException e) {
+      out.println("some answers were not over after " + RUN_OUT.toSeconds() + " s");
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("a call always ends normally", e);
+    }
+    return calls.stream().filter(CompletableFuture::isDone).map(CompletableFuture::join).toList();
+  }
+
+  private boolean report(List<StreamedCall> ended, int sent) {
+    LoadReport report =
+        LoadReport.of(
+            RunMetrics.of(ended.stream().map(StreamedCall::record).toList()), options.length());
+    List<String> faults =
+        ended.stream().map(StreamedCall::fault).filter(each -> !each.isEmpty()).toList();
+    out.print(report.text());
+    out.println(orderCounts.text());
+    out.printf("unended=%d bad_answers=%d%n", sent - ended.size(), faults.size());
+    faults.stream().limit(5).forEach(each -> out.println("bad answer: " + each));
+    report.write(options.reportFolder());
+    return faults.isEmpty();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/cuminrack/load/OrderCounts.java
@@ -0,0 +1,44 @@
+package org.cuminrack.load;
+
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** What became of the plain calls. Safe for use by many threads. */
+final class OrderCounts {
+  private static final int DIGITS = 3;
+  private static final int OK = 200;
+
+  private final Histogram answerMicros = new ConcurrentHistogram(DIGITS);
+  private int sent;
+  private int whole;
+  private int refused;
+  private int unknown;
+
+  synchronized void sent() {
+    sent++;
+  }
+
+  synchronized void answered(int status, long micros) {
+    if (status == OK) {
+      whole++;
+      answerMicros.recordValue(micros);
+    } else {
+      refused++;
+    }
+  }
+
+  synchronized void failed() {
+    unknown++;
+  }
+
+  synchronized String text() {
+    return "orders sent=%d whole=%d refused=%d no_answer=%d p50_ms=%.1f p99_ms=%.1f"
+        .formatted(
+            sent,
+            whole,
+            refused,
+            unknown,
+            answerMicros.getValueAtPercentile(50) / 1_000.0,
+            answerMicros.getValueAtPercentile(99) / 1_000.0);
+  }
+}
