--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -30,7 +30,8 @@
           new StandInCommand(),
           new ControlCommand(),
           new EntryCommand(),
-          new DemoCommand());
+          new DemoCommand(),
+          new LoadCommand());
 
   private Main() {}
 
