--- a/src/test/java/org/cuminrack/system/Callers.java
+++ b/src/test/java/org/cuminrack/system/Callers.java
@@ -1,11 +1,15 @@
 package org.cuminrack.system;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.cuminrack.http.Json;
@@ -88,15 +92,22 @@
 
   /** Returns the addresses that an entry hands out. */
   List<String> entries(String entry) {
-    List<String> addresses = new java.util.ArrayList<>();
-    Json.readTree(
-            get(entry, "/v1/entries").body().getBytes(java.nio.charset.StandardCharsets.UTF_8))
-        .get()
-        .path("entries")
-        .forEach(each -> addresses.add(each.asText()));
+    List<String> addresses = new ArrayList<>();
+    json(entry, "/v1/entries").path("entries").forEach(each -> addresses.add(each.asText()));
     return addresses;
   }
 
+  /** Returns a process's state. */
+  JsonNode dump(String address) {
+    return json(address, "/dump");
+  }
+
+  /** Returns a JSON answer; a missing node where none came. */
+  JsonNode json(String address, String path) {
+    byte[] body = get(address, path).body().getBytes(StandardCharsets.UTF_8);
+    return Json.readTree(body).getOrElse(MissingNode.getInstance());
+  }
+
   /** Waits until every entry serves both services. */
   void awaitServing(TestCluster cluster) {
     for (String entry : cluster.entryAddresses()) {
--- /dev/null
+++ b/src/test/java/org/cuminrack/system/InForceTest.java
@@ -0,0 +1,112 @@
+package org.cuminrack.system;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import org.cuminrack.config.DataCentre;
+import org.cuminrack.config.Upstream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** How soon an accepted change is in force on every entry. */
+@Tag("process")
+class InForceTest {
+  private static final int CHANGES = 500;
+  private static final Duration WAIT = Duration.ofSeconds(10);
+
+  /** The target of the letter. */
+  private static final Duration IN_FORCE_BOUND = Duration.ofSeconds(20);
+
+  /** The lease of 2 s, its drift margin, and a second for the rest. */
+  private static final Duration FROZEN_BOUND = Duration.ofMillis(3_200);
+
+  @TempDir Path folder;
+
+  private final Callers callers = new Callers();
+
+  @Test
+  void shouldBringEveryChangeIntoForceOnSixEntries() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).withEntries(6).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      awaitMembers(cluster, 6);
+      Histogram histogram = new Histogram(3);
+      for (int i = 0; i < CHANGES; i++) {
+        histogram.recordValue(inForceMicros(operator, i));
+      }
+
+      System.out.printf(
+          "in force on 6 entries, %d changes: p50 %.1f ms, p99 %.1f ms, max %.1f ms%n",
+          CHANGES,
+          histogram.getValueAtPercentile(50) / 1e3,
+          histogram.getValueAtPercentile(99) / 1e3,
+          histogram.getMaxValue() / 1e3);
+      assertThat(histogram.getMaxValue()).isLessThan(IN_FORCE_BOUND.toNanos() / 1_000);
+    }
+  }
+
+  @Test
+  void shouldBringAChangeIntoForceWhileAnEntryIsFrozenOnceItsLeaseIsOver() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).withEntries(3).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      awaitMembers(cluster, 3);
+      cluster.process("entry-1").freeze();
+      long micros = inForceMicros(operator, 1);
+      System.out.printf("in force with one of 3 entries frozen: %.1f ms%n", micros / 1e3);
+
+      cluster.process("entry-1").thaw();
+
+      assertThat(micros).isLessThan(FROZEN_BOUND.toNanos() / 1_000);
+      awaitRevision(cluster, "entry-1", operator.accept(List.of(new DataCentre("dc-a", true))));
+    }
+  }
+
+  @Test
+  void shouldLetAControlProcessThatWasFrozenForLongDoNoHarm() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).withEntries(2).start();
+        Operator operator = new Operator(cluster.controlAddresses().subList(1, 3))) {
+      awaitMembers(cluster, 2);
+      cluster.process("control-1").freeze();
+      for (int i = 0; i < 100; i++) {
+        operator.accept(List.of(new Upstream("engine-" + i, true)));
+      }
+
+      cluster.process("control-1").thaw();
+
+      try (Operator late = new Operator(cluster.controlAddresses().subList(0, 1))) {
+        assertThat(late.client().configuration().get().objects()).hasSize(100);
+      }
+      long revision = operator.apply(List.of(new DataCentre("dc-a", true)));
+      cluster.entries().forEach(each -> awaitRevision(cluster, each, revision));
+    }
+  }
+
+  private static long inForceMicros(Operator operator, int number) {
+    long revision = operator.accept(List.of(new Upstream("engine-" + number, true)));
+    long acceptedNanos = System.nanoTime();
+    Conditions.await(
+        "revision " + revision,
+        IN_FORCE_BOUND,
+        () -> operator.client().inForce(revision, WAIT).get().inForce());
+    return (System.nanoTime() - acceptedNanos) / 1_000;
+  }
+
+  private void awaitMembers(TestCluster cluster, int count) {
+    for (String entry : cluster.entryAddresses()) {
+      Conditions.await(
+          count + " entries at " + entry,
+          IN_FORCE_BOUND,
+          () -> callers.entries(entry).size() == count);
+    }
+  }
+
+  private void awaitRevision(TestCluster cluster, String entry, long revision) {
+    Conditions.await(
+        "revision " + revision + " on " + entry,
+        IN_FORCE_BOUND,
+        () -> callers.dump(cluster.address(entry)).path("revision").asLong() >= revision);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/system/LostDiskTest.java
@@ -0,0 +1,78 @@
+package org.cuminrack.system;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.cuminrack.config.Upstream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Control VMs that lose their disks, one after the other. */
+@Tag("process")
+class LostDiskTest {
+  private static final Duration REPAIR_TIMEOUT = Duration.ofSeconds(30);
+
+  @TempDir Path folder;
+
+  private final Callers callers = new Callers();
+
+  @Test
+  void shouldLoseNoChangeWhereEachDiskIsLostInTurnAndASecondVmDiesRightAfter() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      for (int i = 0; i < 50; i++) {
+        operator.accept(List.of(new Upstream("engine-" + i, true)));
+      }
+      for (String name : cluster.controls()) {
+        String before = replica(cluster, name);
+        cluster.process(name).kill();
+        delete(cluster.dataFolder(name));
+        cluster.restart(name);
+        Conditions.await(
+            name + " to vote again",
+            REPAIR_TIMEOUT,
+            () -> !replica(cluster, name).equals(before) && votes(cluster, name));
+      }
+
+      cluster.process("control-1").kill();
+      operator.accept(List.of(new Upstream("engine-50", true)));
+
+      assertThat(operator.client().configuration().get().objects()).hasSize(51);
+    }
+  }
+
+  private String replica(TestCluster cluster, String name) {
+    return quorum(cluster, name).path("replica").asText();
+  }
+
+  private boolean votes(TestCluster cluster, String name) {
+    String replica = replica(cluster, name);
+    String leader = quorum(cluster, name).path("leader").asText();
+    if (leader.isEmpty()) {
+      return false;
+    }
+    String incarnation = quorum(cluster, leader).path("voters").path(name).asText();
+    return !incarnation.isEmpty() && replica.contains(incarnation);
+  }
+
+  private com.fasterxml.jackson.databind.JsonNode quorum(TestCluster cluster, String name) {
+    return callers.dump(cluster.address(name)).path("quorum");
+  }
+
+  private static void delete(Path folder) throws IOException {
+    List<Path> all;
+    try (Stream<Path> paths = Files.walk(folder)) {
+      all = paths.sorted(Comparator.reverseOrder()).toList();
+    }
+    for (Path each : all) {
+      Files.delete(each);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/system/PoisonTest.java
@@ -0,0 +1,45 @@
+package org.cuminrack.system;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A request that crashes each engine that runs it, sent again and again to every entry. */
+@Tag("process")
+class PoisonTest {
+  private static final int RESENDS = 12;
+
+  @TempDir Path folder;
+
+  private final Callers callers = new Callers();
+
+  @Test
+  void shouldLoseAtMostTwoEnginesToOneRequest() throws Exception {
+    try (TestCluster cluster =
+            TestCluster.in(folder)
+                .withControls(3)
+                .withEntries(3)
+                .withEngines(4, "--warm")
+                .withShops(1)
+                .start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      operator.apply(Operator.shopPlan().objects());
+      callers.awaitServing(cluster);
+
+      GenerationAnswer last = null;
+      for (int i = 0; i < RESENDS; i++) {
+        String entry = cluster.entryAddresses().get(i % 3);
+        last = callers.generate(entry, "this one kills [[poison]] [[tokens=5]]", 5);
+      }
+
+      long lost =
+          cluster.upstreams().stream().filter(each -> !cluster.process(each).isAlive()).count();
+      assertThat(lost).isAtMost(2);
+      assertThat(last.status()).isEqualTo(422);
+      assertThat(last.problem()).contains("urn:cuminrack:problem:poison");
+    }
+  }
+}
--- a/src/test/java/org/cuminrack/system/StreamProcessTest.java
+++ b/src/test/java/org/cuminrack/system/StreamProcessTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,7 +11,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.locks.LockSupport;
-import org.cuminrack.http.Json;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -44,7 +41,7 @@
       callers.awaitServing(cluster);
       String dying = cluster.entryAddresses().get(0);
       String other = cluster.entryAddresses().get(1);
-      List<Future<GenerationAnswer>> streams = startStreams(dying);
+      List<Future<GenerationAnswer>> streams = startStreams(cluster, dying);
       awaitStreamsRunning(cluster, dying);
 
       cluster.process("entry-1").kill();
@@ -53,7 +50,7 @@
       for (int i = 0; i < STREAMS; i++) {
         GenerationAnswer answer = streams.get(i).get();
         if (!answer.isWhole()) {
-          answer = goOn(other, i, answer);
+          answer = goOn(cluster, other, i, answer);
           resumed++;
         }
         GenerationChecks.assertWhole(prompt(i), answer);
@@ -72,7 +69,8 @@
       for (String each : List.of("engine-1", "engine-2", "engine-3")) {
         bootIds.add(cluster.process(each).awaitStarted("boot_id"));
       }
-      List<Future<GenerationAnswer>> streams = startStreams(cluster.entryAddresses().get(0));
+      List<Future<GenerationAnswer>> streams =
+          startStreams(cluster, cluster.entryAddresses().get(0));
       awaitStreamsRunning(cluster, cluster.entryAddresses().get(0));
 
       cluster.process("engine-1").kill();
@@ -94,7 +92,7 @@
       operator.apply(Operator.shopPlan().objects());
       callers.awaitServing(cluster);
       String stopping = cluster.entryAddresses().get(0);
-      List<Future<GenerationAnswer>> streams = startStreams(stopping);
+      List<Future<GenerationAnswer>> streams = startStreams(cluster, stopping);
       awaitStreamsRunning(cluster, stopping);
 
       cluster.process("entry-1").terminate();
@@ -113,7 +111,8 @@
         Operator operator = new Operator(cluster.controlAddresses())) {
       operator.apply(Operator.shopPlan().objects());
       callers.awaitServing(cluster);
-      List<Future<GenerationAnswer>> streams = startStreams(cluster.entryAddresses().get(0));
+      List<Future<GenerationAnswer>> streams =
+          startStreams(cluster, cluster.entryAddresses().get(0));
       awaitStreamsRunning(cluster, cluster.entryAddresses().get(0));
 
       cluster.process("engine-1").terminate();
@@ -134,25 +133,36 @@
         .start();
   }
 
-  private List<Future<GenerationAnswer>> startStreams(String entry) {
+  private List<Future<GenerationAnswer>> startStreams(TestCluster cluster, String entry) {
     List<Future<GenerationAnswer>> streams = new ArrayList<>();
     for (int i = 0; i < STREAMS; i++) {
       String prompt = prompt(i);
-      streams.add(pool.submit(() -> untilAdmitted(entry, prompt)));
+      streams.add(pool.submit(() -> untilAdmitted(cluster, entry, prompt)));
     }
     return streams;
   }
 
-  /** Comes back when refused, as a caller does. */
-  private GenerationAnswer untilAdmitted(String entry, String prompt) {
+  /**
+   * Comes back when refused, as a caller does, and asks another entry once this one takes no
+   * connection any more.
+   */
+  private GenerationAnswer untilAdmitted(TestCluster cluster, String entry, String prompt) {
     GenerationAnswer answer = callers.generate(entry, prompt, TOKENS);
     while (answer.status() == 503 || answer.status() == 429) {
       LockSupport.parkNanos(answer.retryAfter().toNanos());
       answer = callers.generate(entry, prompt, TOKENS);
     }
+    if (answer.status() == 0 && answer.texts().isEmpty()) {
+      return untilAdmitted(cluster, nextEntry(cluster, entry), prompt);
+    }
     return answer;
   }
 
+  private static String nextEntry(TestCluster cluster, String entry) {
+    List<String> all = cluster.entryAddresses();
+    return all.get((all.indexOf(entry) + 1) % all.size());
+  }
+
   private void awaitStreamsRunning(TestCluster cluster, String entry) {
     Conditions.await(
         "streams on every engine",
@@ -164,20 +174,17 @@
     Conditions.await(
         "twenty streams through " + entry,
         RUNNING_TIMEOUT,
-        () -> json(callers.get(entry, "/dump")).path("in_flight").size() >= 20);
+        () -> callers.dump(entry).path("in_flight").size() >= 20);
   }
 
   private int running(String engine) {
-    return json(callers.get(engine, "/v1/status")).path("running").asInt();
-  }
-
-  private static JsonNode json(PlainAnswer answer) {
-    return Json.readTree(answer.body().getBytes(StandardCharsets.UTF_8)).get();
+    return callers.json(engine, "/v1/status").path("running").asInt();
   }
 
-  private GenerationAnswer goOn(String entry, int number, GenerationAnswer broken) {
+  private GenerationAnswer goOn(
+      TestCluster cluster, String entry, int number, GenerationAnswer broken) {
     if (broken.lastEventId().isEmpty()) {
-      return untilAdmitted(entry, prompt(number));
+      return untilAdmitted(cluster, entry, prompt(number));
     }
     GenerationAnswer rest = callers.generate(entry, prompt(number), TOKENS, broken.lastEventId());
     return broken.followedBy(rest);
