--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -55,7 +55,7 @@
     }
   }
 
-  private static ArgumentParser parser() {
+  static ArgumentParser parser() {
     ArgumentParser parser = ArgumentParsers.newFor("cuminrack").build();
     parser.description("Serves generations of unknown length on crowded engines.");
     Subparsers subparsers = parser.addSubparsers().dest(COMMAND).metavar("COMMAND");
--- a/src/main/java/org/cuminrack/demo/DemoCluster.java
+++ b/src/main/java/org/cuminrack/demo/DemoCluster.java
@@ -31,7 +31,7 @@
   private static final String DATA_CENTRE = "dc-a";
   private static final String KEY = "a key for this demo alone, 32 bytes or more";
   private static final Duration NO_ADDRESS_TTL = Duration.ofMillis(100);
-  private static final int MAX_BODY_BYTES = 1 << 20;
+  private static final int IO_THREADS = 2;
 
   private final Path folder;
   private final Deque<ManagedService> started = new ArrayDeque<>();
@@ -98,7 +98,7 @@
         Map.of("control-1", control.wireAddress()),
         keyFile(),
         NO_ADDRESS_TTL,
-        MAX_BODY_BYTES,
+        IO_THREADS,
         Duration.ofSeconds(1));
   }
 
--- a/src/main/java/org/cuminrack/http/HttpServer.java
+++ b/src/main/java/org/cuminrack/http/HttpServer.java
@@ -8,7 +8,7 @@
 
 /** Listens for HTTP on one address. */
 public final class HttpServer implements ManagedService {
-  private static final int IO_THREADS = 2;
+  private static final int DEFAULT_IO_THREADS = 2;
   private static final int WORKER_THREADS = 4;
   private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
   private static final int NO_REQUEST_TIMEOUT_MILLIS = 60_000;
@@ -17,12 +17,20 @@
   private final InetSocketAddress address;
   private final HttpHandler handler;
   private final long maxBodyBytes;
+  private final int ioThreads;
   private Undertow undertow;
 
   public HttpServer(InetSocketAddress address, HttpHandler handler, long maxBodyBytes) {
+    this(address, handler, maxBodyBytes, DEFAULT_IO_THREADS);
+  }
+
+  /** Returns a server whose exchanges live on this many I/O threads. */
+  public HttpServer(
+      InetSocketAddress address, HttpHandler handler, long maxBodyBytes, int ioThreads) {
     this.address = address;
     this.handler = handler;
     this.maxBodyBytes = maxBodyBytes;
+    this.ioThreads = ioThreads;
   }
 
   @Override
@@ -30,7 +38,7 @@
     undertow =
         Undertow.builder()
             .addHttpListener(address.getPort(), address.getHostString(), handler)
-            .setIoThreads(IO_THREADS)
+            .setIoThreads(ioThreads)
             .setWorkerThreads(WORKER_THREADS)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
--- a/src/main/java/org/cuminrack/process/EntryProcess.java
+++ b/src/main/java/org/cuminrack/process/EntryProcess.java
@@ -68,7 +68,8 @@
         new HttpServer(
             node.httpAddress(),
             new ProcessApi(dump(), metrics(metrics), upstreamsAndCallers()),
-            RelayBounds.defaults().maxBodyBytes()));
+            RelayBounds.defaults().maxBodyBytes(),
+            settings.ioThreads()));
   }
 
   @Override
--- a/src/main/java/org/cuminrack/settings/EntrySettings.java
+++ b/src/main/java/org/cuminrack/settings/EntrySettings.java
@@ -11,7 +11,7 @@
  * @param control wire addresses of the control VMs, by VM name
  * @param eventKeyFile the file with the key that authenticates event ids; the same on all entries
  * @param addressTtl how long callers may keep the addresses they were told
- * @param maxBodyBytes the largest request body of any route
+ * @param ioThreads threads that carry requests; one a core of the VM serves best
  * @param stopTimeout how long a planned stop waits for requests in progress
  */
 public record EntrySettings(
@@ -19,10 +19,11 @@
     Map<String, String> control,
     Path eventKeyFile,
     Duration addressTtl,
-    int maxBodyBytes,
+    int ioThreads,
     Duration stopTimeout) {
   private static final Duration DEFAULT_ADDRESS_TTL = Duration.ofSeconds(30);
-  private static final int DEFAULT_MAX_BODY_BYTES = 1 << 20;
+  private static final int DEFAULT_IO_THREADS = 4;
+  private static final int MAX_IO_THREADS = 64;
   private static final Duration DEFAULT_STOP_TIMEOUT = Duration.ofMinutes(10);
 
   static EntrySettings read(MappingReader reader) {
@@ -31,7 +32,7 @@
         reader.addresses("control"),
         reader.file("event_key_file"),
         reader.millis("address_ttl_millis", DEFAULT_ADDRESS_TTL, 100, 600_000),
-        reader.number("max_body_bytes", DEFAULT_MAX_BODY_BYTES, 1_024, 64 << 20),
+        reader.number("io_threads", DEFAULT_IO_THREADS, 1, MAX_IO_THREADS),
         reader.millis("stop_timeout_millis", DEFAULT_STOP_TIMEOUT, 100, 3_600_000));
   }
 }
