--- a/src/main/java/org/cuminrack/control/ControlState.java
+++ b/src/main/java/org/cuminrack/control/ControlState.java
@@ -2,13 +2,10 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageLite;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.cuminrack.config.ConfigKey;
-import org.cuminrack.config.VersionedObject;
 import org.cuminrack.generated.control.ChangeRequest;
 import org.cuminrack.generated.control.ChangeVerdict;
 import org.cuminrack.generated.control.ClaimReply;
@@ -22,12 +19,9 @@
 import org.cuminrack.generated.control.OpenSessionReply;
 import org.cuminrack.generated.control.OpenSessionRequest;
 import org.cuminrack.generated.control.RevisionResult;
-import org.cuminrack.generated.control.SessionData;
 import org.cuminrack.generated.control.SnapshotData;
-import org.cuminrack.generated.control.SuspectData;
 import org.cuminrack.generated.control.Verdict;
 import org.cuminrack.ledger.LedgerLimits;
-import org.cuminrack.ledger.LedgerState;
 import org.cuminrack.quorum.StateMachine;
 
 /**
@@ -36,24 +30,19 @@
  * Safe for use by many threads: one lock over everything.
  */
 public final class ControlState implements StateMachine {
-  private final ConfigState config = new ConfigState();
-  private final ChangeVerdicts verdicts = new ChangeVerdicts();
-  private final SessionState sessions = new SessionState();
-  private final SuspectState suspects = new SuspectState();
+  private final StateTables tables;
   private final StateHistory history = new StateHistory();
-  private final LedgerState ledger;
   private volatile Runnable revisionListener = () -> {};
   private long timeMillis;
   private long revision;
   private long epoch;
-  private List<MemberData> members;
 
   public ControlState() {
     this(LedgerLimits.standard());
   }
 
   public ControlState(LedgerLimits limits) {
-    ledger = new LedgerState(limits);
+    tables = new StateTables(limits);
   }
 
   /** Calls back, on the log's thread, after the revision moved. */
@@ -80,7 +69,7 @@
       case END_SESSION -> endSession(index, command.getEndSession());
       case MARK_STOPPING -> markStopping(index, command.getMarkStopping().getSessionId());
       case CLAIM -> claim(index, command.getClaim());
-      case FINISH -> ledger.finish(command.getFinish(), timeMillis);
+      case FINISH -> tables.ledger.finish(command.getFinish(), timeMillis);
       case CRASH -> crash(index, command.getCrash());
       case CLEAR_SUSPECT -> clearSuspect(index, command.getClearSuspect().getFingerprint());
       default -> at(index);
@@ -88,12 +77,12 @@
   }
 
   private ChangeVerdict change(long index, ChangeRequest request) {
-    Optional<ChangeVerdict> first = verdicts.find(request);
+    Optional<ChangeVerdict> first = tables.verdicts.find(request);
     if (first.isPresent()) {
       return first.get();
     }
-    ChangeVerdict verdict = config.change(index, request);
-    verdicts.keep(request, verdict);
+    ChangeVerdict verdict = tables.config.change(index, request);
+    tables.verdicts.keep(request, verdict);
     if (verdict.getVerdict() == Verdict.ACCEPTED) {
       List<ConfigKey> keys =
           request.getChangesList().stream()
@@ -105,12 +94,12 @@
   }
 
   private OpenSessionReply openSession(long index, OpenSessionRequest request) {
-    Optional<Long> known = sessions.opened(request.getToken());
+    Optional<Long> known = tables.sessions.opened(request.getToken());
     if (known.isEmpty()) {
       if (request.getReplaces() != 0) {
         end(index, request.getReplaces());
       }
-      sessions.open(index, request);
+      tables.sessions.open(index, request);
       membersChanged(index, index);
     }
     return OpenSessionReply.newBuilder().setSessionId(known.orElse(index)).build();
@@ -122,50 +111,49 @@
   }
 
   private void end(long index, long sessionId) {
-    if (sessions.end(sessionId)) {
-      ledger.endSession(sessionId, timeMillis);
+    if (tables.sessions.end(sessionId)) {
+      tables.ledger.endSession(sessionId, timeMillis);
       membersChanged(index, sessionId);
     }
   }
 
   private RevisionResult markStopping(long index, long sessionId) {
-    if (sessions.markStopping(sessionId)) {
+    if (tables.sessions.markStopping(sessionId)) {
       membersChanged(index, sessionId);
     }
     return at(index);
   }
 
   private ClaimReply claim(long index, ClaimRequest request) {
-    if (!sessions.isOpen(request.getSessionId())) {
+    if (!tables.sessions.isOpen(request.getSessionId())) {
       return ClaimReply.newBuilder()
           .setState(ClaimState.UNAVAILABLE)
           .setDetail("session " + request.getSessionId() + " has ended")
           .build();
     }
-    return ledger.claim(index, request, timeMillis);
+    return tables.ledger.claim(index, request, timeMillis);
   }
 
   // A crash that was counted before answers the revision that is known to hold it.
   private RevisionResult crash(long index, CrashRequest request) {
-    suspectsChanged(index, suspects.report(request, timeMillis));
+    suspectsChanged(index, tables.suspects.report(request, timeMillis));
     return at(revision);
   }
 
   private RevisionResult clearSuspect(long index, String fingerprint) {
-    if (suspects.clear(fingerprint)) {
+    if (tables.suspects.clear(fingerprint)) {
       suspectsChanged(index, List.of(fingerprint));
     }
     return at(index);
   }
 
   private void expire(long index) {
-    ledger.expire(timeMillis);
-    suspectsChanged(index, suspects.expire(timeMillis));
+    tables.ledger.expire(timeMillis);
+    suspectsChanged(index, tables.suspects.expire(timeMillis));
   }
 
   private void membersChanged(long index, long sessionId) {
     epoch = index;
-    members = null;
     moveTo(index, StateHistory.Step.ofSessions(index, List.of(sessionId)));
   }
 
@@ -196,73 +184,35 @@
 
   /** Returns every open session, ordered by id. */
   public synchronized List<MemberData> members() {
-    if (members == null) {
-      members =
-          sessions.all().stream()
-              .map(SessionData::getMember)
-              .collect(Collectors.toUnmodifiableList());
-    }
-    return members;
+    return tables.sessions.members();
   }
 
   /** Tells whether a session is open. */
   public synchronized boolean isOpen(long sessionId) {
-    return sessions.isOpen(sessionId);
+    return tables.sessions.isOpen(sessionId);
   }
 
   /** Tells whether something could be dropped, were the state's time this. */
   public synchronized boolean hasExpired(long atMillis) {
-    return ledger.hasExpired(atMillis) || suspects.hasExpired(atMillis);
+    return tables.ledger.hasExpired(atMillis) || tables.suspects.hasExpired(atMillis);
   }
 
   /** Returns how many calls the ledger remembers. */
   public synchronized int ledgerCalls() {
-    return ledger.size();
+    return tables.ledger.size();
   }
 
   /** Returns what changed after a revision, or the whole state where that is not known. */
   public synchronized FetchReply changesAfter(long after) {
     FetchReply.Builder reply = FetchReply.newBuilder().setRevision(revision).setEpoch(epoch);
-    Optional<StateHistory.Changes> changes =
-        after == 0 || after > revision ? Optional.empty() : history.after(after);
-    if (changes.isEmpty()) {
-      return whole(reply);
-    }
-    reply.setBaseRevision(after);
-    changes.get().keys().forEach(each -> reply.addObjects(config.data(each)));
-    changes.get().fingerprints().forEach(each -> reply.addSuspects(suspect(each)));
-    for (long sessionId : changes.get().sessions()) {
-      Optional<MemberData> member = sessions.find(sessionId);
-      member.ifPresentOrElse(reply::addMembers, () -> reply.addEndedSessions(sessionId));
-    }
-    return reply.build();
-  }
-
-  private FetchReply whole(FetchReply.Builder reply) {
-    reply.setWhole(true);
-    Collection<VersionedObject> objects = config.objects();
-    objects.forEach(each -> reply.addObjects(ConfigCodec.data(each)));
-    sessions.all().forEach(each -> reply.addMembers(each.getMember()));
-    suspects.all().forEach(each -> reply.addSuspects(suspect(each.getFingerprint())));
-    return reply.build();
-  }
-
-  private SuspectData suspect(String fingerprint) {
-    return SuspectData.newBuilder()
-        .setFingerprint(fingerprint)
-        .setCrashes(suspects.crashes(fingerprint))
-        .build();
+    return new ChangeReader(tables, history).read(after, reply);
   }
 
   @Override
   public synchronized byte[] snapshot() {
     SnapshotData.Builder data = SnapshotData.newBuilder();
     data.setTimeMillis(timeMillis).setRevision(revision).setEpoch(epoch);
-    config.objects().forEach(each -> data.addObjects(ConfigCodec.data(each)));
-    data.addAllSessions(new ArrayList<>(sessions.all()));
-    data.addAllVerdicts(verdicts.all());
-    data.addAllSuspicions(suspects.all());
-    data.addAllCalls(ledger.all());
+    tables.save(data);
     return data.build().toByteArray();
   }
 
@@ -282,12 +232,7 @@
     timeMillis = data.getTimeMillis();
     revision = data.getRevision();
     epoch = data.getEpoch();
-    members = null;
-    config.restore(data.getObjectsList());
-    sessions.restore(data.getSessionsList());
-    verdicts.restore(data.getVerdictsList());
-    suspects.restore(data.getSuspicionsList());
-    ledger.restore(data.getCallsList());
+    tables.restore(data);
     history.reset(revision);
   }
 
--- a/src/main/java/org/cuminrack/control/SessionState.java
+++ b/src/main/java/org/cuminrack/control/SessionState.java
@@ -14,6 +14,7 @@
 final class SessionState {
   private final Map<Long, SessionData> sessions = new TreeMap<>();
   private final Map<String, Long> byToken = new HashMap<>();
+  private List<MemberData> members;
 
   /** Returns the open session that this token opened. */
   Optional<Long> opened(String token) {
@@ -40,6 +41,7 @@
       return false;
     }
     byToken.remove(ended.getToken());
+    members = null;
     return true;
   }
 
@@ -50,7 +52,7 @@
       return false;
     }
     MemberData stopping = session.getMember().toBuilder().setStopping(true).build();
-    sessions.put(sessionId, session.toBuilder().setMember(stopping).build());
+    put(session.toBuilder().setMember(stopping).build());
     return true;
   }
 
@@ -62,6 +64,14 @@
     return Optional.ofNullable(sessions.get(sessionId)).map(SessionData::getMember);
   }
 
+  /** Returns the member of every open session, ordered by id. */
+  List<MemberData> members() {
+    if (members == null) {
+      members = sessions.values().stream().map(SessionData::getMember).toList();
+    }
+    return members;
+  }
+
   /** Returns every open session, ordered by id. */
   Collection<SessionData> all() {
     return sessions.values();
@@ -71,11 +81,13 @@
   void restore(List<SessionData> restored) {
     sessions.clear();
     byToken.clear();
+    members = null;
     restored.forEach(this::put);
   }
 
   private void put(SessionData session) {
     sessions.put(session.getMember().getSessionId(), session);
     byToken.put(session.getToken(), session.getMember().getSessionId());
+    members = null;
   }
 }
--- a/src/main/java/org/cuminrack/ledger/LedgerState.java
+++ b/src/main/java/org/cuminrack/ledger/LedgerState.java
@@ -1,15 +1,7 @@
 package org.cuminrack.ledger;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import org.cuminrack.generated.control.CallData;
-import org.cuminrack.generated.control.CallKeyData;
 import org.cuminrack.generated.control.CallState;
 import org.cuminrack.generated.control.ClaimReply;
 import org.cuminrack.generated.control.ClaimRequest;
@@ -26,21 +18,16 @@
 public final class LedgerState {
   private final LedgerLimits limits;
 
-  // Every call is in exactly one of these, ordered by the time of its last step.
-  private final Map<CallKeyData, CallData> claimed = new LinkedHashMap<>();
-  private final Map<CallKeyData, CallData> settled = new LinkedHashMap<>();
-  private final Map<CallKeyData, CallData> notRun = new LinkedHashMap<>();
-
-  private final Map<Long, Set<CallKeyData>> claimedBySession = new HashMap<>();
-  private long bytes;
+  private final CallTables calls;
 
   public LedgerState(LedgerLimits limits) {
     this.limits = limits;
+    this.calls = new CallTables(limits.maxAnswerBytes());
   }
 
   /** Claims a call for an open session; the log index becomes the claim's id. */
   public ClaimReply claim(long index, ClaimRequest request, long timeMillis) {
-    CallData known = find(request.getKey());
+    CallData known = calls.find(request.getKey());
     if (known != null && known.getToken().equals(request.getToken())) {
       return repeat(known);
     }
@@ -61,7 +48,7 @@
 
   /** Records how a claim ended, or that its token will never be used. */
   public FinishReply finish(FinishRequest request, long timeMillis) {
-    CallData known = find(request.getKey());
+    CallData known = calls.find(request.getKey());
     if (request.getClaimId() == 0) {
       return giveBack(request, known, timeMillis);
     }
@@ -72,60 +59,51 @@
       boolean same = stateOf(request) == known.getState();
       return finished(same, same ? "" : "the claim has ended as " + known.getState());
     }
-    put(ended(known, request, timeMillis));
+    calls.put(ended(known, request, timeMillis));
     return finished(true, "");
   }
 
   /** Ends a session's open claims: nobody can tell any more whether they ran. */
   public void endSession(long sessionId, long timeMillis) {
-    Set<CallKeyData> open = claimedBySession.getOrDefault(sessionId, Set.of());
-    for (CallKeyData key : new ArrayList<>(open)) {
-      put(
-          claimed.get(key).toBuilder()
-              .setState(CallState.CALL_UNKNOWN)
-              .setSinceMillis(timeMillis)
-              .build());
+    for (CallData each : calls.claimedBy(sessionId)) {
+      calls.put(
+          each.toBuilder().setState(CallState.CALL_UNKNOWN).setSinceMillis(timeMillis).build());
     }
   }
 
   /** Drops calls whose retention is over. */
   public void expire(long timeMillis) {
-    expire(settled, limits.retention().toMillis(), timeMillis);
-    expire(notRun, limits.notRunRetention().toMillis(), timeMillis);
+    calls.expire(
+        timeMillis - limits.retention().toMillis(),
+        timeMillis - limits.notRunRetention().toMillis());
   }
 
   /** Tells whether there is a call whose retention is over. */
   public boolean hasExpired(long timeMillis) {
-    return oldestBefore(settled, timeMillis - limits.retention().toMillis())
-        || oldestBefore(notRun, timeMillis - limits.notRunRetention().toMillis());
+    return calls.hasExpired(
+        timeMillis - limits.retention().toMillis(),
+        timeMillis - limits.notRunRetention().toMillis());
   }
 
   /** Returns how many calls are remembered. */
   public int size() {
-    return claimed.size() + settled.size() + notRun.size();
+    return calls.size();
   }
 
   /** Returns the bytes counted against the ledger's bound. */
   public long bytes() {
-    return bytes;
+    return calls.bytes();
   }
 
   /** Returns every call, in the order in which {@link #restore} has to get them. */
   public List<CallData> all() {
-    List<CallData> all = new ArrayList<>(claimed.values());
-    all.addAll(settled.values());
-    all.addAll(notRun.values());
-    return all;
+    return calls.all();
   }
 
   /** Replaces every call. */
-  public void restore(List<CallData> calls) {
-    claimed.clear();
-    settled.clear();
-    notRun.clear();
-    claimedBySession.clear();
-    bytes = 0;
-    calls.forEach(this::put);
+  public void restore(List<CallData> restored) {
+    calls.clear();
+    restored.forEach(calls::put);
   }
 
   private ClaimReply repeat(CallData known) {
@@ -138,7 +116,7 @@
   }
 
   private ClaimReply grant(long index, ClaimRequest request, long timeMillis) {
-    put(
+    calls.put(
         CallData.newBuilder()
             .setKey(request.getKey())
             .setFingerprint(request.getFingerprint())
@@ -156,7 +134,7 @@
       if (size() >= limits.maxCalls()) {
         return finished(false, "ledger full");
       }
-      put(
+      calls.put(
           CallData.newBuilder()
               .setKey(request.getKey())
               .setToken(request.getToken())
@@ -169,7 +147,8 @@
     boolean open =
         known.getState() == CallState.CALL_CLAIMED || known.getState() == CallState.CALL_UNKNOWN;
     if (own && open) {
-      put(known.toBuilder().setState(CallState.CALL_NOT_RUN).setSinceMillis(timeMillis).build());
+      calls.put(
+          known.toBuilder().setState(CallState.CALL_NOT_RUN).setSinceMillis(timeMillis).build());
     }
     return finished(true, "");
   }
@@ -195,73 +174,9 @@
   }
 
   private boolean isFull(ClaimRequest request, CallData known) {
-    long needed = keyBytes(request.getKey()) + limits.maxAnswerBytes();
+    long needed = (long) request.getKey().getSerializedSize() + limits.maxAnswerBytes();
     boolean noPlace = known == null && size() >= limits.maxCalls();
-    return noPlace || bytes + needed > limits.maxBytes();
-  }
-
-  private CallData find(CallKeyData key) {
-    CallData call = claimed.get(key);
-    if (call == null) {
-      call = settled.get(key);
-    }
-    return call == null ? notRun.get(key) : call;
-  }
-
-  private void put(CallData call) {
-    remove(call.getKey());
-    bytes += cost(call);
-    tableOf(call).put(call.getKey(), call);
-    if (call.getState() == CallState.CALL_CLAIMED) {
-      claimedBySession
-          .computeIfAbsent(call.getSessionId(), id -> new LinkedHashSet<>())
-          .add(call.getKey());
-    }
-  }
-
-  private void remove(CallKeyData key) {
-    CallData removed = find(key);
-    if (removed == null) {
-      return;
-    }
-    bytes -= cost(removed);
-    tableOf(removed).remove(key);
-    if (removed.getState() == CallState.CALL_CLAIMED) {
-      Set<CallKeyData> ofSession = claimedBySession.get(removed.getSessionId());
-      ofSession.remove(key);
-      if (ofSession.isEmpty()) {
-        claimedBySession.remove(removed.getSessionId());
-      }
-    }
-  }
-
-  private Map<CallKeyData, CallData> tableOf(CallData call) {
-    return switch (call.getState()) {
-      case CALL_CLAIMED -> claimed;
-      case CALL_NOT_RUN -> notRun;
-      default -> settled;
-    };
-  }
-
-  private long cost(CallData call) {
-    boolean open = call.getState() == CallState.CALL_CLAIMED;
-    return keyBytes(call.getKey())
-        + (open ? limits.maxAnswerBytes() : call.getAnswer().getBody().size());
-  }
-
-  private static long keyBytes(CallKeyData key) {
-    return key.getSerializedSize();
-  }
-
-  private void expire(Map<CallKeyData, CallData> table, long retentionMillis, long timeMillis) {
-    while (oldestBefore(table, timeMillis - retentionMillis)) {
-      remove(table.keySet().iterator().next());
-    }
-  }
-
-  private static boolean oldestBefore(Map<CallKeyData, CallData> table, long limitMillis) {
-    Iterator<CallData> oldest = table.values().iterator();
-    return oldest.hasNext() && oldest.next().getSinceMillis() <= limitMillis;
+    return noPlace || calls.bytes() + needed > limits.maxBytes();
   }
 
   private static ClaimReply unavailable(String detail) {
--- a/src/main/java/org/cuminrack/member/ControlClient.java
+++ b/src/main/java/org/cuminrack/member/ControlClient.java
@@ -17,6 +17,10 @@
 /** Finds the leader among the control VMs of the settings, and calls it until it answers. */
 public final class ControlClient implements ControlCalls {
   private static final Duration PAUSE = Duration.ofMillis(25);
+
+  /** An attempt with less time than this would only make a known outcome unknown. */
+  private static final Duration MIN_ATTEMPT = Duration.ofMillis(100);
+
   private static final Executor AFTER_PAUSE =
       CompletableFuture.delayedExecutor(PAUSE.toMillis(), TimeUnit.MILLISECONDS);
 
@@ -134,7 +138,8 @@
     private void retry(String vm, boolean sent, String detail) {
       mayHaveBeenDone |= sent;
       lastDetail = detail;
-      if (deadlineNanos - clock.nanoTime() <= PAUSE.toNanos()) {
+      Duration left = Duration.ofNanos(deadlineNanos - clock.nanoTime());
+      if (left.compareTo(PAUSE.plus(MIN_ATTEMPT)) < 0) {
         giveUp();
         return;
       }
--- a/src/main/java/org/cuminrack/member/SessionClient.java
+++ b/src/main/java/org/cuminrack/member/SessionClient.java
@@ -1,29 +1,18 @@
 package org.cuminrack.member;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.InvalidProtocolBufferException;
-import com.google.protobuf.MessageLite;
-import com.google.protobuf.Parser;
-import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.cuminrack.control.LeaseSettings;
-import org.cuminrack.generated.control.CloseSessionRequest;
 import org.cuminrack.generated.control.FetchReply;
-import org.cuminrack.generated.control.FetchRequest;
 import org.cuminrack.generated.control.OpenSessionReply;
-import org.cuminrack.generated.control.OpenSessionRequest;
 import org.cuminrack.generated.control.RenewReply;
-import org.cuminrack.generated.control.RenewRequest;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.time.Clock;
-import org.cuminrack.wire.Method;
 
 /**
  * An entry's session with control: keeps the lease renewed and the view new. All that changes is
@@ -32,23 +21,15 @@
 public final class SessionClient implements Membership, ManagedService {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** How long a fetch waits at control for something new. */
-  private static final Duration FETCH_WAIT = Duration.ofSeconds(5);
-
-  private static final Duration FETCH_TIMEOUT = FETCH_WAIT.plusSeconds(1);
-  private static final Duration OPEN_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
-  private final EntryIdentity identity;
-  private final ControlCalls calls;
+  private final SessionCalls calls;
   private final LeaseSettings settings;
   private final Clock clock;
   private final EntryLease lease;
   private final MembershipThread thread = new MembershipThread();
-  private final List<Consumer<ClusterView>> listeners = new CopyOnWriteArrayList<>();
+  private final EntryView entryView = new EntryView();
 
-  private volatile ClusterView view = ClusterView.empty();
-  private volatile long inForceRevision;
   private volatile long sessionId;
 
   // Only on the membership's thread.
@@ -64,8 +45,7 @@
 
   public SessionClient(
       EntryIdentity identity, ControlCalls calls, LeaseSettings settings, Clock clock) {
-    this.identity = identity;
-    this.calls = calls;
+    this.calls = new SessionCalls(calls, identity);
     this.settings = settings;
     this.clock = clock;
     this.lease = new EntryLease(settings);
@@ -83,12 +63,12 @@
 
   @Override
   public ClusterView view() {
-    return view;
+    return entryView.view();
   }
 
   @Override
   public long inForceRevision() {
-    return inForceRevision;
+    return entryView.inForceRevision();
   }
 
   @Override
@@ -98,7 +78,7 @@
 
   @Override
   public void onChange(Consumer<ClusterView> listener) {
-    listeners.add(listener);
+    entryView.onChange(listener);
   }
 
   /**
@@ -108,7 +88,7 @@
    */
   public CompletableFuture<Boolean> markStopping(Duration timeout) {
     thread.execute(() -> stopping = true);
-    return close(true, timeout);
+    return calls.close(sessionId, true, timeout);
   }
 
   /** Ends the lease, then the session. */
@@ -117,22 +97,11 @@
     thread.stop();
     lease.drop();
     if (sessionId != 0) {
-      close(false, CLOSE_TIMEOUT).join();
+      calls.close(sessionId, false, CLOSE_TIMEOUT).join();
       sessionId = 0;
     }
   }
 
-  private CompletableFuture<Boolean> close(boolean onlyMarkStopping, Duration timeout) {
-    CloseSessionRequest request =
-        CloseSessionRequest.newBuilder()
-            .setSessionId(sessionId)
-            .setOnlyMarkStopping(onlyMarkStopping)
-            .build();
-    return calls
-        .call(Method.CLOSE_SESSION, request.toByteArray(), timeout)
-        .thenApply(Either::isRight);
-  }
-
   /** Does what is due; called by the timer, and by tests that have none. */
   public void tick() {
     if (sessionId == 0) {
@@ -153,16 +122,7 @@
       return;
     }
     opening = true;
-    OpenSessionRequest request =
-        OpenSessionRequest.newBuilder()
-            .setToken(openToken)
-            .setName(identity.name())
-            .setDataCentre(identity.dataCentre())
-            .setHttpAddress(identity.httpAddress())
-            .setWireAddress(identity.wireAddress())
-            .setReplaces(lastSessionId)
-            .build();
-    call(Method.OPEN_SESSION, request, OPEN_TIMEOUT, OpenSessionReply.parser(), this::opened);
+    then(calls.open(openToken, lastSessionId), this::opened);
   }
 
   private void opened(Optional<OpenSessionReply> reply) {
@@ -174,7 +134,7 @@
     lastSessionId = sessionId;
     logger.atInfo().log("%s", LogEvent.named("session-opened").with("session", sessionId));
     if (stopping) {
-      close(true, CLOSE_TIMEOUT);
+      calls.close(sessionId, true, CLOSE_TIMEOUT);
     }
     renew();
     fetch();
@@ -190,16 +150,8 @@
     long renewed = sessionId;
     long sentNanos = clock.nanoTime();
     lastRenewalNanos = sentNanos;
-    RenewRequest request =
-        RenewRequest.newBuilder()
-            .setSessionId(renewed)
-            .setAcknowledgedRevision(view.revision())
-            .build();
-    call(
-        Method.RENEW_SESSION,
-        request,
-        settings.renewInterval(),
-        RenewReply.parser(),
+    then(
+        calls.renew(renewed, view().revision(), settings.renewInterval()),
         reply -> renewed(renewed, sentNanos, reply));
   }
 
@@ -218,13 +170,11 @@
       loseSession();
       return;
     }
-    boolean upToDate = lease.renewed(sentNanos, reply.getRevision(), view.revision());
+    boolean upToDate = lease.renewed(sentNanos, reply.getRevision(), view().revision());
     if (!upToDate && !catchingUp) {
       catchUp();
     }
-    if (advanceInForce(reply.getInForceRevision())) {
-      notifyListeners();
-    }
+    entryView.takeInForce(reply.getInForceRevision());
   }
 
   // The lease is given up before a new session can be asked for.
@@ -241,14 +191,7 @@
       return;
     }
     fetching = true;
-    FetchRequest request =
-        FetchRequest.newBuilder()
-            .setSessionId(sessionId)
-            .setAfterRevision(view.revision())
-            .setKnownInForceRevision(inForceRevision)
-            .setWaitMillis((int) FETCH_WAIT.toMillis())
-            .build();
-    call(Method.FETCH_STATE, request, FETCH_TIMEOUT, FetchReply.parser(), this::fetched);
+    then(calls.awaitChange(sessionId, view().revision(), inForceRevision()), this::fetched);
   }
 
   private void fetched(Optional<FetchReply> reply) {
@@ -261,13 +204,8 @@
 
   private void catchUp() {
     catchingUp = true;
-    FetchRequest request =
-        FetchRequest.newBuilder().setSessionId(sessionId).setAfterRevision(view.revision()).build();
-    call(
-        Method.FETCH_STATE,
-        request,
-        settings.renewInterval(),
-        FetchReply.parser(),
+    then(
+        calls.fetch(sessionId, view().revision(), settings.renewInterval()),
         reply -> {
           catchingUp = false;
           reply.ifPresent(this::take);
@@ -275,67 +213,22 @@
   }
 
   private void take(FetchReply reply) {
-    Optional<ClusterView> next = ViewUpdate.apply(view, reply);
-    boolean inForceMoved = advanceInForce(reply.getInForceRevision());
-    next.ifPresent(each -> view = each);
-    if (next.isPresent() || inForceMoved) {
-      notifyListeners();
-    }
-    if (next.isPresent() && sessionId != 0) {
+    boolean isNew = entryView.take(reply);
+    if (isNew && sessionId != 0) {
       hasPutInForce();
     }
   }
 
   private void hasPutInForce() {
-    boolean ended = view.revision() >= sessionId && !isMember(view, sessionId);
-    if (ended) {
+    if (entryView.hasEnded(sessionId)) {
       loseSession();
       return;
     }
-    lease.putInForce(view.revision());
+    lease.putInForce(view().revision());
     renew();
   }
 
-  private static boolean isMember(ClusterView view, long sessionId) {
-    return view.members().stream().anyMatch(each -> each.sessionId() == sessionId);
-  }
-
-  private boolean advanceInForce(long revision) {
-    if (revision <= inForceRevision) {
-      return false;
-    }
-    inForceRevision = revision;
-    return true;
-  }
-
-  private void notifyListeners() {
-    ClusterView present = view;
-    for (Consumer<ClusterView> each : listeners) {
-      each.accept(present);
-    }
-  }
-
-  private <T> void call(
-      Method method,
-      MessageLite request,
-      Duration timeout,
-      Parser<T> parser,
-      Consumer<Optional<T>> then) {
-    calls
-        .call(method, request.toByteArray(), timeout, timeout)
-        .whenComplete(
-            (outcome, failure) -> {
-              boolean answered = failure == null && outcome.isRight();
-              Optional<T> reply = answered ? parse(parser, outcome.get()) : Optional.empty();
-              thread.execute(() -> then.accept(reply));
-            });
-  }
-
-  private static <T> Optional<T> parse(Parser<T> parser, byte[] bytes) {
-    try {
-      return Optional.of(parser.parseFrom(bytes));
-    } catch (InvalidProtocolBufferException e) {
-      return Optional.empty();
-    }
+  private <T> void then(CompletableFuture<T> answer, Consumer<T> next) {
+    answer.thenAccept(value -> thread.execute(() -> next.accept(value)));
   }
 }
--- a/src/main/java/org/cuminrack/wire/WireClient.java
+++ b/src/main/java/org/cuminrack/wire/WireClient.java
@@ -27,7 +27,7 @@
   private final WireGroup group;
   private final AtomicLong lastCallId = new AtomicLong();
   private final Map<String, WireConnection> connections = new ConcurrentHashMap<>();
-  private MultiThreadIoEventLoopGroup loops;
+  private volatile MultiThreadIoEventLoopGroup loops;
   private Bootstrap bootstrap;
 
   public WireClient(WireGroup group) {
@@ -51,6 +51,10 @@
    */
   public CompletableFuture<Either<WireFailure, byte[]>> call(
       String address, Method method, byte[] payload, Duration timeout) {
+    if (loops == null) {
+      return CompletableFuture.completedFuture(
+          Either.left(new WireFailure.Unreachable(address, "this client is stopped")));
+    }
     long callId = lastCallId.incrementAndGet();
     WireConnection connection = connectionTo(address);
     CompletableFuture<Either<WireFailure, byte[]>> answer =
@@ -89,7 +93,8 @@
     if (loops == null) {
       return;
     }
-    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    MultiThreadIoEventLoopGroup stopping = loops;
     loops = null;
+    stopping.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 }
--- a/src/main/java/org/cuminrack/wire/WirePipeline.java
+++ b/src/main/java/org/cuminrack/wire/WirePipeline.java
@@ -19,6 +19,7 @@
   /** Adds the codecs; both sides send heartbeats and close on silence. */
   static void addCodecs(Channel channel) {
     ChannelPipeline pipeline = channel.pipeline();
+    pipeline.addLast(new TrafficHandler());
     pipeline.addLast(
         new IdleStateHandler(
             WireLimits.SILENCE_BOUND.toMillis(),
--- /dev/null
+++ b/src/main/java/org/cuminrack/wire/WireTraffic.java
@@ -0,0 +1,29 @@
+package org.cuminrack.wire;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Bytes that this process has exchanged with other cuminrack processes, without TCP's own. */
+public final class WireTraffic {
+  private static final LongAdder READ_BYTES = new LongAdder();
+  private static final LongAdder WRITTEN_BYTES = new LongAdder();
+
+  private WireTraffic() {}
+
+  /** Returns the bytes read since the process began. */
+  public static long readBytes() {
+    return READ_BYTES.sum();
+  }
+
+  /** Returns the bytes written since the process began. */
+  public static long writtenBytes() {
+    return WRITTEN_BYTES.sum();
+  }
+
+  static void addRead(int bytes) {
+    READ_BYTES.add(bytes);
+  }
+
+  static void addWritten(int bytes) {
+    WRITTEN_BYTES.add(bytes);
+  }
+}
