--- a/src/main/java/org/cuminrack/ledger/LedgerLimits.java
+++ b/src/main/java/org/cuminrack/ledger/LedgerLimits.java
@@ -14,7 +14,7 @@
 public record LedgerLimits(
     int maxCalls, long maxBytes, int maxAnswerBytes, Duration retention, Duration notRunRetention) {
   private static final LedgerLimits STANDARD =
-      new LedgerLimits(200_000, 64L << 20, 16 << 10, Duration.ofHours(24), Duration.ofMinutes(1));
+      new LedgerLimits(100_000, 64L << 20, 16 << 10, Duration.ofHours(12), Duration.ofMinutes(1));
 
   /** Returns the bounds that every control VM works by. */
   public static LedgerLimits standard() {
--- /dev/null
+++ b/src/test/java/org/cuminrack/system/LeaseProcessTest.java
@@ -0,0 +1,151 @@
+package org.cuminrack.system;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.Methods;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import org.cuminrack.config.ConfigKind;
+import org.cuminrack.config.Upstream;
+import org.cuminrack.control.LeaseSettings;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.http.Json;
+import org.cuminrack.operator.ChangeReply;
+import org.cuminrack.operator.ObjectChange;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+@Tag("process")
+class LeaseProcessTest {
+  private static final Duration LEASE = LeaseSettings.standard().lease();
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final int CHANGES = 500;
+
+  @TempDir Path folder;
+  private final HttpClient http = new HttpClient();
+
+  @BeforeEach
+  void start() {
+    http.start();
+  }
+
+  @AfterEach
+  void stop() {
+    http.stop();
+  }
+
+  @Test
+  void shouldPutChangesInForceAtSixEntriesWithinASecond() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).withEntries(6).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      awaitLeases(cluster);
+      Histogram millis = new Histogram(3);
+      for (int i = 0; i < CHANGES; i++) {
+        long revision = accept(operator, i);
+        millis.recordValue(millisUntilInForce(operator, revision));
+      }
+
+      System.out.printf(
+          "in force at 6 entries: p50=%d ms p99=%d ms max=%d ms%n",
+          millis.getValueAtPercentile(50), millis.getValueAtPercentile(99), millis.getMaxValue());
+      assertThat(millis.getValueAtPercentile(99)).isLessThan(1_000L);
+    }
+  }
+
+  @Test
+  void shouldBeInForceWithoutAFrozenEntryOnceItsLeaseIsOver() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).withEntries(3).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      awaitLeases(cluster);
+      String frozen = cluster.entries().get(0);
+      String session = dump(cluster, frozen).get("session_id").asText();
+      cluster.process(frozen).freeze();
+      long frozenNanos = System.nanoTime();
+
+      long revision = accept(operator, 1);
+      long millis = millisUntilInForce(operator, revision);
+      long sinceFrozenNanos = System.nanoTime() - frozenNanos;
+      cluster.process(frozen).thaw();
+
+      System.out.printf(
+          "in force with one entry frozen: %d ms, %d ms since it froze%n",
+          millis, Duration.ofNanos(sinceFrozenNanos).toMillis());
+      assertThat(millis).isLessThan(LEASE.plusSeconds(1).toMillis());
+      Conditions.await(
+          frozen + " to work under the change in a new session",
+          TIMEOUT,
+          () -> hasLeaseAt(cluster, frozen, revision));
+      assertThat(dump(cluster, frozen).get("session_id").asText()).isNotEqualTo(session);
+    }
+  }
+
+  @Test
+  void shouldTakeNoHarmFromALeaderThatSleptThroughManyLeases() throws Exception {
+    try (TestCluster cluster = TestCluster.in(folder).withControls(3).withEntries(3).start();
+        Operator operator = new Operator(cluster.controlAddresses())) {
+      awaitLeases(cluster);
+      String leader = operator.client().status().get().get("leader").asText();
+      cluster.process(leader).freeze();
+      int made = 0;
+      long endNanos = System.nanoTime() + LEASE.multipliedBy(5).toNanos();
+      while (System.nanoTime() < endNanos) {
+        accept(operator, made);
+        made++;
+      }
+      cluster.process(leader).thaw();
+      long revision = accept(operator, made);
+
+      assertThat(millisUntilInForce(operator, revision))
+          .isLessThan(LEASE.plusSeconds(1).toMillis());
+      assertThat(upstreams(operator)).isEqualTo(made + 1);
+      try (Operator atSleeper = new Operator(List.of(cluster.address(leader)))) {
+        assertThat(upstreams(atSleeper)).isEqualTo(made + 1);
+      }
+    }
+  }
+
+  private void awaitLeases(TestCluster cluster) {
+    for (String each : cluster.entries()) {
+      Conditions.await("a lease of " + each, TIMEOUT, () -> hasLeaseAt(cluster, each, 0));
+    }
+  }
+
+  private boolean hasLeaseAt(TestCluster cluster, String entry, long revision) {
+    JsonNode dump = dump(cluster, entry);
+    return dump.get("lease_fresh").asBoolean() && dump.get("revision").asLong() >= revision;
+  }
+
+  private JsonNode dump(TestCluster cluster, String name) {
+    HttpCall call = HttpCall.of(Methods.GET, cluster.address(name), "/dump");
+    return Json.readTree(http.send(call).join().get().body().toByteArray()).get();
+  }
+
+  private static long accept(Operator operator, int number) {
+    List<ObjectChange> create =
+        List.of(ObjectChange.put(new Upstream("engine-" + number, true), 0));
+    ChangeReply reply = operator.client().change("change-" + number, create);
+    return ((ChangeReply.Accepted) reply).revision();
+  }
+
+  private static long millisUntilInForce(Operator operator, long revision) {
+    long startNanos = System.nanoTime();
+    Conditions.await(
+        "revision " + revision + " in force",
+        TIMEOUT,
+        () -> operator.client().inForce(revision, Duration.ofSeconds(2)).get().inForce());
+    return Duration.ofNanos(System.nanoTime() - startNanos).toMillis();
+  }
+
+  private static long upstreams(Operator operator) {
+    return operator.client().configuration().get().objects().stream()
+        .filter(each -> each.object().kind() == ConfigKind.UPSTREAM)
+        .count();
+  }
+}
