Keep the memory forecast up with each request

Each end of a request had the whole forecast of its upstream worked out anew. It now takes the request's own part out again, and is made anew when it is a quarter of a second old.

--- a/src/main/java/org/cuminrack/pool/LengthHistogram.java
+++ b/src/main/java/org/cuminrack/pool/LengthHistogram.java
@@ -10,9 +10,14 @@
   static final int BUCKETS = 72;
   private static final int PARTS_OF_OCTAVE = 4;
   private static final int MAX_LENGTH_TOKENS = (1 << (BUCKETS / PARTS_OF_OCTAVE)) - 1;
+
+  /** Leaves the two highest bits of a double's mantissa, which tell the part of the octave. */
+  private static final int MANTISSA_SHIFT = 50;
+
   private static final double MAX_SAMPLES = 1024;
   private static final double PRIOR_WEIGHT = 1;
   private static final double PRIOR_MEDIAN_TOKENS = 256;
+  private static final double[] LOWER_BOUNDS = lowerBounds();
   private static final double[] PRIOR = prior();
 
   private final double[] counts = new double[BUCKETS];
@@ -64,7 +69,8 @@
     int bucket = bucketOf(lengthTokens);
     double above = atLeast[bucket + 1];
     double inside = atLeast[bucket] - above;
-    double passed = (lengthTokens - lowerBound(bucket)) / width(bucket);
+    double from = LOWER_BOUNDS[bucket];
+    double passed = (lengthTokens - from) / (LOWER_BOUNDS[bucket + 1] - from);
     return (above + inside * (1 - passed)) / atLeast[0];
   }
 
@@ -72,11 +78,11 @@
   double meanUpTo(double capTokens) {
     double sum = 1;
     for (int bucket = 0; bucket < BUCKETS; bucket++) {
-      double from = lowerBound(bucket);
+      double from = LOWER_BOUNDS[bucket];
       if (from >= capTokens) {
         return sum;
       }
-      double to = Math.min(capTokens, from + width(bucket));
+      double to = Math.min(capTokens, LOWER_BOUNDS[bucket + 1]);
       sum += (to - from) * (survival(from) + survival(to)) / 2;
     }
     return sum;
@@ -100,8 +106,8 @@
   private static double[] prior() {
     double[] prior = new double[BUCKETS];
     for (int i = 0; i < BUCKETS; i++) {
-      double from = logLogistic(lowerBound(i));
-      double to = logLogistic(lowerBound(i) + width(i));
+      double from = logLogistic(LOWER_BOUNDS[i]);
+      double to = logLogistic(LOWER_BOUNDS[i + 1]);
       prior[i] = PRIOR_WEIGHT * (from - to);
     }
     return prior;
@@ -115,16 +121,16 @@
   private static int bucketOf(double lengthTokens) {
     double bounded = Math.max(1, Math.min(MAX_LENGTH_TOKENS, lengthTokens));
     int octave = Math.getExponent(bounded);
-    double part = (bounded / (1L << octave) - 1) * PARTS_OF_OCTAVE;
-    return octave * PARTS_OF_OCTAVE + (int) part;
+    long mantissa = Double.doubleToRawLongBits(bounded) >>> MANTISSA_SHIFT;
+    return octave * PARTS_OF_OCTAVE + (int) (mantissa & (PARTS_OF_OCTAVE - 1));
   }
 
-  private static double lowerBound(int bucket) {
-    double octave = 1L << (bucket / PARTS_OF_OCTAVE);
-    return octave * (1 + (double) (bucket % PARTS_OF_OCTAVE) / PARTS_OF_OCTAVE);
-  }
-
-  private static double width(int bucket) {
-    return (double) (1L << (bucket / PARTS_OF_OCTAVE)) / PARTS_OF_OCTAVE;
+  private static double[] lowerBounds() {
+    double[] bounds = new double[BUCKETS + 1];
+    for (int bucket = 0; bucket <= BUCKETS; bucket++) {
+      double octave = 1L << (bucket / PARTS_OF_OCTAVE);
+      bounds[bucket] = octave * (1 + (double) (bucket % PARTS_OF_OCTAVE) / PARTS_OF_OCTAVE);
+    }
+    return bounds;
   }
 }
--- a/src/main/java/org/cuminrack/pool/MemoryForecast.java
+++ b/src/main/java/org/cuminrack/pool/MemoryForecast.java
@@ -25,24 +25,29 @@
 
   /** Adds a sequence. */
   void add(Sequence sequence) {
+    addWeighted(sequence, 1);
+  }
+
+  /** Takes a sequence out that was added as it is. */
+  void remove(Sequence sequence) {
+    addWeighted(sequence, -1);
+  }
+
+  private void addWeighted(Sequence sequence, int sign) {
+    double alive = sequence.survivalSoFar();
     for (int i = 0; i < HORIZON_TOKENS.length; i++) {
-      double survival = sequence.survival(HORIZON_TOKENS[i]);
+      double survival = sequence.survival(HORIZON_TOKENS[i], alive);
       double held = sequence.heldTokens() + HORIZON_TOKENS[i];
-      mean[i] += survival * held;
-      variance[i] += survival * (1 - survival) * held * held;
+      mean[i] += sign * survival * held;
+      variance[i] += sign * survival * (1 - survival) * held * held;
     }
   }
 
   /** Returns the highest predicted use, in tokens, of the sequences added and one more. */
   double peakTokensWith(Sequence more) {
-    double peak = 0;
-    for (int i = 0; i < HORIZON_TOKENS.length; i++) {
-      double survival = more.survival(HORIZON_TOKENS[i]);
-      double held = more.heldTokens() + HORIZON_TOKENS[i];
-      double expected = mean[i] + survival * held;
-      double spread = variance[i] + survival * (1 - survival) * held * held;
-      peak = Math.max(peak, expected + DEVIATIONS * Math.sqrt(spread));
-    }
+    add(more);
+    double peak = peakTokens();
+    remove(more);
     return peak;
   }
 
@@ -50,7 +55,7 @@
   double peakTokens() {
     double peak = 0;
     for (int i = 0; i < HORIZON_TOKENS.length; i++) {
-      peak = Math.max(peak, mean[i] + DEVIATIONS * Math.sqrt(variance[i]));
+      peak = Math.max(peak, mean[i] + DEVIATIONS * Math.sqrt(Math.max(0, variance[i])));
     }
     return peak;
   }
--- a/src/main/java/org/cuminrack/pool/Sequence.java
+++ b/src/main/java/org/cuminrack/pool/Sequence.java
@@ -16,14 +16,20 @@
     return promptTokens + producedTokens;
   }
 
-  /** Returns the probability that it still runs after so many more tokens. */
-  double survival(double moreTokens) {
+  /** Returns the probability that an output like this one gets as long as this one is. */
+  double survivalSoFar() {
+    return lengths.survival(producedTokens);
+  }
+
+  /**
+   * Returns the probability that it still runs after so many more tokens.
+   *
+   * @param soFar the result of {@link #survivalSoFar()}
+   */
+  double survival(double moreTokens, double soFar) {
     double reached = producedTokens + moreTokens;
-    if (maxOutputTokens > 0 && reached > maxOutputTokens) {
-      return 0;
-    }
-    double now = lengths.survival(producedTokens);
-    return now <= 0 ? 0 : lengths.survival(reached) / now;
+    boolean beyond = maxOutputTokens > 0 && reached > maxOutputTokens;
+    return beyond || soFar <= 0 ? 0 : lengths.survival(reached) / soFar;
   }
 
   /** Returns the same after so many tokens, with so many of the prompt's held by others too. */
--- a/src/main/java/org/cuminrack/pool/UpstreamMemory.java
+++ b/src/main/java/org/cuminrack/pool/UpstreamMemory.java
@@ -1,15 +1,20 @@
 package org.cuminrack.pool;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /**
- * The forecast of one upstream's key-value memory, worked out anew when it has aged or changed. A
- * prefix that several running prompts have counts once, for as long as two of them run.
+ * The forecast of one upstream's key-value memory: kept up with each request, and worked out anew
+ * when it has aged. A prefix that several running prompts have counts once, for as long as two of
+ * them run.
  */
 final class UpstreamMemory {
-  private static final long MAX_AGE_NANOS = 100_000_000L;
+  private static final long MAX_AGE_NANOS = 250_000_000L;
 
   private final UpstreamState upstream;
   private final MemoryForecast forecast = new MemoryForecast();
   private final SharedPrefixes prefixes = new SharedPrefixes();
+  private final Map<Long, Sequence> counted = new HashMap<>();
   private long madeNanos;
   private boolean stale = true;
   private double peakTokens;
@@ -19,14 +24,18 @@
   }
 
   void added(QueuedRequest request) {
-    forecast.add(request.sequence().after(0, prefixes.heldTokensOf(request.prefix())));
+    count(request, request.sequence().after(0, prefixes.heldTokensOf(request.prefix())));
     prefixes.add(request.prefix());
     peakTokens = forecast.peakTokens();
   }
 
   void removed(QueuedRequest request) {
     prefixes.remove(request.prefix());
-    stale = true;
+    Sequence sequence = counted.remove(request.id());
+    if (sequence != null) {
+      forecast.remove(sequence);
+      peakTokens = forecast.peakTokens();
+    }
   }
 
   void changed() {
@@ -57,8 +66,9 @@
       return;
     }
     forecast.clear(prefixes.sharedTokens());
+    counted.clear();
     for (RunningRequest each : upstream.running()) {
-      forecast.add(grown(each, nowNanos));
+      count(each.queued(), grown(each, nowNanos));
     }
     addInherited(inheritedLengths);
     peakTokens = forecast.peakTokens();
@@ -66,6 +76,11 @@
     stale = false;
   }
 
+  private void count(QueuedRequest request, Sequence sequence) {
+    counted.put(request.id(), sequence);
+    forecast.add(sequence);
+  }
+
   private Sequence grown(RunningRequest running, long nowNanos) {
     QueuedRequest request = running.queued();
     double produced = upstream.pace().producedTokens(running.ageNanos(nowNanos));
