Queue fairly over organisations first, then over their priorities

The fair order is now over organisations; interactive requests have a bounded lead, and an organisation that holds more than its share leaves room.

--- a/src/main/java/org/cuminrack/pool/FairQueue.java
+++ b/src/main/java/org/cuminrack/pool/FairQueue.java
@@ -1,7 +1,6 @@
 package org.cuminrack.pool;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,15 +10,17 @@
 import org.cuminrack.admission.Priority;
 
 /**
- * Start-time fair queueing of predicted tokens over flows. Each request gets a start tag when it
- * arrives; the smallest one goes first. Interactive flows weigh more, so that short requests pass
- * long ones, but no flow can starve another.
+ * Start-time fair queueing of predicted tokens over organisations, and within each of them over its
+ * priorities. The organisation with the smallest tag goes first; serving a request moves its tag on
+ * by the request's cost over the organisation's weight. Interactive requests get a bounded lead, so
+ * that they pass long ones but no organisation gains by sending more of them.
  */
 final class FairQueue {
-  private static final double INTERACTIVE_WEIGHT = 8;
+  private static final double INTERACTIVE_LEAD_TOKENS = 4_000;
+  private static final double LEAST_TAG_STEP = 1e-9;
 
   private final boolean fair;
-  private final Map<FlowKey, Flow> flows = new HashMap<>();
+  private final Map<String, OrganisationQueue> organisations = new HashMap<>();
   private double virtualTime;
   private double arrivals;
   private int size;
@@ -40,38 +41,57 @@
   }
 
   void add(QueuedRequest request, int organisationWeight) {
-    Flow flow = flows.computeIfAbsent(request.flow(), Flow::new);
-    double start = fair ? Math.max(virtualTime, flow.lastFinish()) : ++arrivals;
-    double weight = organisationWeight * priorityWeight(request.request().priority());
-    flow.add(request, start, start + request.costTokens() / weight);
+    OrganisationQueue queue =
+        organisations.computeIfAbsent(
+            request.request().organisation(), each -> new OrganisationQueue());
+    queue.setWeight(organisationWeight);
+    if (queue.isEmpty()) {
+      queue.raiseTag(virtualTime);
+    }
+    queue.add(request, ++arrivals);
     size++;
   }
 
-  /** Returns the flow whose head has the smallest start tag, of those not excluded. */
-  Optional<Flow> first(Set<Flow> excluded) {
-    Flow first = null;
-    for (Flow each : flows.values()) {
-      boolean counts = !each.isEmpty() && !excluded.contains(each);
-      if (counts && (first == null || each.headStart() < first.headStart())) {
-        first = each;
+  /** Returns the head to be served first, of those not excluded. */
+  Optional<FlowHead> first(Set<FlowKey> excluded) {
+    FlowHead first = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (OrganisationQueue queue : organisations.values()) {
+      for (Priority priority : Priority.values()) {
+        if (queue.isEmpty(priority)) {
+          continue;
+        }
+        QueuedRequest head = queue.head(priority);
+        double tag = tag(queue, priority);
+        if (tag < least && !excluded.contains(head.flow())) {
+          least = tag;
+          first = new FlowHead(head.flow(), head);
+        }
       }
     }
     return Optional.ofNullable(first);
   }
 
-  /** Takes a flow's head out to be served. */
-  QueuedRequest serve(Flow flow) {
-    virtualTime = Math.max(virtualTime, flow.headStart());
+  /** Takes a head out to be served. */
+  void serve(FlowHead head) {
+    OrganisationQueue queue = organisations.get(head.flow().organisation());
+    virtualTime = Math.max(virtualTime, queue.tag());
+    queue.serve(head.flow().priority());
     size--;
-    return flow.poll();
   }
 
   /** Returns how many requests are to be served before this one, which is in the queue. */
   int ahead(QueuedRequest request) {
-    double start = flows.get(request.flow()).startOf(request);
-    int ahead = 0;
-    for (Flow each : flows.values()) {
-      ahead += each.startingBefore(start);
+    OrganisationQueue own = organisations.get(request.request().organisation());
+    if (!fair) {
+      double arrived = own.arrivalOf(request);
+      return organisations.values().stream().mapToInt(each -> each.arrivedBefore(arrived)).sum();
+    }
+    Priority priority = request.request().priority();
+    double start = own.startOf(request) - lead(own, priority);
+    int ahead = own.aheadOf(request);
+    for (OrganisationQueue each : organisations.values()) {
+      ahead += each == own ? 0 : each.startingBefore(start, lead(each, Priority.INTERACTIVE));
     }
     return ahead;
   }
@@ -79,31 +99,33 @@
   /** Takes requests out unserved. */
   List<QueuedRequest> removeIf(Predicate<QueuedRequest> condition) {
     List<QueuedRequest> removed = new ArrayList<>();
-    for (Flow each : flows.values()) {
-      removed.addAll(each.removeIf(condition));
-    }
+    organisations.values().forEach(each -> removed.addAll(each.removeIf(condition)));
     size -= removed.size();
     return removed;
   }
 
   /** Takes one request out unserved; nothing where it is not here. */
   void remove(QueuedRequest request) {
-    Flow flow = flows.get(request.flow());
-    if (flow != null && flow.remove(request)) {
-      size--;
+    OrganisationQueue queue = organisations.get(request.request().organisation());
+    if (queue != null) {
+      size -= queue.removeIf(each -> each.id() == request.id()).size();
     }
   }
 
-  /** Forgets flows that have nothing here and nothing to make up for. */
+  /** Forgets organisations that have nothing here and nothing to make up for. */
   void forgetIdle() {
-    flows.values().removeIf(each -> each.isEmpty() && each.lastFinish() <= virtualTime);
+    organisations.values().removeIf(each -> each.isEmpty() && each.tag() <= virtualTime);
   }
 
-  Collection<Flow> flows() {
-    return flows.values();
+  private double tag(OrganisationQueue queue, Priority priority) {
+    if (!fair) {
+      return queue.headArrival(priority);
+    }
+    boolean second = queue.preferred() != priority;
+    return queue.tag() - lead(queue, priority) + (second ? LEAST_TAG_STEP : 0);
   }
 
-  private static double priorityWeight(Priority priority) {
-    return priority == Priority.INTERACTIVE ? INTERACTIVE_WEIGHT : 1;
+  private static double lead(OrganisationQueue queue, Priority priority) {
+    return priority == Priority.INTERACTIVE ? INTERACTIVE_LEAD_TOKENS / queue.weight() : 0;
   }
 }
--- a/src/main/java/org/cuminrack/pool/HandOverTaker.java
+++ b/src/main/java/org/cuminrack/pool/HandOverTaker.java
@@ -66,6 +66,7 @@
         new RunningRequest(ticket(pool, part, upstream.get()), queued, admittedNanos);
     upstream.get().admitted(running);
     holdings.add(upstream.get(), running);
+    context.shares().add(queued);
     if (part.alone()) {
       waiting.suspectRuns(upstream.get(), part.ticketId());
     }
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/OrganisationQueue.java
@@ -0,0 +1,164 @@
+package org.cuminrack.pool;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.cuminrack.admission.Priority;
+
+/** The waiting requests of one organisation, by priority, and its place in the fair order. */
+final class OrganisationQueue {
+  private static final double INTERACTIVE_WEIGHT = 8;
+
+  private final Map<Priority, Deque<Entry>> queues = new EnumMap<>(Priority.class);
+  private final Map<Priority, Double> innerTags = new EnumMap<>(Priority.class);
+  private int weight = 1;
+  private double tag;
+
+  private record Entry(QueuedRequest request, double arrival) {}
+
+  OrganisationQueue() {
+    for (Priority each : Priority.values()) {
+      queues.put(each, new ArrayDeque<>());
+      innerTags.put(each, 0.0);
+    }
+  }
+
+  void setWeight(int weight) {
+    this.weight = weight;
+  }
+
+  int weight() {
+    return weight;
+  }
+
+  /** Returns where the organisation stands: it goes first where this is the smallest. */
+  double tag() {
+    return tag;
+  }
+
+  void raiseTag(double least) {
+    tag = Math.max(tag, least);
+  }
+
+  boolean isEmpty() {
+    return queues.values().stream().allMatch(Deque::isEmpty);
+  }
+
+  boolean isEmpty(Priority priority) {
+    return queues.get(priority).isEmpty();
+  }
+
+  QueuedRequest head(Priority priority) {
+    return queues.get(priority).getFirst().request();
+  }
+
+  double headArrival(Priority priority) {
+    return queues.get(priority).getFirst().arrival();
+  }
+
+  void add(QueuedRequest request, double arrival) {
+    Priority priority = request.request().priority();
+    if (isEmpty(priority)) {
+      innerTags.merge(priority, innerTags.get(other(priority)), Math::max);
+    }
+    queues.get(priority).addLast(new Entry(request, arrival));
+  }
+
+  /** Returns the priority whose turn it is. */
+  Priority preferred() {
+    boolean interactiveFirst =
+        innerTags.get(Priority.INTERACTIVE) <= innerTags.get(Priority.STANDARD);
+    Priority first = interactiveFirst ? Priority.INTERACTIVE : Priority.STANDARD;
+    return isEmpty(first) ? other(first) : first;
+  }
+
+  void serve(Priority priority) {
+    QueuedRequest served = queues.get(priority).removeFirst().request();
+    tag += served.costTokens() / weight;
+    double innerWeight = priority == Priority.INTERACTIVE ? INTERACTIVE_WEIGHT : 1;
+    innerTags.merge(priority, served.costTokens() / innerWeight, Double::sum);
+  }
+
+  /** Returns the tag that the organisation will have when this request's turn comes. */
+  double startOf(QueuedRequest request) {
+    double start = tag;
+    for (Entry each : queues.get(request.request().priority())) {
+      if (each.request().id() == request.id()) {
+        return start;
+      }
+      start += each.request().costTokens() / weight;
+    }
+    return start;
+  }
+
+  /** Returns how many of its own requests of the same priority come before this one. */
+  int aheadOf(QueuedRequest request) {
+    int ahead = 0;
+    for (Entry each : queues.get(request.request().priority())) {
+      if (each.request().id() == request.id()) {
+        return ahead;
+      }
+      ahead++;
+    }
+    return ahead;
+  }
+
+  /** Returns how many requests have their turn before this tag. */
+  int startingBefore(double bound, double interactiveLead) {
+    return countBefore(Priority.INTERACTIVE, bound + interactiveLead)
+        + countBefore(Priority.STANDARD, bound);
+  }
+
+  double arrivalOf(QueuedRequest request) {
+    return queues.get(request.request().priority()).stream()
+        .filter(each -> each.request().id() == request.id())
+        .mapToDouble(Entry::arrival)
+        .findFirst()
+        .orElse(0);
+  }
+
+  int arrivedBefore(double arrival) {
+    return (int)
+        queues.values().stream()
+            .flatMap(Deque::stream)
+            .filter(each -> each.arrival() < arrival)
+            .count();
+  }
+
+  List<QueuedRequest> removeIf(Predicate<QueuedRequest> condition) {
+    List<QueuedRequest> removed = new ArrayList<>();
+    for (Deque<Entry> queue : queues.values()) {
+      Iterator<Entry> entries = queue.iterator();
+      while (entries.hasNext()) {
+        QueuedRequest request = entries.next().request();
+        if (condition.test(request)) {
+          entries.remove();
+          removed.add(request);
+        }
+      }
+    }
+    return removed;
+  }
+
+  private int countBefore(Priority priority, double bound) {
+    double start = tag;
+    int count = 0;
+    for (Entry each : queues.get(priority)) {
+      if (start >= bound) {
+        return count;
+      }
+      start += each.request().costTokens() / weight;
+      count++;
+    }
+    return count;
+  }
+
+  private static Priority other(Priority priority) {
+    return priority == Priority.INTERACTIVE ? Priority.STANDARD : Priority.INTERACTIVE;
+  }
+}
--- a/src/main/java/org/cuminrack/pool/PoolContext.java
+++ b/src/main/java/org/cuminrack/pool/PoolContext.java
@@ -8,10 +8,12 @@
   private static final int ROOM_DIVISOR = 8;
   private static final int SMALLEST_SHARED_LIMIT = 4;
   private static final double STANDARD_MEMORY_SHARE = 0.95;
+  private static final double OVER_SHARE_MEMORY_SHARE = 0.85;
 
   private final PolicyKind policy;
   private final LengthPredictor lengths = new LengthPredictor();
   private final PrefixIndex prefixes = new PrefixIndex();
+  private final RunningShares shares = new RunningShares();
   private PoolRules rules = PoolRules.none();
   private long nowNanos;
   private long interactiveSeenNanos;
@@ -66,12 +68,17 @@
   /** Returns how many requests an upstream may have before this one can't join. */
   int limitFor(QueuedRequest request, UpstreamState upstream) {
     int limit = uses(Mechanism.RAMP) ? upstream.limit().value() : upstream.limit().warmLimit();
-    if (!request.isStandard() || !keepsInteractiveRoom() || limit < SMALLEST_SHARED_LIMIT) {
+    if (limit < SMALLEST_SHARED_LIMIT || !leavesRoom(request)) {
       return limit;
     }
     return limit - Math.max(1, limit / ROOM_DIVISOR);
   }
 
+  /** Tells whether a request has to leave room for others. */
+  boolean leavesRoom(QueuedRequest request) {
+    return isOverShare(request) || (request.isStandard() && keepsInteractiveRoom());
+  }
+
   /** Tells whether an upstream has a place for this request, whatever its memory. */
   boolean hasPlace(QueuedRequest request, UpstreamState upstream) {
     return upstream.occupied() < limitFor(request, upstream);
@@ -82,8 +89,7 @@
     if (!uses(Mechanism.MEMORY_PREDICTION)) {
       return true;
     }
-    boolean keepsRoom = request.isStandard() && keepsInteractiveRoom();
-    double share = keepsRoom ? STANDARD_MEMORY_SHARE : 1;
+    double share = isOverShare(request) ? OVER_SHARE_MEMORY_SHARE : memoryShare(request);
     return upstream.memory().fits(request, share, anyLengths(), nowNanos);
   }
 
@@ -96,6 +102,19 @@
     return Math.max(places, upstream.memory().peakShare(anyLengths(), nowNanos));
   }
 
+  RunningShares shares() {
+    return shares;
+  }
+
+  private double memoryShare(QueuedRequest request) {
+    return request.isStandard() && keepsInteractiveRoom() ? STANDARD_MEMORY_SHARE : 1;
+  }
+
+  private boolean isOverShare(QueuedRequest request) {
+    return uses(Mechanism.FAIR_QUEUEING)
+        && shares.isOverShare(request.request().organisation(), rules);
+  }
+
   private boolean keepsInteractiveRoom() {
     return uses(Mechanism.INTERACTIVE_ROOM)
         && interactiveSeen
--- a/src/main/java/org/cuminrack/pool/PoolCore.java
+++ b/src/main/java/org/cuminrack/pool/PoolCore.java
@@ -160,6 +160,7 @@
     waiting.remove(requestId);
     Optional<Holding> holding = holdings.ticketOf(requestId).flatMap(holdings::remove);
     holding.ifPresent(each -> each.upstream().orphaned(each.request()));
+    holding.ifPresent(each -> context.shares().remove(each.request().queued()));
     holding.ifPresent(each -> waiting.ticketBack(each.request().ticket().id()));
     return end();
   }
@@ -227,6 +228,7 @@
 
   private void takeBack(Holding holding, TicketOutcome outcome) {
     holding.upstream().finished(holding.request(), outcome, context.nowNanos());
+    context.shares().remove(holding.request().queued());
     waiting.finished(holding.request(), outcome);
     learnLength(holding.request(), outcome);
   }
@@ -237,6 +239,7 @@
     upstream.admitted(running);
     context.prefixes().stored(upstream.slot(), queued.prefix());
     holdings.add(upstream, running);
+    context.shares().add(queued);
     decisions.add(new PoolDecision.Admitted(queued.id(), ticket));
     return ticket.id();
   }
--- /dev/null
+++ b/src/main/java/org/cuminrack/pool/RunningShares.java
@@ -0,0 +1,41 @@
+package org.cuminrack.pool;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** What each organisation holds of a pool, to tell which one holds more than its share. */
+final class RunningShares {
+  private static final double OVER_SHARE = 1.5;
+
+  private final Map<String, Double> tokens = new HashMap<>();
+  private double total;
+
+  void add(QueuedRequest request) {
+    total += request.costTokens();
+    tokens.merge(request.request().organisation(), request.costTokens(), Double::sum);
+  }
+
+  void remove(QueuedRequest request) {
+    total -= request.costTokens();
+    String organisation = request.request().organisation();
+    double left = tokens.getOrDefault(organisation, 0.0) - request.costTokens();
+    if (left < 1) {
+      tokens.remove(organisation);
+    } else {
+      tokens.put(organisation, left);
+    }
+  }
+
+  /** Tells whether an organisation holds far more than its weight entitles it to. */
+  boolean isOverShare(String organisation, PoolRules rules) {
+    double held = tokens.getOrDefault(organisation, 0.0);
+    if (tokens.size() < 2 || held <= 0) {
+      return false;
+    }
+    double weights = 0;
+    for (String each : tokens.keySet()) {
+      weights += rules.weightOf(each);
+    }
+    return held * weights > OVER_SHARE * total * rules.weightOf(organisation);
+  }
+}
--- a/src/main/java/org/cuminrack/pool/WaitingRoom.java
+++ b/src/main/java/org/cuminrack/pool/WaitingRoom.java
@@ -18,7 +18,7 @@
   static final int POISON_CRASHES = 2;
 
   private static final double WAIT_SHARE_OF_TIMEOUT = 0.9;
-  private static final int MAX_BYPASSED_FLOWS = 4;
+  private static final int MAX_BYPASSED_FLOWS = 8;
   private static final long MAX_BYPASSED_NANOS = 500_000_000L;
   private static final int MAX_WAITING = 4096;
 
@@ -89,22 +89,22 @@
   /** Admits all that can be, in the order of the queue. */
   void admit(UpstreamTable upstreams, PlacementPolicy placement, Admitter admitter) {
     admitSuspect(upstreams, admitter);
-    Set<Flow> bypassed = new HashSet<>();
+    Set<FlowKey> bypassed = new HashSet<>();
     while (!queue.isEmpty() && bypassed.size() <= MAX_BYPASSED_FLOWS) {
-      Optional<Flow> flow = queue.first(bypassed);
-      if (flow.isEmpty()) {
+      Optional<FlowHead> first = queue.first(bypassed);
+      if (first.isEmpty()) {
         return;
       }
-      QueuedRequest head = flow.get().head();
+      QueuedRequest head = first.get().request();
       Optional<UpstreamState> upstream = place(head, upstreams, placement);
       if (upstream.isPresent()) {
-        queue.serve(flow.get());
+        queue.serve(first.get());
         byId.remove(head.id());
         admitter.admit(head, upstream.get(), false);
-      } else if (context.nowNanos() - head.arrivedNanos() > MAX_BYPASSED_NANOS) {
+      } else if (blocksOthers(head)) {
         return;
       } else {
-        bypassed.add(flow.get());
+        bypassed.add(first.get().flow());
       }
     }
   }
@@ -159,6 +159,12 @@
     return byId.isEmpty() ? 0 : waits.waitNanos(queue.size() + 1, upstreams.occupied());
   }
 
+  /** A request that was passed for long must not be passed by further ones that share its room. */
+  private boolean blocksOthers(QueuedRequest head) {
+    boolean longPassed = context.nowNanos() - head.arrivedNanos() > MAX_BYPASSED_NANOS;
+    return longPassed && !context.leavesRoom(head);
+  }
+
   private void admitSuspect(UpstreamTable upstreams, Admitter admitter) {
     Optional<QueuedRequest> head = suspects.head();
     if (head.isEmpty()) {
