Report one death once, and leave a silent engine sooner before the first token

Each stream that saw an engine die reported all that ran there; a death with 32 streams was 32 reports of 32 requests through the replicated log. They share one report now, sent again only if it failed. An engine that answers and then says nothing is given up after twice the bound of silence while no token has come, so that the second attempt fits the caller's timeout.

A scripted upstream that crashed freed its port, which another process of the machine could take: an order then met a stranger (status 404 instead of 201, once in 73). It keeps the port bound now.

--- a/src/main/java/org/cuminrack/relay/EngineStream.java
+++ b/src/main/java/org/cuminrack/relay/EngineStream.java
@@ -50,6 +50,7 @@
   void goOn(String generationId, int afterIndex) {
     generation = generationId;
     sequence = TokenSequence.after(afterIndex);
+    timing.token();
     openResume();
   }
 
--- a/src/main/java/org/cuminrack/relay/Generation.java
+++ b/src/main/java/org/cuminrack/relay/Generation.java
@@ -153,6 +153,7 @@
     answer.token(engine, token, data);
     if (token.finished()) {
       finish(Result.COMPLETED);
+      answer.stream().endWhole();
     }
   }
 
--- a/src/main/java/org/cuminrack/relay/GenerationAnswer.java
+++ b/src/main/java/org/cuminrack/relay/GenerationAnswer.java
@@ -43,7 +43,7 @@
     return lastIndex;
   }
 
-  /** Adds a token; the whole answer ends with the last one. */
+  /** Adds a token. */
   void token(EngineStream engine, TokenData token, byte[] data) {
     if (ids == null) {
       ids =
@@ -59,9 +59,6 @@
     lastIndex = token.index();
     context.counters().add(RelayCounters.TOKENS);
     stream.event(ids.write(token), data);
-    if (token.finished()) {
-      stream.endWhole();
-    }
   }
 
   /** Ends with a problem: in the stream where a token is in it, else as the answer itself. */
--- a/src/main/java/org/cuminrack/relay/RunningRequests.java
+++ b/src/main/java/org/cuminrack/relay/RunningRequests.java
@@ -1,8 +1,9 @@
 package org.cuminrack.relay;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -12,13 +13,13 @@
 
 /**
  * What this entry has running on each life of each upstream, so that a death can be told with the
- * requests that may have caused it. Safe for use by many threads; one lock a life, held only to
- * change or copy its list.
+ * requests that may have caused it. Safe for use by many threads; a life is changed only under its
+ * key's lock, which is never held while a report is under way.
  */
 final class RunningRequests {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final ConcurrentMap<EngineTarget, List<Fingerprint>> running = new ConcurrentHashMap<>();
+  private final ConcurrentMap<EngineTarget, Life> lives = new ConcurrentHashMap<>();
   private final CrashReports crashReports;
   private final RelayBounds bounds;
 
@@ -27,45 +28,85 @@
     this.bounds = bounds;
   }
 
-  void add(EngineTarget target, Fingerprint fingerprint) {
-    running.compute(target, (key, list) -> with(list, fingerprint));
-  }
+  /** One life of an upstream: how often each request runs there, and the report of its death. */
+  private static final class Life {
+    private final Map<Fingerprint, Integer> running = new ConcurrentHashMap<>();
+    private Set<Fingerprint> reported = Set.of();
+    private volatile CompletableFuture<Boolean> report = CompletableFuture.completedFuture(false);
 
-  void remove(EngineTarget target, Fingerprint fingerprint) {
-    running.computeIfPresent(target, (key, list) -> without(list, fingerprint));
+    /** Tells whether a report that did not fail covers this request. */
+    private boolean covers(Fingerprint fingerprint) {
+      return reported.contains(fingerprint) && report.getNow(true);
+    }
   }
 
-  private static List<Fingerprint> with(List<Fingerprint> list, Fingerprint fingerprint) {
-    List<Fingerprint> changed = list == null ? new ArrayList<>() : new ArrayList<>(list);
-    changed.add(fingerprint);
-    return changed;
+  void add(EngineTarget target, Fingerprint fingerprint) {
+    lives.compute(
+        target,
+        (key, known) -> {
+          Life life = known == null ? new Life() : known;
+          life.running.merge(fingerprint, 1, Integer::sum);
+          return life;
+        });
   }
 
-  private static List<Fingerprint> without(List<Fingerprint> list, Fingerprint fingerprint) {
-    List<Fingerprint> changed = new ArrayList<>(list);
-    changed.remove(fingerprint);
-    return changed.isEmpty() ? null : changed;
+  void remove(EngineTarget target, Fingerprint fingerprint) {
+    lives.computeIfPresent(
+        target,
+        (key, life) -> {
+          life.running.computeIfPresent(
+              fingerprint, (same, count) -> count == 1 ? null : count - 1);
+          return life.running.isEmpty() ? null : life;
+        });
   }
 
   /**
-   * Reports that a life of an upstream has ended, with everything this entry has running on it.
-   * Each request that sees the death reports it; the same report a second time counts nothing.
+   * Reports that a life of an upstream has ended, with everything this entry has running on it. The
+   * requests that see the same death share one report.
    *
    * @return true once every entry with a lease knows; false if that can't be said in time
    */
   CompletableFuture<Boolean> died(EngineTarget target, Fingerprint witness) {
-    List<Fingerprint> suspects = new ArrayList<>(running.getOrDefault(target, List.of()));
-    if (!suspects.contains(witness)) {
+    CompletableFuture<Boolean> report = new CompletableFuture<>();
+    Set<Fingerprint> suspects = new HashSet<>();
+    Life life = lives.compute(target, (key, known) -> begin(known, witness, suspects, report));
+    if (!suspects.isEmpty()) {
+      send(target, suspects, report);
+    }
+    return life.report;
+  }
+
+  private static Life begin(
+      Life known,
+      Fingerprint witness,
+      Set<Fingerprint> suspects,
+      CompletableFuture<Boolean> report) {
+    Life life = known == null ? new Life() : known;
+    if (!life.covers(witness)) {
+      suspects.addAll(life.running.keySet());
       suspects.add(witness);
+      life.reported = Set.copyOf(suspects);
+      life.report = report;
     }
+    return life;
+  }
+
+  private void send(
+      EngineTarget target, Set<Fingerprint> suspects, CompletableFuture<Boolean> report) {
     logger.atWarning().log(
         "%s",
         LogEvent.named("upstream-died")
             .with("upstream", target.upstream())
             .with("boot_id", target.bootId())
             .with("running", suspects.size()));
-    return crashReports
+    crashReports
         .reportCrash(target.upstream(), target.bootId(), suspects, bounds.crashReport())
-        .exceptionally(failure -> false);
+        .exceptionally(failure -> false)
+        .thenAccept(known -> reported(target, report, known));
+  }
+
+  private void reported(EngineTarget target, CompletableFuture<Boolean> report, boolean known) {
+    report.complete(known);
+    lives.computeIfPresent(target, (key, life) -> life.running.isEmpty() ? null : life);
   }
 }
--- a/src/main/java/org/cuminrack/relay/StreamTiming.java
+++ b/src/main/java/org/cuminrack/relay/StreamTiming.java
@@ -14,11 +14,13 @@
   private long tokenNanos;
   private long openedNanos;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
+  private boolean begun;
 
   StreamTiming(Clock clock, RelayBounds bounds) {
     this.clock = clock;
     this.bounds = bounds;
-    token();
+    heard();
+    tokenNanos = heardNanos;
     opened();
   }
 
@@ -32,10 +34,11 @@
     heardNanos = clock.nanoTime();
   }
 
-  /** A token has come. */
+  /** A token has come, or the caller has some already. */
   void token() {
     heard();
     tokenNanos = heardNanos;
+    begun = true;
     backoffMillis = FIRST_BACKOFF_MILLIS;
   }
 
@@ -51,9 +54,9 @@
     return exceeds(heardNanos, bounds.silence()) && exceeds(openedNanos, bounds.silence());
   }
 
-  /** Tells whether the engine counts as lost. */
+  /** Tells whether the engine counts as lost: earlier while another one could still begin. */
   boolean isOutOfReach() {
-    return exceeds(heardNanos, bounds.engineLoss());
+    return exceeds(heardNanos, begun ? bounds.engineLoss() : bounds.silence().multipliedBy(2));
   }
 
   /** Tells whether the generation counts as lost. */
--- a/src/test/java/org/cuminrack/relay/FakeCrashReports.java
+++ b/src/test/java/org/cuminrack/relay/FakeCrashReports.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.member.CrashReports;
 
@@ -16,11 +17,13 @@
 final class FakeCrashReports implements CrashReports {
   private final Map<Fingerprint, Set<String>> lives = new ConcurrentHashMap<>();
   final List<Fingerprint> cleared = new CopyOnWriteArrayList<>();
+  final AtomicInteger reports = new AtomicInteger();
   volatile boolean reachable = true;
 
   @Override
   public CompletableFuture<Boolean> reportCrash(
       String upstream, String bootId, Collection<Fingerprint> running, Duration timeout) {
+    reports.incrementAndGet();
     if (!reachable) {
       return CompletableFuture.completedFuture(false);
     }
--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/RunningRequestsTest.java
@@ -0,0 +1,66 @@
+package org.cuminrack.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.admission.Fingerprint;
+import org.junit.jupiter.api.Test;
+
+class RunningRequestsTest {
+  private static final EngineTarget ENGINE =
+      new EngineTarget("engine-1", "127.0.0.1:9001", "boot-1");
+  private static final Fingerprint FIRST = fingerprint("first");
+  private static final Fingerprint SECOND = fingerprint("second");
+
+  private final FakeCrashReports crashReports = new FakeCrashReports();
+  private final RunningRequests running = new RunningRequests(crashReports, RelayBounds.defaults());
+
+  private static Fingerprint fingerprint(String body) {
+    return Fingerprint.of("app", "planner", body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void shouldReportEverythingThatRanThere() {
+    running.add(ENGINE, FIRST);
+    running.add(ENGINE, SECOND);
+
+    assertThat(running.died(ENGINE, FIRST).join()).isTrue();
+
+    assertThat(crashReports.crashes(SECOND)).isEqualTo(1);
+  }
+
+  @Test
+  void shouldReportOneDeathOnceForAllThatSeeIt() {
+    running.add(ENGINE, FIRST);
+    running.add(ENGINE, SECOND);
+
+    CompletableFuture<Boolean> first = running.died(ENGINE, FIRST);
+    CompletableFuture<Boolean> second = running.died(ENGINE, SECOND);
+
+    assertThat(second).isSameInstanceAs(first);
+    assertThat(crashReports.reports.get()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldReportAgainWhereTheReportFailed() {
+    running.add(ENGINE, FIRST);
+    crashReports.reachable = false;
+    boolean known = running.died(ENGINE, FIRST).join();
+    crashReports.reachable = true;
+
+    assertThat(known).isFalse();
+    assertThat(running.died(ENGINE, FIRST).join()).isTrue();
+  }
+
+  @Test
+  void shouldNotAccuseWhatHasEnded() {
+    running.add(ENGINE, FIRST);
+    running.add(ENGINE, SECOND);
+    running.remove(ENGINE, SECOND);
+
+    running.died(ENGINE, FIRST).join();
+
+    assertThat(crashReports.crashes(SECOND)).isEqualTo(0);
+  }
+}
--- a/src/test/java/org/cuminrack/relay/ScriptedUpstream.java
+++ b/src/test/java/org/cuminrack/relay/ScriptedUpstream.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -15,6 +16,7 @@
   private final String name;
   private final String bootId;
   private final ServerSocket server;
+  private final Socket portHolder = new Socket();
   private final Map<String, Script> scripts = new ConcurrentHashMap<>();
   private final List<ScriptedConnection> connections = new CopyOnWriteArrayList<>();
   final List<String> requests = new CopyOnWriteArrayList<>();
@@ -112,17 +114,34 @@
   }
 
   /** Ends as a killed process does: the port refuses, every connection is reset. */
-  void crash() {
+  synchronized void crash() {
     try {
       server.close();
       connections.forEach(ScriptedConnection::reset);
+      holdPort();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
+  /** Keeps the port bound, as far as the system lets it, so that no other process takes it. */
+  private void holdPort() throws IOException {
+    portHolder.setReuseAddress(true);
+    try {
+      portHolder.bind(server.getLocalSocketAddress());
+    } catch (BindException e) {
+      // Some connection of the port has not ended yet; it is not free for others either.
+    }
+  }
+
   @Override
-  public void close() {
-    crash();
+  public synchronized void close() {
+    try {
+      server.close();
+      connections.forEach(ScriptedConnection::reset);
+      portHolder.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 }
--- a/src/test/java/org/cuminrack/relay/StreamFailureTest.java
+++ b/src/test/java/org/cuminrack/relay/StreamFailureTest.java
@@ -157,6 +157,24 @@
     assertThat(Tokens.indices(session.readBody())).isEqualTo(Tokens.upTo(6));
   }
 
+  @Test
+  void shouldTryElsewhereWhereTheEngineIsSilentBeforeTheFirstToken() throws IOException {
+    fixture.admission.upstreams(engine, otherEngine);
+    engine.on(
+        "POST /v1/completions",
+        connection -> {
+          connection.beginStream("g1", "boot-engine-1");
+          connection.hang();
+        });
+    engine.on("GET /v1/generations", ScriptedConnection::hang);
+    otherEngine.on("POST /v1/completions", whole("g2", "boot-engine-2"));
+
+    CallerSession session =
+        entry.send(CallerMessage.generation().withHeader("X-Timeout-Millis", "3000")).readHead();
+
+    assertThat(Tokens.indices(session.readBody())).isEqualTo(Tokens.upTo(6));
+  }
+
   @Test
   void shouldPassOnThatTheEngineHasNoRoom() throws IOException {
     fixture.admission.upstreams(engine, otherEngine);
