--- /dev/null
+++ b/src/test/java/org/cuminrack/relay/EventIdsTest.java
@@ -0,0 +1,64 @@
+package org.cuminrack.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import org.cuminrack.admission.Fingerprint;
+import org.junit.jupiter.api.Test;
+
+class EventIdsTest {
+  private static final EngineTarget ENGINE =
+      new EngineTarget("engine-1", "127.0.0.1:9001", "boot-1");
+  private static final Fingerprint FINGERPRINT = new Fingerprint("00ff");
+  private static final TokenData TOKEN = new TokenData(41, false);
+
+  private final EventIds ids = new EventIds(ByteString.copyFromUtf8("0123456789abcdef"));
+
+  private String written(TokenData token) {
+    return ids.writer("app", ENGINE, "g1", FINGERPRINT).write(token);
+  }
+
+  @Test
+  void shouldReadWhatItWrote() {
+    EventId id = ids.read("app", written(TOKEN)).get();
+
+    assertThat(id)
+        .isEqualTo(
+            new EventId("engine-1", "127.0.0.1:9001", "boot-1", "g1", "00ff", 41, false));
+  }
+
+  @Test
+  void shouldTellTheLastToken() {
+    EventId id = ids.read("app", written(new TokenData(42, true))).get();
+
+    assertThat(id.index()).isEqualTo(42);
+    assertThat(id.last()).isTrue();
+  }
+
+  @Test
+  void shouldRefuseTheIdOfAnotherOrganisation() {
+    assertThat(ids.read("other", written(TOKEN)).isLeft()).isTrue();
+  }
+
+  @Test
+  void shouldRefuseAnIdUnderAnotherKey() {
+    EventIds others = new EventIds(ByteString.copyFromUtf8("fedcba9876543210"));
+
+    assertThat(others.read("app", written(TOKEN)).isLeft()).isTrue();
+  }
+
+  @Test
+  void shouldRefuseAChangedIndexOrPrefix() {
+    String id = written(TOKEN);
+
+    assertThat(ids.read("app", id.replace(".41.", ".40.")).isLeft()).isTrue();
+    assertThat(ids.read("app", "x" + id).isLeft()).isTrue();
+  }
+
+  @Test
+  void shouldRefuseWhatIsNoId() {
+    assertThat(ids.read("app", "41").getLeft()).contains("expected an id of this service");
+    assertThat(ids.read("app", "a.b.%%").getLeft()).contains("expected an id of this service");
+    assertThat(ids.read("app", "a".repeat(5_000)).isLeft()).isTrue();
+  }
+}
--- a/src/test/java/org/cuminrack/relay/PoisonTest.java
+++ b/src/test/java/org/cuminrack/relay/PoisonTest.java
@@ -104,7 +104,7 @@
     CallerSession session = entry.send(CallerMessage.generation()).readHead();
 
     assertThat(Tokens.indices(session.readBody())).isEqualTo(Tokens.upTo(3));
-    assertThat(fixture.crashReports.suspects()).isEqualTo(0);
+    assertThat(fixture.crashReports.reports.get()).isEqualTo(0);
   }
 
   @Test
