--- a/src/test/java/org/cuminrack/relay/CallerResumeTest.java
+++ b/src/test/java/org/cuminrack/relay/CallerResumeTest.java
@@ -51,6 +51,7 @@
   @Test
   void shouldGoOnAtAnotherEntryAfterTheLastToken() throws IOException {
     String lastId = readFourTokensAndVanish();
+    RelayFixture.await(() -> entry.count(RelayCounters.CALLERS_GONE) == 1);
 
     CallerSession session = comeBack(lastId, CallerMessage.generation());
 
--- a/src/test/java/org/cuminrack/relay/EventIdsTest.java
+++ b/src/test/java/org/cuminrack/relay/EventIdsTest.java
@@ -23,8 +23,7 @@
     EventId id = ids.read("app", written(TOKEN)).get();
 
     assertThat(id)
-        .isEqualTo(
-            new EventId("engine-1", "127.0.0.1:9001", "boot-1", "g1", "00ff", 41, false));
+        .isEqualTo(new EventId("engine-1", "127.0.0.1:9001", "boot-1", "g1", "00ff", 41, false));
   }
 
   @Test
--- a/src/test/java/org/cuminrack/relay/EventStreamParserTest.java
+++ b/src/test/java/org/cuminrack/relay/EventStreamParserTest.java
@@ -14,8 +14,7 @@
 class EventStreamParserTest {
   private static final String STREAM =
       ": comment\n\nid: g1:0\r\ndata: {\"text\":\"žltá\"}\r\n\r\nretry: 5\nid:g1:1\ndata:b\n\ndata: c\n\n";
-  private static final List<String> EVENTS =
-      List.of("g1:0|{\"text\":\"žltá\"}", "g1:1|b", "|c");
+  private static final List<String> EVENTS = List.of("g1:0|{\"text\":\"žltá\"}", "g1:1|b", "|c");
 
   private final List<String> events = new ArrayList<>();
   private final EventStreamParser parser =
