--- a/src/test/java/org/cuminrack/standin/EngineModelTest.java
+++ b/src/test/java/org/cuminrack/standin/EngineModelTest.java
@@ -140,6 +140,21 @@
     assertThat(model.warmth()).isEqualTo(0.0);
   }
 
+  @Test
+  void shouldCountOnlyNewWorkOnceItHasTurnedColdAgain() {
+    EngineModel model = EngineModel.warm(PROFILE);
+    for (int i = 0; i < PROFILE.warmLimit(); i++) {
+      model.submit(request("g" + i, 10, 100));
+    }
+
+    model.makeCold();
+
+    for (int i = 0; i < PROFILE.coldLimit(); i++) {
+      assertThat(model.submit(request("n" + i, 10, 10))).isEqualTo(EngineModel.Verdict.TAKEN);
+    }
+    assertThat(model.submit(request("n", 10, 10))).isEqualTo(EngineModel.Verdict.FELL_OVER);
+  }
+
   @Test
   void shouldFreeTheMemoryOfACancelledGeneration() {
     EngineModel model = EngineModel.warm(PROFILE);
--- /dev/null
+++ b/src/test/java/org/cuminrack/standin/EngineServerTest.java
@@ -0,0 +1,175 @@
+package org.cuminrack.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.undertow.util.Methods;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cuminrack.http.HttpAnswer;
+import org.cuminrack.http.Json;
+import org.cuminrack.time.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class EngineServerTest {
+  private static final String PROMPT = "a week of menus [[tokens=4]]";
+
+  private final CountDownLatch crashed = new CountDownLatch(1);
+  private EngineServer engine;
+  private HttpProbe probe;
+
+  @BeforeEach
+  void setUp() {
+    EngineOptions options =
+        EngineOptions.of("engine-1", "dc-a", "meal-planner", List.of()).withStartsWarm(true);
+    engine = EngineServer.of(options, Clock.system(), crashed::countDown);
+    engine.start();
+    probe = new HttpProbe(engine.address());
+  }
+
+  @AfterEach
+  void tearDown() {
+    probe.close();
+    engine.stop();
+  }
+
+  @Test
+  void shouldStreamEveryTokenAndTheEnd() {
+    HttpAnswer answer = probe.send(probe.generation(PROMPT)).get();
+
+    assertThat(HttpProbe.data(answer)).containsExactlyElementsIn(wholeAnswer(4)).inOrder();
+    assertThat(answer.headers().getFirst("X-Request-Id")).isEqualTo("r-1");
+    assertThat(answer.headers().getFirst("X-Boot-Id")).isNotEmpty();
+  }
+
+  @Test
+  void shouldGoOnWithAGenerationWhoseConnectionBroke() {
+    engine.behave(behaviour(Map.of("drop_after_tokens", 1)));
+    HttpAnswer cut = probe.send(probe.generation(PROMPT)).get();
+    assertThat(HttpProbe.data(cut)).containsExactly(wholeAnswer(4).get(0));
+    engine.behave(Behaviour.good());
+
+    HttpAnswer rest = probe.get("/v1/generations/" + firstGeneration() + "/events?after=1");
+
+    assertThat(HttpProbe.data(rest)).containsExactlyElementsIn(wholeAnswer(4).subList(2, 5));
+  }
+
+  @Test
+  void shouldSayThatALostGenerationIsGone() {
+    probe.send(probe.generation(PROMPT));
+    engine.behave(behaviour(Map.of("lose_generations", true)));
+
+    HttpAnswer gone = probe.get("/v1/generations/" + firstGeneration() + "/events?after=-1");
+
+    assertThat(gone.status()).isEqualTo(410);
+    assertThat(probe.get("/v1/generations/other/events").status()).isEqualTo(404);
+  }
+
+  @Test
+  void shouldDuplicateAndLeaveOutEventsAsTold() {
+    engine.behave(behaviour(Map.of("duplicate_every", 2, "gap_every", 3)));
+
+    HttpAnswer answer = probe.send(probe.generation(PROMPT)).get();
+
+    List<String> whole = wholeAnswer(4);
+    assertThat(HttpProbe.data(answer))
+        .containsExactly(
+            whole.get(0), whole.get(1), whole.get(1), whole.get(3), whole.get(3), whole.get(4))
+        .inOrder();
+  }
+
+  @Test
+  void shouldAnswerWithAnotherRequestIdWhenCrossed() {
+    engine.behave(behaviour(Map.of("crossed", true)));
+
+    HttpAnswer answer = probe.send(probe.generation(PROMPT)).get();
+
+    assertThat(answer.headers().getFirst("X-Request-Id")).isNotEqualTo("r-1");
+  }
+
+  @Test
+  void shouldRefuseNewWorkAsTold() {
+    engine.behave(behaviour(Map.of("refuse", true)));
+
+    HttpAnswer answer = probe.send(probe.generation(PROMPT)).get();
+
+    assertThat(answer.status()).isEqualTo(503);
+    assertThat(answer.headers().getFirst("Retry-After")).isNotEmpty();
+  }
+
+  @Test
+  void shouldRefuseAnOrderWithAnOldFencingNumber() {
+    assertThat(probe.post("/v1/orders", order(7)).status()).isEqualTo(202);
+
+    HttpAnswer old = probe.post("/v1/orders", order(6));
+
+    assertThat(old.status()).isEqualTo(409);
+    assertThat(old.text()).isEqualTo("{\"highest\":7}");
+  }
+
+  @Test
+  void shouldStopACancelledGeneration() {
+    engine.behave(behaviour(Map.of("drop_after_tokens", 1)));
+    probe.send(probe.generation("long [[tokens=2000]]"));
+
+    HttpAnswer answer =
+        probe.send(probe.call(Methods.DELETE, "/v1/generations/" + firstGeneration())).get();
+
+    assertThat(answer.status()).isEqualTo(204);
+    assertThat(probe.get("/v1/status").text()).contains("\"running\":0");
+  }
+
+  @Test
+  void shouldCrashOnAPoisonousPrompt() throws Exception {
+    probe.begin(probe.generation("[[poison]] [[tokens=4]]"));
+
+    assertThat(crashed.await(10, TimeUnit.SECONDS)).isTrue();
+  }
+
+  @Test
+  void shouldSayWhatIsWrongWithARequest() {
+    HttpAnswer answer = probe.post("/v1/completions", Map.of("request_id", "r"));
+
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(answer.text()).contains("prompt: expected a text, found nothing");
+  }
+
+  private String firstGeneration() {
+    String status = probe.get("/v1/status").text();
+    return Json.readTree(status.getBytes(StandardCharsets.UTF_8)).get().path("boot_id").asText()
+        + "-1";
+  }
+
+  private static Behaviour behaviour(Map<String, Object> fields) {
+    return Json.read(Json.bytes(fields), Behaviour.class).get();
+  }
+
+  private static Map<String, Object> order(long fencingNumber) {
+    return Map.of(
+        "kind",
+        "load-model",
+        "model",
+        "planner",
+        "version",
+        "2",
+        "role",
+        "",
+        "fencing_number",
+        fencingNumber);
+  }
+
+  private static List<String> wholeAnswer(int tokens) {
+    OutputText text = OutputText.of(PROMPT);
+    List<String> events = new ArrayList<>();
+    for (int i = 0; i < tokens; i++) {
+      events.add("{\"index\":" + i + ",\"text\":\"" + text.word(i) + "\"}");
+    }
+    events.add("{\"index\":" + tokens + ",\"finish_reason\":\"stop\"}");
+    return events;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/standin/HttpProbe.java
@@ -0,0 +1,66 @@
+package org.cuminrack.standin;
+
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.cuminrack.http.HttpAnswer;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.http.HttpFailure;
+
+/** Calls a stand-in as an entry does. */
+final class HttpProbe implements AutoCloseable {
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private final HttpClient client = new HttpClient();
+  private final String address;
+
+  HttpProbe(String address) {
+    this.address = address;
+    client.start();
+  }
+
+  HttpAnswer get(String path) {
+    return send(call(Methods.GET, path)).get();
+  }
+
+  HttpAnswer post(String path, Object json) {
+    return send(call(Methods.POST, path).withJson(json)).get();
+  }
+
+  Either<HttpFailure, HttpAnswer> send(HttpCall call) {
+    return client.send(call.withTimeout(TIMEOUT)).join();
+  }
+
+  /** Sends a call without waiting for its answer. */
+  void begin(HttpCall call) {
+    client.send(call.withTimeout(TIMEOUT));
+  }
+
+  HttpCall call(HttpString method, String path) {
+    return HttpCall.of(method, address, path);
+  }
+
+  HttpCall generation(String prompt) {
+    return call(Methods.POST, "/v1/completions")
+        .withJson(Map.of("request_id", "r-1", "model", "planner", "prompt", prompt));
+  }
+
+  /** Returns the data lines of a stream. */
+  static List<String> data(HttpAnswer answer) {
+    return answer
+        .text()
+        .lines()
+        .filter(each -> each.startsWith("data: "))
+        .map(each -> each.substring("data: ".length()))
+        .toList();
+  }
+
+  @Override
+  public void close() {
+    client.stop();
+  }
+}
