Compare policies when a data centre leaves, an engine turns cold or one organisation surges

Three scenarios at 85% of capacity, each with the time before, during and after, the last new request to a drained data centre and the time back to normal. In a surge only the other organisations are judged.

--- a/src/main/java/org/cuminrack/cli/LoadCommand.java
+++ b/src/main/java/org/cuminrack/cli/LoadCommand.java
@@ -14,6 +14,7 @@
 import org.cuminrack.load.LoadProfile;
 import org.cuminrack.load.LoadRun;
 import org.cuminrack.load.ProfileFile;
+import org.cuminrack.load.Scenario;
 import org.cuminrack.pool.PolicyKind;
 import org.cuminrack.standin.EngineProfile;
 import org.cuminrack.time.Clock;
@@ -43,6 +44,11 @@
     parser.addArgument("--report").setDefault("").help("run: a folder for CSV and plot");
     integer(parser, "--seed", 1, "run: chooses the arrivals");
     parser.addArgument("--loads").setDefault("70,100,130").help("compare: percents of capacity");
+    parser
+        .addArgument("--scenarios")
+        .setDefault("data-centre-out,engine-cold,organisation-surge")
+        .help("compare: what happens at --scenario-percent of capacity");
+    integer(parser, "--scenario-percent", 85, "compare: load of the scenarios");
     parser.addArgument("--policies").setDefault("").help("compare: some of the policies");
     parser.addArgument("--csv").setDefault("").help("a file for every run's figures");
     integer(parser, "--seeds", 5, "compare: runs of each policy and load");
@@ -86,9 +92,9 @@
     CompareOptions options =
         new CompareOptions(
             policies(arguments.getString("policies")),
-            Arrays.stream(arguments.getString("loads").split(",", -1))
-                .map(Integer::valueOf)
-                .toList(),
+            numbers(arguments.getString("loads")),
+            scenarios(arguments.getString("scenarios")),
+            arguments.getInt("scenario_percent"),
             arguments.getInt("seeds"),
             Duration.ofSeconds(arguments.getInt("seconds")),
             arguments.getInt("threads"),
@@ -98,6 +104,19 @@
     return ExitCode.DONE;
   }
 
+  private static List<Integer> numbers(String list) {
+    if (list.isEmpty()) {
+      return List.of();
+    }
+    return Arrays.stream(list.split(",", -1)).map(Integer::valueOf).toList();
+  }
+
+  private static List<Scenario> scenarios(String names) {
+    return Arrays.stream(Scenario.values())
+        .filter(each -> List.of(names.split(",", -1)).contains(each.word()))
+        .toList();
+  }
+
   private static List<PolicyKind> policies(String names) {
     if (names.isEmpty()) {
       return List.of(PolicyKind.values());
--- a/src/main/java/org/cuminrack/load/CompareOptions.java
+++ b/src/main/java/org/cuminrack/load/CompareOptions.java
@@ -10,6 +10,7 @@
  *
  * @param policies in the order of the table's rows
  * @param loadPercents arrivals as shares of the engines' capacity
+ * @param scenarios what happens at {@code scenarioPercent} of the capacity
  * @param seeds runs of each policy and load
  * @param measured measured time of each run
  * @param threads runs at one time
@@ -19,6 +20,8 @@
 public record CompareOptions(
     List<PolicyKind> policies,
     List<Integer> loadPercents,
+    List<Scenario> scenarios,
+    int scenarioPercent,
     int seeds,
     Duration measured,
     int threads,
--- a/src/main/java/org/cuminrack/load/CompareRun.java
+++ b/src/main/java/org/cuminrack/load/CompareRun.java
@@ -10,6 +10,8 @@
 
 /** The whole comparison of one profile, printed. */
 public final class CompareRun {
+  private static final double PERCENT = 100;
+
   private final LoadProfile profile;
   private final CompareOptions options;
   private final PrintStream out;
@@ -40,11 +42,17 @@
         options.seeds(),
         options.measured().toSeconds());
     SteadyLoad load = new SteadyLoad(profile, engine, perSecondAtFull, options.measured());
+    Comparison comparison = new Comparison(load, options.threads());
     List<RunResult> runs =
-        new Comparison(load, options.threads())
-            .run(options.policies(), options.loadPercents(), options.seeds());
+        comparison.run(options.policies(), options.loadPercents(), options.seeds());
     ComparisonTable table = ComparisonTable.of(runs);
     out.println(table.markdown());
+    ScenarioLoad scenarioLoad =
+        new ScenarioLoad(profile, engine, perSecondAtFull * options.scenarioPercent() / PERCENT);
+    out.printf("scenarios at %d%%%n%n", options.scenarioPercent());
+    List<ScenarioResult> scenarios =
+        comparison.run(scenarioLoad, options.scenarios(), options.policies(), options.seeds());
+    out.println(ScenarioTable.of(scenarios).markdown());
     if (!options.csvFile().isEmpty()) {
       write(Path.of(options.csvFile()), table.csv());
     }
--- a/src/main/java/org/cuminrack/load/Comparison.java
+++ b/src/main/java/org/cuminrack/load/Comparison.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -20,19 +21,38 @@
 
   /** Runs every policy at every load with every seed, from 1 on. */
   List<RunResult> run(List<PolicyKind> policies, List<Integer> loadPercents, int seeds) {
-    ExecutorService workers = Executors.newFixedThreadPool(threads);
-    try {
-      List<Future<RunResult>> running = new ArrayList<>();
-      for (int loadPercent : loadPercents) {
-        for (PolicyKind policy : policies) {
-          for (long seed = 1; seed <= seeds; seed++) {
-            long ofRun = seed;
-            running.add(workers.submit(() -> load.run(policy, loadPercent, ofRun)));
-          }
+    List<Callable<RunResult>> runs = new ArrayList<>();
+    for (int loadPercent : loadPercents) {
+      for (PolicyKind policy : policies) {
+        for (long seed = 1; seed <= seeds; seed++) {
+          long ofRun = seed;
+          runs.add(() -> load.run(policy, loadPercent, ofRun));
+        }
+      }
+    }
+    return all(runs);
+  }
+
+  /** Runs every policy through every scenario with every seed, from 1 on. */
+  List<ScenarioResult> run(
+      ScenarioLoad scenarioLoad, List<Scenario> scenarios, List<PolicyKind> policies, int seeds) {
+    List<Callable<ScenarioResult>> runs = new ArrayList<>();
+    for (Scenario scenario : scenarios) {
+      for (PolicyKind policy : policies) {
+        for (long seed = 1; seed <= seeds; seed++) {
+          long ofRun = seed;
+          runs.add(() -> scenarioLoad.run(scenario, policy, ofRun));
         }
       }
-      List<RunResult> results = new ArrayList<>();
-      for (Future<RunResult> each : running) {
+    }
+    return all(runs);
+  }
+
+  private <T> List<T> all(List<Callable<T>> runs) {
+    ExecutorService workers = Executors.newFixedThreadPool(threads);
+    try {
+      List<T> results = new ArrayList<>();
+      for (Future<T> each : workers.invokeAll(runs)) {
         results.add(each.get());
       }
       return results;
--- a/src/main/java/org/cuminrack/load/Experiment.java
+++ b/src/main/java/org/cuminrack/load/Experiment.java
@@ -3,13 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import org.cuminrack.admission.AdmissionRequest;
-import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.admission.Ticket;
 import org.cuminrack.admission.TicketOutcome;
 import org.cuminrack.pool.PolicyKind;
@@ -17,7 +13,6 @@
 import org.cuminrack.standin.EngineEvent;
 import org.cuminrack.standin.EngineModel;
 import org.cuminrack.standin.EngineProfile;
-import org.cuminrack.standin.GenerationRequest;
 
 /**
  * Plays planned requests through a policy to engines in virtual time. What a caller, an entry and a
@@ -38,21 +33,6 @@
   private long lastAttempt;
   private int crashes;
 
-  /** One try of a request. */
-  private static final class Attempt {
-    private final RequestRecord record;
-    private final int number;
-    private final Set<String> excluded;
-    private Ticket ticket;
-    private boolean over;
-
-    private Attempt(RequestRecord record, int number, Set<String> excluded) {
-      this.record = record;
-      this.number = number;
-      this.excluded = excluded;
-    }
-  }
-
   Experiment(LoadProfile profile, EngineProfile engine, PolicyKind kind, long seed) {
     policy = new PolicyUnderTest(kind, profile, seed);
     for (int i = 0; i < profile.engines(); i++) {
@@ -141,7 +121,7 @@
   private void arrive(PlannedRequest request) {
     RequestRecord record = new RequestRecord(request);
     records.add(record);
-    submit(new Attempt(record, 1, Set.of()));
+    submit(Attempt.first(record));
     long timeoutNanos = request.trafficClass().timeout().toNanos();
     timeline.at(request.atNanos() + timeoutNanos, () -> leave(record));
   }
@@ -149,24 +129,7 @@
   private void submit(Attempt attempt) {
     long id = ++lastAttempt;
     attempts.put(id, attempt);
-    obey(policy.submit(id, admission(attempt), timeline.nowNanos()));
-  }
-
-  private AdmissionRequest admission(Attempt attempt) {
-    PlannedRequest request = attempt.record.request();
-    TrafficClass trafficClass = request.trafficClass();
-    long passedNanos = timeline.nowNanos() - request.atNanos();
-    return new AdmissionRequest(
-        trafficClass.route(),
-        request.organisation(),
-        new Fingerprint(Integer.toHexString(request.number())),
-        request.promptTokens(),
-        request.blockHashes(),
-        trafficClass.outputs().maxTokens(),
-        trafficClass.priority(),
-        attempt.number,
-        trafficClass.timeout().minusNanos(passedNanos),
-        attempt.excluded);
+    obey(policy.submit(id, attempt.admission(timeline.nowNanos()), timeline.nowNanos()));
   }
 
   private void obey(List<PoolDecision> decisions) {
@@ -174,55 +137,44 @@
       Attempt attempt = attempts.remove(each.requestId());
       if (each instanceof PoolDecision.Admitted admitted) {
         dispatch(attempt, admitted.ticket());
-      } else if (attempt.record.isOpen()) {
-        attempt.record.ended(attempt.number == 1 ? RequestEnd.REFUSED : RequestEnd.LOST);
+      } else if (attempt.record().isOpen()) {
+        attempt.record().ended(attempt.endOnRefusal());
       }
     }
   }
 
   private void dispatch(Attempt attempt, Ticket ticket) {
-    attempt.ticket = ticket;
+    attempt.admitted(ticket);
     VirtualEngine engine = engines.get(ticket.upstream());
     if (!engine.isUp() || !engine.bootId().equals(ticket.bootId())) {
       finish(attempt, TicketOutcome.Result.UNREACHABLE);
       retry(attempt, engine);
       return;
     }
-    attempt.record.dispatched(engine.name(), timeline.nowNanos());
-    String id = generationId(ticket);
+    attempt.record().dispatched(engine.name(), timeline.nowNanos());
+    String id = attempt.generationId();
     running.put(id, attempt);
-    EngineModel.Verdict verdict = engine.submit(generation(attempt, id));
+    EngineModel.Verdict verdict = engine.submit(attempt.generation());
     if (verdict == EngineModel.Verdict.FELL_OVER) {
       fallOver(engine);
     } else if (verdict == EngineModel.Verdict.NO_ROOM) {
       running.remove(id);
       finish(attempt, TicketOutcome.Result.OVERLOADED);
-      attempt.record.ended(RequestEnd.REFUSED);
+      attempt.record().ended(RequestEnd.REFUSED);
     }
   }
 
-  private GenerationRequest generation(Attempt attempt, String id) {
-    PlannedRequest request = attempt.record.request();
-    return new GenerationRequest(
-        id,
-        request.promptTokens(),
-        request.blockHashes(),
-        request.outputTokens(),
-        false,
-        request.trafficClass().priority());
-  }
-
   private void engineEvent(VirtualEngine engine, EngineEvent event) {
     Attempt attempt = running.get(event.generationId());
     if (attempt == null) {
       return;
     }
     if (event.kind() == EngineEvent.Kind.TOKEN) {
-      attempt.record.token(timeline.nowNanos());
+      attempt.record().token(timeline.nowNanos());
       return;
     }
     running.remove(event.generationId());
-    attempt.record.ended(RequestEnd.WHOLE);
+    attempt.record().ended(RequestEnd.WHOLE);
     finish(attempt, TicketOutcome.Result.COMPLETED);
   }
 
@@ -232,12 +184,12 @@
     }
     record.ended(RequestEnd.TIMED_OUT);
     attempts.entrySet().stream()
-        .filter(each -> each.getValue().record.equals(record))
+        .filter(each -> each.getValue().record().equals(record))
         .map(Map.Entry::getKey)
         .toList()
         .forEach(this::leaveQueue);
     running.values().stream()
-        .filter(each -> each.record.equals(record))
+        .filter(each -> each.record().equals(record))
         .toList()
         .forEach(this::cancel);
   }
@@ -248,9 +200,9 @@
   }
 
   private void cancel(Attempt attempt) {
-    String id = generationId(attempt.ticket);
+    String id = attempt.generationId();
     running.remove(id);
-    engines.get(attempt.ticket.upstream()).cancel(id);
+    engines.get(attempt.ticket().upstream()).cancel(id);
     finish(attempt, TicketOutcome.Result.CANCELLED);
   }
 
@@ -264,8 +216,8 @@
     String bootId = engine.bootId();
     engine.crash();
     List<Attempt> lost =
-        running.values().stream().filter(each -> each.ticket.bootId().equals(bootId)).toList();
-    lost.forEach(each -> running.remove(generationId(each.ticket)));
+        running.values().stream().filter(each -> each.ticket().bootId().equals(bootId)).toList();
+    lost.forEach(each -> running.remove(each.generationId()));
     for (Attempt each : lost) {
       finish(each, TicketOutcome.Result.LOST);
       retry(each, engine);
@@ -274,34 +226,18 @@
   }
 
   private void retry(Attempt attempt, VirtualEngine failed) {
-    if (!attempt.record.isOpen()) {
+    if (!attempt.record().isOpen()) {
       return;
     }
-    if (attempt.record.hasFirstToken()) {
-      attempt.record.ended(RequestEnd.LOST);
+    if (attempt.record().hasFirstToken()) {
+      attempt.record().ended(RequestEnd.LOST);
       return;
     }
-    Set<String> excluded = new HashSet<>(attempt.excluded);
-    excluded.add(failed.name());
-    submit(new Attempt(attempt.record, attempt.number + 1, excluded));
+    submit(attempt.next(failed.name()));
   }
 
   private void finish(Attempt attempt, TicketOutcome.Result result) {
-    if (attempt.over) {
-      throw new IllegalStateException("a ticket was given back twice: " + attempt.ticket);
-    }
-    attempt.over = true;
-    RequestRecord record = attempt.record;
-    Duration firstTokenAfter =
-        record.hasFirstToken()
-            ? Duration.ofNanos(
-                record.firstTokenAfterNanos() + record.request().atNanos() - record.dispatchNanos())
-            : Duration.ZERO;
-    TicketOutcome outcome = new TicketOutcome(result, record.tokens(), firstTokenAfter);
-    obey(policy.finished(attempt.ticket, outcome, timeline.nowNanos()));
-  }
-
-  private static String generationId(Ticket ticket) {
-    return ticket.pool() + "-" + ticket.id();
+    TicketOutcome outcome = attempt.finish(result);
+    obey(policy.finished(attempt.ticket(), outcome, timeline.nowNanos()));
   }
 }
