Hand over when only the leader's disk is full; test the disk's faults

A full disk on the leader made the whole group read-only. It now steps down once a quorum without it has synced what it has no room for, and seeks leadership again only after four election timeouts without a leader.

Ruled out: stepping down as soon as the others report room.

--- a/src/main/java/org/cuminrack/quorum/internal/Elections.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Elections.java
@@ -5,6 +5,8 @@
 
 /** Pre-vote and vote. A replica that is blank neither asks for votes nor gives one. */
 final class Elections {
+  private static final int FULL_DISK_ELECTION_TIMEOUTS = 4;
+
   private final CoreState state;
   private final Set<ReplicaId> granted = new HashSet<>();
   private long ownVoteSequence;
@@ -18,11 +20,22 @@
     if (state.role == Role.LEADER || !state.isVoter()) {
       return;
     }
-    if (state.now >= state.electionDeadline) {
+    if (state.now >= state.electionDeadline && !leavesItToOthers()) {
       beginPreVote();
     }
   }
 
+  /** A replica whose disk is full leads only if nobody else does for a while. */
+  private boolean leavesItToOthers() {
+    long silentNanos = state.now - state.leaderContactNanos;
+    long patienceNanos = FULL_DISK_ELECTION_TIMEOUTS * state.timing.electionMaxNanos();
+    if (!state.diskFull || silentNanos >= patienceNanos) {
+      return false;
+    }
+    state.resetElectionDeadline();
+    return true;
+  }
+
   private void beginPreVote() {
     state.role = Role.PRE_CANDIDATE;
     state.leader = null;
--- a/src/main/java/org/cuminrack/quorum/internal/Leadership.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Leadership.java
@@ -148,6 +148,22 @@
     return state.log.voters().hasQuorum(this::isRecent);
   }
 
+  /**
+   * Tells whether a quorum without this replica has synced what this one has no room for. Where all
+   * disks are full, nobody could commit the first entry of a new term, so this one goes on.
+   */
+  boolean othersHaveRoom() {
+    return state.log.voters().hasQuorum(this::hasRoom);
+  }
+
+  private boolean hasRoom(ReplicaId voter) {
+    Progress peer = progress.get(voter);
+    return peer != null
+        && isRecent(voter)
+        && !peer.diskFull
+        && peer.matchIndex > state.durableIndex;
+  }
+
   /** Tells whether a replica answered lately. */
   boolean isRecent(ReplicaId voter) {
     if (voter.equals(state.self)) {
--- a/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
+++ b/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
@@ -94,7 +94,8 @@
     if (state.role != Role.LEADER) {
       return;
     }
-    if (!leadership.hasQuorum()) {
+    boolean makesRoom = state.diskFull && leadership.othersHaveRoom();
+    if (makesRoom || !leadership.hasQuorum()) {
       follow(null);
       return;
     }
@@ -275,6 +276,7 @@
     }
     state.leader = leader;
     if (led) {
+      state.leaderContactNanos = state.now;
       state.resetElectionDeadline();
       leadership.end();
     }
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/QuorumFaultTest.java
@@ -0,0 +1,163 @@
+package org.cuminrack.quorum;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.stream.Stream;
+import org.cuminrack.storage.FullableDisk;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class QuorumFaultTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration SHORT_TIMEOUT = Duration.ofMillis(500);
+
+  @TempDir Path folder;
+
+  @Test
+  void shouldNotDisturbTheGroupAfterALongSilence() {
+    try (TestGroup group = new TestGroup(folder, "a", "b", "c").startAll()) {
+      group.proposeUntilApplied("before");
+      TestVm leader = group.awaitLeader();
+      TestVm silent = group.others(leader).get(0);
+      silent.cutOff = true;
+      TestGroup.await("silent one gives up", () -> silent.node.leader().isEmpty());
+      for (int i = 0; i < 100; i++) {
+        group.proposeUntilApplied("line " + i);
+      }
+      long term = leader.node.term();
+
+      silent.cutOff = false;
+      group.awaitLine(silent, "line 99");
+
+      assertThat(leader.node.leads()).isTrue();
+      assertThat(leader.node.term()).isEqualTo(term);
+    }
+  }
+
+  @Test
+  void shouldConfirmNothingOnALeaderThatIsCutOff() {
+    try (TestGroup group = new TestGroup(folder, "a", "b", "c").startAll()) {
+      group.proposeUntilApplied("before");
+      TestVm old = group.awaitLeader();
+      old.cutOff = true;
+
+      Either<ProposalFailure, Long> read = old.node.confirmLeadership(SHORT_TIMEOUT).join();
+      Either<ProposalFailure, Applied> written =
+          old.node.propose(TextList.bytes("lost"), SHORT_TIMEOUT).join();
+      group.proposeUntilApplied("after");
+      old.cutOff = false;
+      group.awaitLine(old, "after");
+
+      assertThat(read.isLeft()).isTrue();
+      assertThat(written.isLeft()).isTrue();
+      assertThat(old.list.lines()).containsNoDuplicates();
+    }
+  }
+
+  @Test
+  void shouldStayReadableWhileNoDiskHasRoom() {
+    FullableDisk disk = new FullableDisk();
+    try (TestGroup group = new TestGroup(folder, "a", "b", "c")) {
+      group.vms.values().forEach(vm -> vm.disk = disk);
+      group.startAll();
+      group.proposeUntilApplied("before");
+
+      disk.setFull(true);
+      TestGroup.await("read-only", () -> proposeOnce(group) instanceof ProposalFailure.ReadOnly);
+      assertThat(group.awaitLeader().node.confirmLeadership(TIMEOUT).join().isRight()).isTrue();
+      disk.setFull(false);
+
+      group.proposeUntilApplied("after");
+    }
+  }
+
+  @Test
+  void shouldGoOnUnderAnotherLeaderWhenOnlyTheLeadersDiskIsFull() {
+    FullableDisk full = new FullableDisk();
+    try (TestGroup group = new TestGroup(folder, "a", "b", "c")) {
+      group.vms.values().forEach(vm -> vm.disk = new FullableDisk());
+      group.startAll();
+      TestVm first = group.awaitLeader();
+      first.stopNode();
+      first.disk = full;
+      group.start(first);
+      group.proposeUntilApplied("before");
+
+      full.setFull(true);
+      group.proposeUntilApplied("after");
+
+      TestGroup.await("another leader", () -> group.leaderOrNull() != null);
+      assertThat(group.vm(first.name).list.lines()).contains("before");
+    }
+  }
+
+  @Test
+  void shouldRejoinAsAnotherReplicaWhenItsLogIsDamaged() throws IOException {
+    try (TestGroup group = new TestGroup(folder, "a", "b", "c").startAll()) {
+      for (int i = 0; i < 20; i++) {
+        group.proposeUntilApplied("line " + i);
+      }
+      group.awaitSameLines();
+      TestVm damaged = group.others(group.awaitLeader()).get(0);
+      String before = damaged.node.status().replica();
+      damaged.stopNode();
+      damageFirstSegment(damaged.folder);
+
+      group.start(damaged);
+
+      group.awaitLine(damaged, "line 19");
+      assertThat(damaged.node.status().corruption()).contains("log-");
+      assertThat(damaged.node.status().replica()).isNotEqualTo(before);
+    }
+  }
+
+  @Test
+  void shouldStallWithoutAQuorumInTheMiddleOfARepairAndThenGoOn() throws IOException {
+    try (TestGroup group = new TestGroup(folder, "a", "b", "c").startAll()) {
+      group.proposeUntilApplied("before");
+      group.awaitSameLines();
+      TestVm leader = group.awaitLeader();
+      TestVm wiped = group.others(leader).get(0);
+      TestVm second = group.others(leader).get(1);
+      wiped.stopNode();
+      TestGroup.wipe(wiped);
+      second.stopNode();
+      group.start(wiped);
+
+      assertThat(proposeOn(leader)).isNotNull();
+      assertThat(wiped.list.lines()).doesNotContain("stalled");
+      group.start(second);
+      group.proposeUntilApplied("after");
+
+      group.awaitLine(wiped, "after");
+    }
+  }
+
+  private static ProposalFailure proposeOnce(TestGroup group) {
+    return proposeOn(group.awaitLeader());
+  }
+
+  private static ProposalFailure proposeOn(TestVm vm) {
+    Either<ProposalFailure, Applied> outcome =
+        vm.node.propose(TextList.bytes("stalled"), SHORT_TIMEOUT).join();
+    return outcome.isLeft() ? outcome.getLeft() : null;
+  }
+
+  private static void damageFirstSegment(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      Path segment =
+          files
+              .filter(file -> file.getFileName().toString().startsWith("log-"))
+              .findFirst()
+              .orElseThrow();
+      byte[] bytes = Files.readAllBytes(segment);
+      bytes[bytes.length / 2] ^= 1;
+      Files.write(segment, bytes);
+    }
+  }
+}
--- a/src/test/java/org/cuminrack/quorum/TestGroup.java
+++ b/src/test/java/org/cuminrack/quorum/TestGroup.java
@@ -26,7 +26,7 @@
 
   TestGroup(Path folder, String... names) {
     for (String name : names) {
-      TestVm vm = new TestVm(name, folder.resolve(name));
+      TestVm vm = new TestVm(name, folder.resolve(name), each -> vms.get(each).cutOff);
       vms.put(name, vm);
       voters.put(name, vm.address());
     }
--- a/src/test/java/org/cuminrack/quorum/TestVm.java
+++ b/src/test/java/org/cuminrack/quorum/TestVm.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.cuminrack.quorum.internal.PacketCodec;
 import org.cuminrack.storage.Disk;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
@@ -24,11 +26,13 @@
   private final WireClient client = new WireClient(GROUP);
   volatile QuorumNode node;
   volatile boolean cutOff;
+  private final Predicate<String> isCutOff;
   TextList list;
   Disk disk = Disk.local();
   int snapshotEveryEntries = 100;
 
-  TestVm(String name, Path folder) {
+  TestVm(String name, Path folder, Predicate<String> isCutOff) {
+    this.isCutOff = isCutOff;
     this.name = name;
     this.folder = folder;
     this.server =
@@ -40,7 +44,8 @@
 
   private CompletableFuture<byte[]> receive(byte[] payload) {
     QuorumNode present = node;
-    if (present == null || cutOff) {
+    String from = PacketCodec.decode(payload).from().vmName();
+    if (present == null || cutOff || isCutOff.test(from)) {
       return CompletableFuture.failedFuture(new IllegalStateException("down"));
     }
     return present.handler().handle(payload);
--- /dev/null
+++ b/src/test/java/org/cuminrack/storage/FullableDisk.java
@@ -0,0 +1,79 @@
+package org.cuminrack.storage;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+
+/** The local disk, which on demand has no room for files to grow. */
+public final class FullableDisk implements Disk {
+  private final Disk local = Disk.local();
+  private volatile boolean full;
+
+  /** Takes the room away or gives it back. */
+  public void setFull(boolean full) {
+    this.full = full;
+  }
+
+  @Override
+  public DiskFile open(Path file) throws IOException {
+    return new FullableFile(local.open(file));
+  }
+
+  @Override
+  public void move(Path from, Path to) throws IOException {
+    local.move(from, to);
+  }
+
+  @Override
+  public void delete(Path file) throws IOException {
+    local.delete(file);
+  }
+
+  @Override
+  public void syncFolder(Path folder) throws IOException {
+    local.syncFolder(folder);
+  }
+
+  private final class FullableFile implements DiskFile {
+    private final DiskFile file;
+
+    FullableFile(DiskFile file) {
+      this.file = file;
+    }
+
+    @Override
+    public long size() throws IOException {
+      return file.size();
+    }
+
+    @Override
+    public byte[] readAll() throws IOException {
+      return file.readAll();
+    }
+
+    @Override
+    public void write(long position, byte[] bytes) throws IOException {
+      boolean grows = position + bytes.length > file.size();
+      if (full && grows) {
+        file.write(position, Arrays.copyOf(bytes, bytes.length / 2));
+        throw new IOException("No space left on device");
+      }
+      file.write(position, bytes);
+    }
+
+    @Override
+    public void truncate(long size) throws IOException {
+      file.truncate(size);
+    }
+
+    @Override
+    public void sync() throws IOException {
+      file.sync();
+    }
+
+    @Override
+    public void close() throws IOException {
+      file.close();
+    }
+  }
+}
