Part a new generation from one that is gone back to

One type did both and asked at each step which it was. What the two share is the relaying of tokens at the caller's pace; only a new one has tickets, attempts and a timeout.

--- a/src/main/java/org/cuminrack/relay/CompletionsHandler.java
+++ b/src/main/java/org/cuminrack/relay/CompletionsHandler.java
@@ -42,7 +42,7 @@
       String detail = "Last-Event-ID: expected the body that the generation began with";
       caller.refuse(context, context.refusals().forbidden(detail));
     } else {
-      new Generation(context, caller, request).goOn(id);
+      new ResumedGeneration(context, caller, request, id).start();
     }
   }
 
--- a/src/main/java/org/cuminrack/relay/GenerationRequest.java
+++ b/src/main/java/org/cuminrack/relay/GenerationRequest.java
@@ -29,6 +29,17 @@
   record EngineBody(
       String requestId, String model, String prompt, Integer maxTokens, String priority) {}
 
+  AdmissionClient.Shape shape() {
+    return new AdmissionClient.Shape(
+        service,
+        organisation,
+        fingerprint,
+        PromptBlocks.of(prompt),
+        maxTokens,
+        priority,
+        deadlineNanos);
+  }
+
   EngineBody engineBody(String requestId) {
     Integer bound = maxTokens == 0 ? null : maxTokens;
     return new EngineBody(
--- a/src/main/java/org/cuminrack/relay/PlainCall.java
+++ b/src/main/java/org/cuminrack/relay/PlainCall.java
@@ -10,7 +10,6 @@
 import org.cuminrack.ledger.CallKey;
 import org.cuminrack.ledger.CallResult;
 import org.cuminrack.ledger.ClaimVerdict;
-import org.xnio.XnioExecutor;
 
 /**
  * One caller's plain call. One that may be repeated gets a second upstream where the first fails.
@@ -26,8 +25,7 @@
   private final AdmissionClient admission;
   private final CallClaim claim;
   private final CallAnswer callerAnswer;
-  private XnioExecutor.Key deadlineTimer;
-  private XnioExecutor.Key silenceTimer;
+  private final CallTimers timers;
   private Dispatch dispatch;
   private PlainExchange exchange;
   private Ran ran = Ran.NO;
@@ -40,6 +38,7 @@
     this.io = IoContext.of(caller.exchange(), context.bounds());
     this.admission = new AdmissionClient(context, io, request.shape());
     this.claim = key == null ? null : new CallClaim(context, io, request, key);
+    this.timers = new CallTimers(io);
     this.callerAnswer = new CallAnswer(context, caller, io, request);
   }
 
@@ -120,12 +119,10 @@
     int maxAnswerBytes = context.bounds().maxAnswerBytes();
     UpstreamRequest sent = request.to(ticket.address(), requestId);
     exchange = new PlainExchange(sent, dispatch, maxAnswerBytes, this);
-    if (deadlineTimer == null) {
-      deadlineTimer = io.after(admission.remaining().toMillis(), this::deadlinePassed);
-    }
+    timers.deadline(admission.remaining(), this::deadlinePassed);
     PlainExchange current = exchange;
     if (!runsOnce()) {
-      silenceTimer = io.after(context.bounds().silence().toMillis(), () -> silent(current));
+      timers.silence(() -> silent(current));
     }
     exchange.begin(io);
   }
@@ -154,7 +151,7 @@
   @Override
   public void failed(PlainFailure failure) {
     ran = Ran.UNKNOWN;
-    stopSilenceTimer();
+    timers.stopSilence();
     if (failure == PlainFailure.CROSSED) {
       context.counters().add(RelayCounters.CROSSED_ANSWERS);
     }
@@ -173,14 +170,10 @@
   }
 
   private void lost(EngineLoss loss) {
-    if (loss == EngineLoss.PROCESS_DIED) {
-      context
-          .running()
-          .died(dispatch.target(), request.fingerprint())
-          .thenAccept(known -> io.execute(() -> lost(known)));
-    } else {
-      lost(true);
-    }
+    context
+        .running()
+        .settle(loss, dispatch.target(), request.fingerprint())
+        .thenAccept(known -> io.execute(() -> lost(known)));
   }
 
   private void lost(boolean crashIsKnown) {
@@ -266,20 +259,11 @@
       return;
     }
     ended = true;
-    if (deadlineTimer != null) {
-      deadlineTimer.remove();
-    }
-    stopSilenceTimer();
+    timers.stop();
     if (runsOnce()) {
       claim.finish(result, answering);
     } else {
       answering.run();
     }
   }
-
-  private void stopSilenceTimer() {
-    if (silenceTimer != null) {
-      silenceTimer.remove();
-    }
-  }
 }
--- a/src/main/java/org/cuminrack/relay/RunningRequests.java
+++ b/src/main/java/org/cuminrack/relay/RunningRequests.java
@@ -60,6 +60,18 @@
         });
   }
 
+  /**
+   * Settles what a loss means for what ran there: a death is reported, any other loss accuses
+   * nobody.
+   *
+   * @return true once it is safe to run the request again; false where a death can't be made known
+   */
+  CompletableFuture<Boolean> settle(EngineLoss loss, EngineTarget target, Fingerprint witness) {
+    return loss == EngineLoss.PROCESS_DIED
+        ? died(target, witness)
+        : CompletableFuture.completedFuture(true);
+  }
+
   /**
    * Reports that a life of an upstream has ended, with everything this entry has running on it. The
    * requests that see the same death share one report.
