--- /dev/null
+++ b/src/main/java/org/cuminrack/quorum/MeasuredGroup.java
@@ -0,0 +1,123 @@
+package org.cuminrack.quorum;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireGroup;
+import org.cuminrack.wire.WireServer;
+
+/** Replicas in one process that talk over loopback and sync to real files; for measurements. */
+final class MeasuredGroup implements ManagedService {
+  private static final WireGroup GROUP = new WireGroup("measured", "quorum");
+  private static final Duration HEARTBEAT = Duration.ofMillis(100);
+  private static final Duration ELECTION_MIN = Duration.ofMillis(500);
+  private static final Duration ELECTION_MAX = Duration.ofSeconds(1);
+  private static final int SNAPSHOT_EVERY_ENTRIES = 10_000;
+  private static final Duration POLL = Duration.ofMillis(5);
+
+  private final Path folder;
+  private final int size;
+  private final List<ManagedService> services = new ArrayList<>();
+  private final Map<String, String> addresses = new TreeMap<>();
+  final List<QuorumNode> nodes = new ArrayList<>();
+
+  MeasuredGroup(Path folder, int size) {
+    this.folder = folder;
+    this.size = size;
+  }
+
+  @Override
+  public void start() {
+    List<QuorumNode[]> slots = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      QuorumNode[] slot = new QuorumNode[1];
+      slots.add(slot);
+      addresses.put("vm" + i, listen(slot));
+    }
+    for (int i = 0; i < size; i++) {
+      QuorumNode node = node("vm" + i, i);
+      slots.get(i)[0] = node;
+      nodes.add(node);
+    }
+    nodes.forEach(QuorumNode::start);
+  }
+
+  private String listen(QuorumNode[] slot) {
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    WireServer server = new WireServer(anyPort, GROUP);
+    server.serve(Method.QUORUM_MESSAGE, payload -> slot[0].handler().handle(payload));
+    server.start();
+    services.add(server);
+    return "127.0.0.1:" + server.port();
+  }
+
+  private QuorumNode node(String vmName, long seed) {
+    WireClient client = new WireClient(GROUP);
+    client.start();
+    services.add(client);
+    QuorumSettings settings =
+        new QuorumSettings(
+            vmName,
+            addresses,
+            folder.resolve(vmName),
+            HEARTBEAT,
+            ELECTION_MIN,
+            ELECTION_MAX,
+            SNAPSHOT_EVERY_ENTRIES);
+    return new QuorumNode(settings, new Counter(), client, Clock.system(), new Random(seed));
+  }
+
+  QuorumNode awaitLeader() {
+    while (true) {
+      for (QuorumNode node : nodes) {
+        if (node.leads()) {
+          return node;
+        }
+      }
+      LockSupport.parkNanos(POLL.toNanos());
+    }
+  }
+
+  long packets() {
+    return nodes.stream().mapToLong(node -> node.sender().packets()).sum();
+  }
+
+  long bytes() {
+    return nodes.stream().mapToLong(node -> node.sender().bytes()).sum();
+  }
+
+  @Override
+  public void stop() {
+    nodes.forEach(QuorumNode::stop);
+    services.forEach(ManagedService::stop);
+  }
+
+  /** The least that a state machine can be. */
+  private static final class Counter implements StateMachine {
+    private static final byte[] NOTHING = {};
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+      return NOTHING;
+    }
+
+    @Override
+    public byte[] snapshot() {
+      return NOTHING;
+    }
+
+    @Override
+    public void restore(long index, byte[] snapshot) {}
+  }
+}
--- a/src/main/java/org/cuminrack/quorum/PacketSender.java
+++ b/src/main/java/org/cuminrack/quorum/PacketSender.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
 import org.cuminrack.quorum.internal.Packet;
 import org.cuminrack.quorum.internal.PacketCodec;
 import org.cuminrack.wire.Method;
@@ -13,6 +14,8 @@
 
   private final Map<String, String> addresses;
   private final WireClient client;
+  private final LongAdder packets = new LongAdder();
+  private final LongAdder bytes = new LongAdder();
 
   PacketSender(Map<String, String> addresses, WireClient client) {
     this.addresses = addresses;
@@ -22,7 +25,20 @@
   void send(Packet packet) {
     String address = addresses.get(packet.toVm());
     if (address != null) {
-      client.call(address, Method.QUORUM_MESSAGE, PacketCodec.encode(packet), TIMEOUT);
+      byte[] payload = PacketCodec.encode(packet);
+      packets.increment();
+      bytes.add(payload.length);
+      client.call(address, Method.QUORUM_MESSAGE, payload, TIMEOUT);
     }
   }
+
+  /** Returns how many packets were sent. */
+  long packets() {
+    return packets.sum();
+  }
+
+  /** Returns how many bytes these were, without the wire's envelopes. */
+  long bytes() {
+    return bytes.sum();
+  }
 }
--- a/src/main/java/org/cuminrack/quorum/QuorumNode.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -210,6 +210,10 @@
     return StatusFormat.statusOf(view, store.corruption().orElse(""), broken);
   }
 
+  PacketSender sender() {
+    return sender;
+  }
+
   private void run() {
     try {
       while (!stopping) {
