--- a/src/main/java/org/cuminrack/cli/LoadCommand.java
+++ b/src/main/java/org/cuminrack/cli/LoadCommand.java
@@ -2,9 +2,8 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
@@ -34,7 +33,7 @@
     Subparser parser = subparsers.addParser(name());
     parser.help("sends open-loop load, or compares policies in virtual time");
     parser.addArgument("mode").nargs("?").choices("run", COMPARE).setDefault("run");
-    parser.addArgument("--profile").required(true).help("lyzicka, kamba or a file");
+    parser.addArgument("--profile").metavar("NAME").required(true).help("lyzicka, kamba or a file");
     parser.addArgument("--entries").setDefault("").help("run: HOST:PORT,… of the entries");
     parser
         .addArgument("--rate")
@@ -43,13 +42,22 @@
         .help("run: generations a second");
     parser.addArgument("--report").setDefault("").help("run: a folder for CSV and plot");
     integer(parser, "--seed", 1, "run: chooses the arrivals");
-    parser.addArgument("--loads").setDefault("70,100,130").help("compare: percents of capacity");
+    parser
+        .addArgument("--loads")
+        .type(new PercentListType())
+        .setDefault(List.of(70, 100, 130))
+        .help("compare: percents of capacity, as 70,100,130");
     parser
         .addArgument("--scenarios")
-        .setDefault("data-centre-out,engine-cold,organisation-surge")
-        .help("compare: what happens at --scenario-percent of capacity");
+        .type(new WordListType<>(Scenario.class))
+        .setDefault(List.of(Scenario.values()))
+        .help("compare: what happens at --scenario-percent of capacity, joined by commas");
     integer(parser, "--scenario-percent", 85, "compare: load of the scenarios");
-    parser.addArgument("--policies").setDefault("").help("compare: some of the policies");
+    parser
+        .addArgument("--policies")
+        .type(new WordListType<>(PolicyKind.class))
+        .setDefault(List.of(PolicyKind.values()))
+        .help("compare: some of the policies, joined by commas");
     parser.addArgument("--csv").setDefault("").help("a file for every run's figures");
     integer(parser, "--seeds", 5, "compare: runs of each policy and load");
     integer(parser, "--seconds", 300, "measured time of a run");
@@ -91,9 +99,9 @@
   private static ExitCode compare(Namespace arguments, LoadProfile profile) {
     CompareOptions options =
         new CompareOptions(
-            policies(arguments.getString("policies")),
-            numbers(arguments.getString("loads")),
-            scenarios(arguments.getString("scenarios")),
+            arguments.get("policies"),
+            arguments.get("loads"),
+            arguments.get("scenarios"),
             arguments.getInt("scenario_percent"),
             arguments.getInt("seeds"),
             Duration.ofSeconds(arguments.getInt("seconds")),
@@ -104,29 +112,13 @@
     return ExitCode.DONE;
   }
 
-  private static List<Integer> numbers(String list) {
-    if (list.isEmpty()) {
-      return List.of();
-    }
-    return Arrays.stream(list.split(",", -1)).map(Integer::valueOf).toList();
-  }
-
-  private static List<Scenario> scenarios(String names) {
-    return Arrays.stream(Scenario.values())
-        .filter(each -> List.of(names.split(",", -1)).contains(each.word()))
-        .toList();
-  }
-
-  private static List<PolicyKind> policies(String names) {
-    if (names.isEmpty()) {
-      return List.of(PolicyKind.values());
-    }
-    return Arrays.stream(names.split(",", -1))
-        .map(each -> PolicyKind.valueOf(each.toUpperCase(Locale.ROOT).replace('-', '_')))
-        .toList();
-  }
-
   private static void integer(Subparser parser, String name, int otherwise, String help) {
-    parser.addArgument(name).type(Integer.class).setDefault(otherwise).help(help);
+    parser
+        .addArgument(name)
+        .type(Integer.class)
+        .choices(Arguments.range(1, Integer.MAX_VALUE))
+        .metavar("N")
+        .setDefault(otherwise)
+        .help(help);
   }
 }
