Let a request go early, and a small organisation be one

With one organisation at ten times its share, nearly all refusals of the others were of requests that had waited the whole 1.2 s, many of them first in the order with a predicted wait below 0.1 s, and organisations of small weight counted as over their share with one request running (a trace of every refusal).

An organisation is over its share by half and 4,000 tokens; it leaves two rooms beside the one for interactive requests. What waits is judged anew at each tick: refused as soon as its wait will be too long, kept to the bound where it is nearly through. Requests passed for 0.2 s let nothing pass that leaves as much room.

--- a/src/main/java/org/cuminrack/pool/PoolContext.java
+++ b/src/main/java/org/cuminrack/pool/PoolContext.java
@@ -7,8 +7,8 @@
   private static final long INTERACTIVE_MEMORY_NANOS = 30_000_000_000L;
   private static final int ROOM_DIVISOR = 8;
   private static final int SMALLEST_SHARED_LIMIT = 4;
-  private static final double STANDARD_MEMORY_SHARE = 0.95;
-  private static final double OVER_SHARE_MEMORY_SHARE = 0.85;
+  private static final double MEMORY_OF_ROOM = 0.05;
+  private static final int OVER_SHARE_ROOMS = 2;
 
   private final PolicyKind policy;
   private final LengthPredictor lengths = new LengthPredictor();
@@ -68,15 +68,8 @@
   /** Returns how many requests an upstream may have before this one can't join. */
   int limitFor(QueuedRequest request, UpstreamState upstream) {
     int limit = uses(Mechanism.RAMP) ? upstream.limit().value() : upstream.limit().warmLimit();
-    if (limit < SMALLEST_SHARED_LIMIT || !leavesRoom(request)) {
-      return limit;
-    }
-    return limit - Math.max(1, limit / ROOM_DIVISOR);
-  }
-
-  /** Tells whether a request has to leave room for others. */
-  boolean leavesRoom(QueuedRequest request) {
-    return isOverShare(request) || (request.isStandard() && keepsInteractiveRoom());
+    int room = Math.max(1, limit / ROOM_DIVISOR) * roomsLeftBy(request);
+    return limit < SMALLEST_SHARED_LIMIT ? limit : limit - room;
   }
 
   /** Tells whether an upstream has a place for this request, whatever its memory. */
@@ -89,7 +82,7 @@
     if (!uses(Mechanism.MEMORY_PREDICTION)) {
       return true;
     }
-    double share = isOverShare(request) ? OVER_SHARE_MEMORY_SHARE : memoryShare(request);
+    double share = 1 - MEMORY_OF_ROOM * roomsLeftBy(request);
     return upstream.memory().fits(request, share, anyLengths(), nowNanos);
   }
 
@@ -106,8 +99,13 @@
     return shares;
   }
 
-  private double memoryShare(QueuedRequest request) {
-    return request.isStandard() && keepsInteractiveRoom() ? STANDARD_MEMORY_SHARE : 1;
+  /**
+   * Returns how many rooms of each upstream a request has to leave to others: a standard one leaves
+   * a room to interactive ones, and one of an organisation over its share leaves more.
+   */
+  int roomsLeftBy(QueuedRequest request) {
+    int forInteractive = request.isStandard() && keepsInteractiveRoom() ? 1 : 0;
+    return forInteractive + (isOverShare(request) ? OVER_SHARE_ROOMS : 0);
   }
 
   private boolean isOverShare(QueuedRequest request) {
--- a/src/main/java/org/cuminrack/pool/RunningShares.java
+++ b/src/main/java/org/cuminrack/pool/RunningShares.java
@@ -6,6 +6,7 @@
 /** What each organisation holds of a pool, to tell which one holds more than its share. */
 final class RunningShares {
   private static final double OVER_SHARE = 1.5;
+  private static final double SLACK_TOKENS = 4_000;
 
   private final Map<String, Double> tokens = new HashMap<>();
   private double total;
@@ -36,6 +37,7 @@
     for (String each : tokens.keySet()) {
       weights += rules.weightOf(each);
     }
-    return held * weights > OVER_SHARE * total * rules.weightOf(organisation);
+    double share = total * rules.weightOf(organisation) / weights;
+    return held > OVER_SHARE * share + SLACK_TOKENS;
   }
 }
--- a/src/main/java/org/cuminrack/pool/WaitingRoom.java
+++ b/src/main/java/org/cuminrack/pool/WaitingRoom.java
@@ -19,7 +19,8 @@
 
   private static final double WAIT_SHARE_OF_TIMEOUT = 0.9;
   private static final int MAX_BYPASSED_FLOWS = 8;
-  private static final long MAX_BYPASSED_NANOS = 500_000_000L;
+  private static final long MAX_BYPASSED_NANOS = 200_000_000L;
+  private static final int NEARLY_THROUGH_DIVISOR = 4;
   private static final int MAX_WAITING = 4096;
 
   private final PoolContext context;
@@ -90,21 +91,23 @@
   void admit(UpstreamTable upstreams, PlacementPolicy placement, Admitter admitter) {
     admitSuspect(upstreams, admitter);
     Set<FlowKey> bypassed = new HashSet<>();
+    int mostRooms = Integer.MAX_VALUE;
     while (!queue.isEmpty() && bypassed.size() <= MAX_BYPASSED_FLOWS) {
       Optional<FlowHead> first = queue.first(bypassed);
       if (first.isEmpty()) {
         return;
       }
       QueuedRequest head = first.get().request();
-      Optional<UpstreamState> upstream = place(head, upstreams, placement);
+      int rooms = context.roomsLeftBy(head);
+      Optional<UpstreamState> upstream =
+          rooms <= mostRooms ? place(head, upstreams, placement) : Optional.empty();
       if (upstream.isPresent()) {
         queue.serve(first.get());
         byId.remove(head.id());
         admitter.admit(head, upstream.get(), false);
-      } else if (blocksOthers(head)) {
-        return;
       } else {
         bypassed.add(first.get().flow());
+        mostRooms = wasLongBypassed(head) ? Math.min(mostRooms, rooms - 1) : mostRooms;
       }
     }
   }
@@ -133,7 +136,7 @@
         refuse(each, RefusalReason.NO_UPSTREAM, upstreams, decisions);
       } else if (waited >= each.request().timeout().toNanos()) {
         refuse(each, RefusalReason.DEADLINE, upstreams, decisions);
-      } else if (context.uses(Mechanism.EARLY_REFUSAL) && waited >= boundNanos(each)) {
+      } else if (context.uses(Mechanism.EARLY_REFUSAL) && isTooLate(each, waited, upstreams)) {
         refuse(each, RefusalReason.OVERLOADED, upstreams, decisions);
       }
     }
@@ -159,10 +162,20 @@
     return byId.isEmpty() ? 0 : waits.waitNanos(queue.size() + 1, upstreams.occupied());
   }
 
-  /** A request that was passed for long must not be passed by further ones that share its room. */
-  private boolean blocksOthers(QueuedRequest head) {
-    boolean longPassed = context.nowNanos() - head.arrivedNanos() > MAX_BYPASSED_NANOS;
-    return longPassed && !context.leavesRoom(head);
+  /**
+   * A request that turns out to wait too long is refused before it has; unless it is nearly
+   * through.
+   */
+  private boolean isTooLate(QueuedRequest request, long waitedNanos, UpstreamTable upstreams) {
+    long bound = boundNanos(request);
+    long remaining = waitNanos(request, upstreams);
+    boolean nearlyThrough = remaining < bound / NEARLY_THROUGH_DIVISOR;
+    return nearlyThrough ? waitedNanos > bound : waitedNanos + remaining > bound;
+  }
+
+  /** After a request that was passed for long, only those go that may use room it has to leave. */
+  private boolean wasLongBypassed(QueuedRequest head) {
+    return context.nowNanos() - head.arrivedNanos() > MAX_BYPASSED_NANOS;
   }
 
   private void admitSuspect(UpstreamTable upstreams, Admitter admitter) {
