--- a/src/main/java/org/cuminrack/cli/ApplyCommand.java
+++ b/src/main/java/org/cuminrack/cli/ApplyCommand.java
@@ -20,7 +20,7 @@
   }
 
   @Override
-  void describeArguments(Subparser parser) {
+  void describeOwnArguments(Subparser parser) {
     parser.addArgument("file").help("the configuration, as YAML");
     parser
         .addArgument("--prune")
--- a/src/main/java/org/cuminrack/cli/ChangeCommand.java
+++ b/src/main/java/org/cuminrack/cli/ChangeCommand.java
@@ -5,31 +5,21 @@
 import java.util.Collection;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.config.ConfigObject;
 import org.cuminrack.config.Configuration;
 import org.cuminrack.operator.ConfigurationDiff;
 import org.cuminrack.operator.OperatorClient;
 
 /** A command that changes the configuration towards objects that its arguments name. */
-abstract class ChangeCommand implements Command {
-  private final String name;
-  private final String help;
+abstract class ChangeCommand extends DescribedCommand {
 
   ChangeCommand(String name, String help) {
-    this.name = name;
-    this.help = help;
+    super(name, help);
   }
 
   @Override
-  public final String name() {
-    return name;
-  }
-
-  @Override
-  public final void describe(Subparsers subparsers) {
-    Subparser parser = subparsers.addParser(name).help(help).description(help);
-    describeArguments(parser);
+  final void describeArguments(Subparser parser) {
+    describeOwnArguments(parser);
     OperatorArguments.describeChange(parser);
   }
 
@@ -65,7 +55,7 @@
   }
 
   /** Adds the command's own arguments. */
-  abstract void describeArguments(Subparser parser);
+  abstract void describeOwnArguments(Subparser parser);
 
   /** Returns the objects as they are to be, or what is wrong with the arguments. */
   abstract Either<String, Collection<ConfigObject>> wanted(Namespace arguments);
--- a/src/main/java/org/cuminrack/cli/CheckCommand.java
+++ b/src/main/java/org/cuminrack/cli/CheckCommand.java
@@ -5,23 +5,19 @@
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.operator.ConfigurationFile;
 import org.cuminrack.settings.SettingsFile;
 import org.cuminrack.yaml.YamlError;
 
 /** Checks a settings or configuration file without doing anything with it. */
-final class CheckCommand implements Command {
+final class CheckCommand extends DescribedCommand {
 
-  @Override
-  public String name() {
-    return "check";
+  CheckCommand() {
+    super("check", "checks a settings or configuration file: file, line, key, expected, found");
   }
 
   @Override
-  public void describe(Subparsers subparsers) {
-    String help = "checks a settings or configuration file: file, line, key, expected, found";
-    Subparser parser = subparsers.addParser(name()).help(help).description(help);
+  void describeArguments(Subparser parser) {
     parser
         .addArgument("--kind")
         .choices("control", "entry", "configuration")
--- a/src/main/java/org/cuminrack/cli/DemoCommand.java
+++ b/src/main/java/org/cuminrack/cli/DemoCommand.java
@@ -10,22 +10,18 @@
 import java.util.stream.Stream;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.demo.Demo;
 import org.cuminrack.log.Logging;
 
 /** Shows the whole path on loopback, in one process. */
-final class DemoCommand implements Command {
+final class DemoCommand extends DescribedCommand {
 
-  @Override
-  public String name() {
-    return "demo";
+  DemoCommand() {
+    super("demo", "shows the whole path on loopback, in one process");
   }
 
   @Override
-  public void describe(Subparsers subparsers) {
-    String help = "shows the whole path on loopback, in one process";
-    Subparser parser = subparsers.addParser(name()).help(help).description(help);
+  void describeArguments(Subparser parser) {
     parser.epilog("Exits with 0 where the generation came whole and the order ran once.");
   }
 
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/DescribedCommand.java
@@ -0,0 +1,28 @@
+package org.cuminrack.cli;
+
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** A command with a name, a line of help and its own arguments. */
+abstract class DescribedCommand implements Command {
+  private final String name;
+  private final String help;
+
+  DescribedCommand(String name, String help) {
+    this.name = name;
+    this.help = help;
+  }
+
+  @Override
+  public final String name() {
+    return name;
+  }
+
+  @Override
+  public final void describe(Subparsers subparsers) {
+    describeArguments(subparsers.addParser(name).help(help).description(help));
+  }
+
+  /** Adds the command's arguments. */
+  abstract void describeArguments(Subparser parser);
+}
--- a/src/main/java/org/cuminrack/cli/DiffCommand.java
+++ b/src/main/java/org/cuminrack/cli/DiffCommand.java
@@ -22,7 +22,7 @@
   }
 
   @Override
-  void describeArguments(Subparser parser) {
+  void describeOwnArguments(Subparser parser) {
     parser.addArgument("file").help("the configuration, as YAML");
   }
 
--- a/src/main/java/org/cuminrack/cli/DumpCommand.java
+++ b/src/main/java/org/cuminrack/cli/DumpCommand.java
@@ -4,7 +4,6 @@
 import io.vavr.control.Either;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.http.HttpAnswer;
 import org.cuminrack.http.HttpCall;
 import org.cuminrack.http.HttpClient;
@@ -12,17 +11,14 @@
 import org.cuminrack.http.Json;
 
 /** Prints the state of any process. */
-final class DumpCommand implements Command {
+final class DumpCommand extends DescribedCommand {
 
-  @Override
-  public String name() {
-    return "dump";
+  DumpCommand() {
+    super("dump", "prints the state of a process");
   }
 
   @Override
-  public void describe(Subparsers subparsers) {
-    String help = "prints the state of a process";
-    Subparser parser = subparsers.addParser(name()).help(help).description(help);
+  void describeArguments(Subparser parser) {
     parser
         .addArgument("--address")
         .required(true)
--- a/src/main/java/org/cuminrack/cli/MeasureCommand.java
+++ b/src/main/java/org/cuminrack/cli/MeasureCommand.java
@@ -5,23 +5,19 @@
 import java.util.logging.Level;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.control.ControlMeasurement;
 import org.cuminrack.log.Logging;
 import org.cuminrack.relay.RelayMeasurement;
 
 /** Measures the slopes that docs/CAPACITY.md is worked out from. */
-final class MeasureCommand implements Command {
+final class MeasureCommand extends DescribedCommand {
 
-  @Override
-  public String name() {
-    return "measure";
+  MeasureCommand() {
+    super("measure", "measures the slopes of docs/CAPACITY.md on this machine, on loopback");
   }
 
   @Override
-  public void describe(Subparsers subparsers) {
-    String help = "measures the slopes of docs/CAPACITY.md on this machine, on loopback";
-    Subparser parser = subparsers.addParser(name()).help(help).description(help);
+  void describeArguments(Subparser parser) {
     parser
         .addArgument("what")
         .nargs("?")
--- a/src/main/java/org/cuminrack/cli/NamedChangeCommand.java
+++ b/src/main/java/org/cuminrack/cli/NamedChangeCommand.java
@@ -55,7 +55,7 @@
   }
 
   @Override
-  void describeArguments(Subparser parser) {
+  void describeOwnArguments(Subparser parser) {
     parser.addArgument("name").help(argumentHelp);
   }
 
--- a/src/main/java/org/cuminrack/cli/QueryCommand.java
+++ b/src/main/java/org/cuminrack/cli/QueryCommand.java
@@ -4,28 +4,18 @@
 import java.io.PrintStream;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.operator.OperatorClient;
 
 /** A command that asks control and prints the answer. */
-abstract class QueryCommand implements Command {
-  private final String name;
-  private final String help;
+abstract class QueryCommand extends DescribedCommand {
 
   QueryCommand(String name, String help) {
-    this.name = name;
-    this.help = help;
+    super(name, help);
   }
 
   @Override
-  public final String name() {
-    return name;
-  }
-
-  @Override
-  public final void describe(Subparsers subparsers) {
-    Subparser parser = subparsers.addParser(name).help(help).description(help);
-    describeArguments(parser);
+  final void describeArguments(Subparser parser) {
+    describeOwnArguments(parser);
     OperatorArguments.describeControl(parser);
   }
 
@@ -52,7 +42,7 @@
   }
 
   /** Adds the command's own arguments. */
-  void describeArguments(Subparser parser) {}
+  void describeOwnArguments(Subparser parser) {}
 
   /** Returns what to print, or why there is no answer. */
   abstract Either<String, String> answer(OperatorClient client, Namespace arguments);
--- a/src/main/java/org/cuminrack/cli/RolloutCommand.java
+++ b/src/main/java/org/cuminrack/cli/RolloutCommand.java
@@ -17,7 +17,7 @@
   }
 
   @Override
-  void describeArguments(Subparser parser) {
+  void describeOwnArguments(Subparser parser) {
     parser.addArgument("name").help("the rollout");
     parser.addArgument("--service").required(true).help("the service whose upstreams load it");
     parser.addArgument("--model").required(true).help("the model to load");
--- a/src/main/java/org/cuminrack/cli/ServeCommand.java
+++ b/src/main/java/org/cuminrack/cli/ServeCommand.java
@@ -6,32 +6,21 @@
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import net.sourceforge.argparse4j.inf.Subparsers;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.process.StopSignal;
 import org.cuminrack.yaml.YamlError;
 
 /** A command that serves until the process is told to stop. */
-abstract class ServeCommand implements Command {
+abstract class ServeCommand extends DescribedCommand {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final String name;
-  private final String help;
-
   ServeCommand(String name, String help) {
-    this.name = name;
-    this.help = help;
-  }
-
-  @Override
-  public final String name() {
-    return name;
+    super(name, help);
   }
 
   @Override
-  public final void describe(Subparsers subparsers) {
-    Subparser parser = subparsers.addParser(name).help(help).description(help);
+  final void describeArguments(Subparser parser) {
     parser.addArgument("--settings").required(true).metavar("FILE").help("the settings, as YAML");
   }
 
