--- a/src/main/java/org/cuminrack/standin/EngineModel.java
+++ b/src/main/java/org/cuminrack/standin/EngineModel.java
@@ -243,11 +243,9 @@
   }
 
   private static EngineSequence find(Set<EngineSequence> sequences, String generationId) {
-    for (EngineSequence each : sequences) {
-      if (each.request().id().equals(generationId)) {
-        return each;
-      }
-    }
-    return null;
+    return sequences.stream()
+        .filter(each -> each.request().id().equals(generationId))
+        .findFirst()
+        .orElse(null);
   }
 }
