--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the binary, their arguments and exit codes. */
+package org.cuminrack.cli;
--- /dev/null
+++ b/src/main/java/org/cuminrack/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Services that own threads, ports or files from start to stop. */
+package org.cuminrack.lifecycle;
--- /dev/null
+++ b/src/main/java/org/cuminrack/log/package-info.java
@@ -0,0 +1,2 @@
+/** Logs: one key=value line an event. */
+package org.cuminrack.log;
--- /dev/null
+++ b/src/main/java/org/cuminrack/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The metrics of a process, for Prometheus. */
+package org.cuminrack.metrics;
--- /dev/null
+++ b/src/main/java/org/cuminrack/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of processes, checked in full before anything is opened. */
+package org.cuminrack.settings;
--- /dev/null
+++ b/src/main/java/org/cuminrack/time/package-info.java
@@ -0,0 +1,2 @@
+/** The clock, as an interface. */
+package org.cuminrack.time;
--- /dev/null
+++ b/src/main/java/org/cuminrack/yaml/package-info.java
@@ -0,0 +1,2 @@
+/** YAML files whose values remember their lines, and a reader that notes every error. */
+package org.cuminrack.yaml;
