--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.logging.Level;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -50,9 +51,7 @@
       return command(arguments.getString(COMMAND)).run(arguments);
     } catch (ArgumentParserException e) {
       parser.handleError(e);
-      return e instanceof net.sourceforge.argparse4j.helper.HelpScreenException
-          ? ExitCode.DONE
-          : ExitCode.USAGE;
+      return e instanceof HelpScreenException ? ExitCode.DONE : ExitCode.USAGE;
     }
   }
 
--- a/src/main/java/org/cuminrack/config/ConfigKey.java
+++ b/src/main/java/org/cuminrack/config/ConfigKey.java
@@ -1,5 +1,7 @@
 package org.cuminrack.config;
 
+import java.util.Locale;
+
 /** Identifies a configuration object. */
 public record ConfigKey(ConfigKind kind, String name) implements Comparable<ConfigKey> {
 
@@ -11,6 +13,6 @@
 
   @Override
   public String toString() {
-    return kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-') + "/" + name;
+    return kind.name().toLowerCase(Locale.ROOT).replace('_', '-') + "/" + name;
   }
 }
--- a/src/main/java/org/cuminrack/control/OperatorApi.java
+++ b/src/main/java/org/cuminrack/control/OperatorApi.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.cuminrack.generated.control.ChangeRequest;
 import org.cuminrack.generated.control.ChangeVerdict;
 import org.cuminrack.generated.control.FetchReply;
@@ -103,7 +104,7 @@
       HttpServerExchange exchange,
       long revision,
       long waitMillis,
-      java.util.function.Function<InForceReply, Object> toAnswer) {
+      Function<InForceReply, Object> toAnswer) {
     InForceRequest request =
         InForceRequest.newBuilder().setRevision(revision).setWaitMillis((int) waitMillis).build();
     Duration timeout = TIMEOUT.plusMillis(waitMillis);
--- a/src/main/java/org/cuminrack/control/StateHistory.java
+++ b/src/main/java/org/cuminrack/control/StateHistory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -40,7 +41,7 @@
     }
     Changes changes =
         new Changes(new LinkedHashSet<>(), new LinkedHashSet<>(), new LinkedHashSet<>());
-    java.util.Iterator<Step> newestFirst = steps.descendingIterator();
+    Iterator<Step> newestFirst = steps.descendingIterator();
     while (newestFirst.hasNext()) {
       Step step = newestFirst.next();
       if (step.revision() <= revision) {
--- a/src/main/java/org/cuminrack/demo/Demo.java
+++ b/src/main/java/org/cuminrack/demo/Demo.java
@@ -8,9 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import org.cuminrack.http.HttpAnswer;
 import org.cuminrack.http.HttpCall;
@@ -75,8 +77,7 @@
             .with(Routes.route("shop").idempotent("GET"));
     out.println("# the operator applies:\n" + plan.toYaml());
     OperatorClient operator =
-        new OperatorClient(
-            java.util.List.of(cluster.controlAddress()), STEP_TIMEOUT, Clock.system());
+        new OperatorClient(List.of(cluster.controlAddress()), STEP_TIMEOUT, Clock.system());
     operator.start();
     try {
       ChangeReply reply =
@@ -156,7 +157,7 @@
     long endNanos = System.nanoTime() + STEP_TIMEOUT.toNanos();
     Optional<T> result = step.get();
     while (result.isEmpty() && System.nanoTime() < endNanos) {
-      java.util.concurrent.locks.LockSupport.parkNanos(POLL_PAUSE.toNanos());
+      LockSupport.parkNanos(POLL_PAUSE.toNanos());
       result = step.get();
     }
     return result;
--- a/src/main/java/org/cuminrack/http/HttpExchange.java
+++ b/src/main/java/org/cuminrack/http/HttpExchange.java
@@ -10,6 +10,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
@@ -63,7 +64,7 @@
   private ClientRequest request() {
     ClientRequest request = new ClientRequest();
     request.setMethod(call.method()).setPath(call.path());
-    request.getRequestHeaders().putAll(Headers.HOST, java.util.List.of(call.address()));
+    request.getRequestHeaders().putAll(Headers.HOST, List.of(call.address()));
     copy(call.headers(), request.getRequestHeaders());
     request.getRequestHeaders().put(Headers.CONNECTION, "close");
     if (!call.body().isEmpty()) {
--- a/src/main/java/org/cuminrack/http/JsonBodyHandler.java
+++ b/src/main/java/org/cuminrack/http/JsonBodyHandler.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
 import java.util.function.BiConsumer;
 
@@ -34,7 +35,6 @@
       ProblemDocument.of(BAD_REQUEST, "bad-request", value.getLeft()).send(exchange);
       return;
     }
-    exchange.dispatch(
-        io.undertow.util.SameThreadExecutor.INSTANCE, () -> next.accept(exchange, value.get()));
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> next.accept(exchange, value.get()));
   }
 }
--- a/src/main/java/org/cuminrack/metrics/Metrics.java
+++ b/src/main/java/org/cuminrack/metrics/Metrics.java
@@ -1,5 +1,7 @@
 package org.cuminrack.metrics;
 
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
@@ -23,15 +25,13 @@
 
   /** Shows a value that is read from an object at each scrape. */
   public <T> Metrics gauge(String name, T object, ToDoubleFunction<T> value) {
-    io.micrometer.core.instrument.Gauge.builder(name, object, value)
-        .strongReference(true)
-        .register(registry);
+    Gauge.builder(name, object, value).strongReference(true).register(registry);
     return this;
   }
 
   /** Shows a value that only grows. */
   public <T> Metrics counter(String name, T object, ToDoubleFunction<T> value) {
-    io.micrometer.core.instrument.FunctionCounter.builder(name, object, value).register(registry);
+    FunctionCounter.builder(name, object, value).register(registry);
     return this;
   }
 
--- a/src/main/java/org/cuminrack/pool/HandOverMessages.java
+++ b/src/main/java/org/cuminrack/pool/HandOverMessages.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import org.cuminrack.admission.Priority;
 import org.cuminrack.generated.pool.HandOverCall;
 import org.cuminrack.generated.pool.LengthsHandOver;
 import org.cuminrack.generated.pool.TicketHandOver;
@@ -82,7 +83,7 @@
     LengthsHandOver.Builder lengths =
         LengthsHandOver.newBuilder()
             .setOrganisation(part.flow().organisation())
-            .setInteractive(part.flow().priority() == org.cuminrack.admission.Priority.INTERACTIVE);
+            .setInteractive(part.flow().priority() == Priority.INTERACTIVE);
     for (double each : part.counts()) {
       lengths.addCounts((float) each);
     }
--- a/src/main/java/org/cuminrack/relay/CallClaim.java
+++ b/src/main/java/org/cuminrack/relay/CallClaim.java
@@ -1,6 +1,7 @@
 package org.cuminrack.relay;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cuminrack.ledger.CallKey;
@@ -27,7 +28,7 @@
   }
 
   /** Claims the call; the verdict comes on the I/O thread. */
-  void ask(java.time.Duration timeout, Consumer<ClaimVerdict> verdict) {
+  void ask(Duration timeout, Consumer<ClaimVerdict> verdict) {
     context
         .ledger()
         .claim(key, request.fingerprint(), timeout)
@@ -36,7 +37,7 @@
 
   private void answered(ClaimVerdict found, Throwable failure, Consumer<ClaimVerdict> verdict) {
     if (failure != null) {
-      verdict.accept(new ClaimVerdict.Unavailable(java.time.Duration.ofSeconds(1)));
+      verdict.accept(new ClaimVerdict.Unavailable(Duration.ofSeconds(1)));
       return;
     }
     if (found instanceof ClaimVerdict.Granted granted) {
--- a/src/main/java/org/cuminrack/relay/CallerRequest.java
+++ b/src/main/java/org/cuminrack/relay/CallerRequest.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.vavr.control.Either;
 import java.time.Duration;
 import org.cuminrack.config.Organisation;
@@ -22,7 +23,7 @@
   /** A route and the service that it leads to. */
   record RoutedService(Route route, Service service) {}
 
-  String header(io.undertow.util.HttpString name) {
+  String header(HttpString name) {
     return exchange.getRequestHeaders().getFirst(name);
   }
 
--- a/src/main/java/org/cuminrack/relay/MeasuredCaller.java
+++ b/src/main/java/org/cuminrack/relay/MeasuredCaller.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.HdrHistogram.Recorder;
 
 /** A caller of a measurement: reads one stream and notes when its tokens come. */
@@ -33,10 +34,8 @@
     final Recorder firstToken = new Recorder(3);
     final Recorder betweenTokens = new Recorder(3);
     final Recorder transit = new Recorder(3);
-    final java.util.concurrent.atomic.LongAdder tokens =
-        new java.util.concurrent.atomic.LongAdder();
-    final java.util.concurrent.atomic.LongAdder failures =
-        new java.util.concurrent.atomic.LongAdder();
+    final LongAdder tokens = new LongAdder();
+    final LongAdder failures = new LongAdder();
   }
 
   void begin(String address, IoContext io) {
--- a/src/main/java/org/cuminrack/relay/Refusals.java
+++ b/src/main/java/org/cuminrack/relay/Refusals.java
@@ -1,6 +1,7 @@
 package org.cuminrack.relay;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import org.cuminrack.admission.RefusalReason;
@@ -37,7 +38,7 @@
     String dataCentre = ownDataCentre();
     return membership.view().members().stream()
         .filter(each -> !each.stopping())
-        .sorted(java.util.Comparator.comparing(each -> !each.dataCentre().equals(dataCentre)))
+        .sorted(Comparator.comparing(each -> !each.dataCentre().equals(dataCentre)))
         .map(EntryMember::httpAddress)
         .toList();
   }
--- a/src/main/java/org/cuminrack/relay/RequestGate.java
+++ b/src/main/java/org/cuminrack/relay/RequestGate.java
@@ -1,8 +1,10 @@
 package org.cuminrack.relay;
 
 import com.google.protobuf.ByteString;
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -120,8 +122,8 @@
 
   private void bodyFailed(HttpServerExchange exchange, IOException cause) {
     exchange.setPersistent(false);
-    if (cause instanceof io.undertow.server.RequestTooBigException
-        || cause instanceof io.undertow.io.Receiver.RequestToLargeException) {
+    if (cause instanceof RequestTooBigException
+        || cause instanceof Receiver.RequestToLargeException) {
       refuse(exchange, context.refusals().bodyTooLarge(context.bounds().maxBodyBytes()));
     } else {
       context.counters().add(RelayCounters.CALLERS_GONE);
--- a/src/main/java/org/cuminrack/storage/LogStore.java
+++ b/src/main/java/org/cuminrack/storage/LogStore.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -174,7 +175,7 @@
     try {
       Files.deleteIfExists(file);
     } catch (IOException e) {
-      throw new java.io.UncheckedIOException(e);
+      throw new UncheckedIOException(e);
     }
   }
 
--- a/src/main/java/org/cuminrack/wire/WireServer.java
+++ b/src/main/java/org/cuminrack/wire/WireServer.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.cuminrack.lifecycle.ManagedService;
 
 /** Listens for calls of other cuminrack processes and hands them to the method's handler. */
@@ -64,7 +65,7 @@
       return;
     }
     listener.close().syncUninterruptibly();
-    loops.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     loops = null;
   }
 }
--- a/src/test/java/org/cuminrack/http/HttpClientTest.java
+++ b/src/test/java/org/cuminrack/http/HttpClientTest.java
@@ -7,6 +7,7 @@
 import io.undertow.util.Methods;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -103,7 +104,7 @@
           exchange
               .getRequestReceiver()
               .receiveFullBytes(
-                  (each, body) -> each.getResponseSender().send(java.nio.ByteBuffer.wrap(body)));
+                  (each, body) -> each.getResponseSender().send(ByteBuffer.wrap(body)));
       default -> exchange.dispatch(() -> {});
     }
   }
--- a/src/test/java/org/cuminrack/relay/CallerResumeTest.java
+++ b/src/test/java/org/cuminrack/relay/CallerResumeTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -108,8 +109,7 @@
   void shouldSayThatAGenerationIsLostWhereTheEngineDoesNotKnowIt() throws IOException {
     String lastId = readFourTokensAndVanish();
     engine.on(
-        "GET /v1/generations/g1/events?after=3",
-        connection -> connection.whole(404, java.util.Map.of(), ""));
+        "GET /v1/generations/g1/events?after=3", connection -> connection.whole(404, Map.of(), ""));
 
     CallerSession session = comeBack(lastId, CallerMessage.generation());
 
--- a/src/test/java/org/cuminrack/relay/CallerSession.java
+++ b/src/test/java/org/cuminrack/relay/CallerSession.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -39,7 +40,7 @@
     if (receiveBytes > 0) {
       socket.setReceiveBufferSize(receiveBytes);
     }
-    socket.connect(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     CallerSession session = new CallerSession(socket);
     socket.getOutputStream().write(message.bytes());
     return session;
--- a/src/test/java/org/cuminrack/relay/PoisonTest.java
+++ b/src/test/java/org/cuminrack/relay/PoisonTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.cuminrack.admission.Fingerprint;
 import org.junit.jupiter.api.AfterEach;
@@ -99,7 +101,7 @@
     first.on("POST /v1/completions", ScriptedConnection::reset);
     first.on(
         "GET /v1/status",
-        connection -> connection.whole(200, java.util.Map.of(), "{\"boot_id\":\"boot-engine-1\"}"));
+        connection -> connection.whole(200, Map.of(), "{\"boot_id\":\"boot-engine-1\"}"));
 
     CallerSession session = entry.send(CallerMessage.generation()).readHead();
 
@@ -113,7 +115,7 @@
     first.on("POST /v1/completions", ScriptedConnection::reset);
     first.on(
         "GET /v1/status",
-        connection -> connection.whole(200, java.util.Map.of(), "{\"boot_id\":\"new-life\"}"));
+        connection -> connection.whole(200, Map.of(), "{\"boot_id\":\"new-life\"}"));
     fixture.admission.upstreams(first);
 
     entry.send(CallerMessage.generation()).readHead();
@@ -122,7 +124,6 @@
   }
 
   private static Fingerprint fingerprint(String body) {
-    return Fingerprint.of(
-        "lyzicka", "planner", body.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    return Fingerprint.of("lyzicka", "planner", body.getBytes(StandardCharsets.UTF_8));
   }
 }
--- a/src/test/java/org/cuminrack/relay/StreamFailureTest.java
+++ b/src/test/java/org/cuminrack/relay/StreamFailureTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.cuminrack.admission.TicketOutcome.Result;
 import org.junit.jupiter.api.AfterEach;
@@ -180,7 +181,7 @@
     fixture.admission.upstreams(engine, otherEngine);
     engine.on(
         "POST /v1/completions",
-        connection -> connection.whole(503, java.util.Map.of("Retry-After", "3"), ""));
+        connection -> connection.whole(503, Map.of("Retry-After", "3"), ""));
 
     CallerSession session = entry.send(CallerMessage.generation()).readHead();
 
@@ -195,8 +196,7 @@
   void shouldCancelAtTheEngineWhereTheLeaseEndedDuringTheSend() throws IOException {
     fixture.admission.upstreams(engine);
     engine.on("POST /v1/completions", whole("g1", "boot-engine-1"));
-    engine.on(
-        "DELETE /v1/generations/g1", connection -> connection.whole(204, java.util.Map.of(), ""));
+    engine.on("DELETE /v1/generations/g1", connection -> connection.whole(204, Map.of(), ""));
     fixture.membership.lease(false);
     fixture.membership.nextLeaseAnswers(true);
 
--- a/src/test/java/org/cuminrack/system/Callers.java
+++ b/src/test/java/org/cuminrack/system/Callers.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -45,7 +46,7 @@
           http.send(request.build(), HttpResponse.BodyHandlers.ofLines());
       answer.begin(response.statusCode());
       response.body().forEach(answer::line);
-    } catch (IOException | java.io.UncheckedIOException e) {
+    } catch (IOException | UncheckedIOException e) {
       answer.broken(e.toString());
     } catch (InterruptedException e) {
       throw new AssertionError(e);
--- a/src/test/java/org/cuminrack/system/LostDiskTest.java
+++ b/src/test/java/org/cuminrack/system/LostDiskTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -67,7 +68,7 @@
     return !incarnation.isEmpty() && replica.contains(incarnation);
   }
 
-  private com.fasterxml.jackson.databind.JsonNode quorum(TestCluster cluster, String name) {
+  private JsonNode quorum(TestCluster cluster, String name) {
     return callers.dump(cluster.address(name)).path("quorum");
   }
 
