--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -32,6 +32,7 @@
           new ControlCommand(),
           new EntryCommand(),
           new GatewayCommand(),
+          new RehearseCommand(),
           new DemoCommand(),
           new LoadCommand(),
           new MeasureCommand());
--- a/src/main/java/org/cuminrack/cli/ServeCommand.java
+++ b/src/main/java/org/cuminrack/cli/ServeCommand.java
@@ -4,10 +4,14 @@
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.logging.Level;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.log.Logging;
+import org.cuminrack.process.ReloadSignal;
+import org.cuminrack.process.Reloadable;
 import org.cuminrack.process.StopSignal;
 import org.cuminrack.yaml.YamlError;
 
@@ -26,12 +30,16 @@
 
   @Override
   public final ExitCode run(Namespace arguments) {
-    Either<List<YamlError>, ManagedService> process =
-        process(Path.of(arguments.getString("settings")));
+    Path settings = Path.of(arguments.getString("settings"));
+    Either<List<YamlError>, ManagedService> process = process(settings);
     if (process.isLeft()) {
       System.err.println(ApplyCommand.text(process.getLeft()));
       return ExitCode.USAGE;
     }
+    Logging.serve(Level.INFO);
+    if (process.get() instanceof Reloadable reloadable) {
+      ReloadSignal.onHangUp(() -> reloadable.reload(settings));
+    }
     return serve(process.get());
   }
 
@@ -40,11 +48,13 @@
       process.start();
     } catch (RuntimeException e) {
       logger.atSevere().log("%s", LogEvent.named("start-failed").with("detail", e.getMessage()));
+      Logging.flush();
       return ExitCode.FAILED;
     }
     StopSignal signal = StopSignal.ofThisProcess();
     signal.await();
     process.stop();
+    Logging.flush();
     signal.done();
     return ExitCode.DONE;
   }
--- a/src/main/java/org/cuminrack/gateway/LoadSharing.java
+++ b/src/main/java/org/cuminrack/gateway/LoadSharing.java
@@ -106,7 +106,8 @@
                 UpstreamLoadData.newBuilder()
                     .setId(id)
                     .setRunning(load.requests())
-                    .setReservedTokens(load.reservedTokens())));
+                    .setReservedTokens(load.reservedTokens())
+                    .setUnreadPromptTokens(load.unreadPromptTokens())));
     byte[] payload = call.build().toByteArray();
     for (GatewayRecord gateway : view.gateways()) {
       if (!gateway.vm().equals(vm)) {
@@ -124,7 +125,10 @@
     }
     Map<String, UpstreamLoad> told = new HashMap<>();
     for (UpstreamLoadData each : call.getLoadsList()) {
-      told.put(each.getId(), new UpstreamLoad(each.getRunning(), each.getReservedTokens()));
+      told.put(
+          each.getId(),
+          new UpstreamLoad(
+              each.getRunning(), each.getReservedTokens(), each.getUnreadPromptTokens()));
     }
     loads.told(call.getVm(), told);
     onTold.run();
--- a/src/main/java/org/cuminrack/gateway/LoadTable.java
+++ b/src/main/java/org/cuminrack/gateway/LoadTable.java
@@ -22,9 +22,8 @@
   }
 
   /** Counts a request in or out. */
-  synchronized void add(String upstreamId, int requests, long tokens) {
-    UpstreamLoad sum =
-        own.getOrDefault(upstreamId, UpstreamLoad.NONE).plus(new UpstreamLoad(requests, tokens));
+  synchronized void add(String upstreamId, UpstreamLoad change) {
+    UpstreamLoad sum = own.getOrDefault(upstreamId, UpstreamLoad.NONE).plus(change);
     if (sum.equals(UpstreamLoad.NONE)) {
       own.remove(upstreamId);
     } else {
--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -23,7 +23,13 @@
   private static final double USED_MEMORY = 0.97;
 
   /** Part of an engine's memory that must stay free beside a backup. */
-  private static final double FREE_BESIDE_BACKUP = 0.35;
+  private static final double FREE_BESIDE_BACKUP = 0.12;
+
+  /**
+   * What an unread prompt weighs beside memory: reading one delays the others that begin, and every
+   * token of those that run.
+   */
+  private static final double UNREAD_PROMPT_WEIGHT = 3.0;
 
   private Placement() {}
 
@@ -72,7 +78,8 @@
 
   private static double engineScore(Candidate each, EngineSpec engine) {
     double memory = (double) each.load().reservedTokens() / engine.memoryTokens();
-    return memory + FAILURE_WEIGHT * each.failureShare();
+    double unread = (double) each.load().unreadPromptTokens() / engine.memoryTokens();
+    return memory + UNREAD_PROMPT_WEIGHT * unread + FAILURE_WEIGHT * each.failureShare();
   }
 
   private static int slots(Candidate each) {
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -96,7 +96,7 @@
   /** Called under the queue's lock, on any thread. */
   private boolean tryReserve() {
     Optional<Reservation> place =
-        context.selector().generation(call.service().name(), engine, need.expectedTokens(), tried);
+        context.selector().generation(call.service().name(), engine, need, tried);
     place.ifPresent(each -> call.io().execute(() -> placed(each)));
     return place.isPresent();
   }
@@ -115,9 +115,7 @@
     if (!engine.keepsBackups() || !need.isWorthBackup()) {
       return Optional.empty();
     }
-    return context
-        .selector()
-        .backup(call.service().name(), engine, need.expectedTokens(), upstream.id());
+    return context.selector().backup(call.service().name(), engine, need, upstream.id());
   }
 
   private void waitIsOver() {
@@ -319,6 +317,9 @@
         return;
       }
       Optional<String> error = splitter.feed(bytes);
+      if (events > 0) {
+        place.promptRead();
+      }
       place.growTo(need.afterEvents(events));
       if (error.isPresent()) {
         lost(error.get());
--- a/src/main/java/org/cuminrack/gateway/UpstreamLoad.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamLoad.java
@@ -5,11 +5,15 @@
  *
  * @param requests requests in progress
  * @param reservedTokens engine memory that they may need
+ * @param unreadPromptTokens tokens of prompts whose first output has not come yet
  */
-public record UpstreamLoad(int requests, long reservedTokens) {
-  static final UpstreamLoad NONE = new UpstreamLoad(0, 0);
+public record UpstreamLoad(int requests, long reservedTokens, long unreadPromptTokens) {
+  static final UpstreamLoad NONE = new UpstreamLoad(0, 0, 0);
 
   UpstreamLoad plus(UpstreamLoad other) {
-    return new UpstreamLoad(requests + other.requests, reservedTokens + other.reservedTokens);
+    return new UpstreamLoad(
+        requests + other.requests,
+        reservedTokens + other.reservedTokens,
+        unreadPromptTokens + other.unreadPromptTokens);
   }
 }
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -35,21 +35,21 @@
   /** Reserves a place for a plain request; empty if no upstream has room. */
   synchronized Optional<Reservation> plain(String service, Set<String> excludedIds) {
     return Placement.plain(candidates(service, excludedIds))
-        .map(each -> Reservation.take(loads, each.upstream(), 0));
+        .map(each -> Reservation.plain(loads, each.upstream()));
   }
 
   /** Reserves memory for a generation; empty if no engine has room. */
   synchronized Optional<Reservation> generation(
-      String service, EngineSpec engine, long tokens, Set<String> excludedIds) {
-    return Placement.generation(candidates(service, excludedIds), engine, tokens)
-        .map(each -> Reservation.take(loads, each.upstream(), tokens));
+      String service, EngineSpec engine, MemoryNeed need, Set<String> excludedIds) {
+    return Placement.generation(candidates(service, excludedIds), engine, need.expectedTokens())
+        .map(each -> Reservation.generation(loads, each.upstream(), need));
   }
 
   /** Reserves memory for the copy of a generation; empty if no other engine has enough. */
   synchronized Optional<Reservation> backup(
-      String service, EngineSpec engine, long tokens, String runningOn) {
-    return Placement.backup(candidates(service, Set.of()), runningOn, engine, tokens)
-        .map(each -> Reservation.take(loads, each.upstream(), tokens));
+      String service, EngineSpec engine, MemoryNeed need, String runningOn) {
+    return Placement.backup(candidates(service, Set.of()), runningOn, engine, need.expectedTokens())
+        .map(each -> Reservation.copy(loads, each.upstream(), need));
   }
 
   /** Tells whether a service has any upstream that takes requests. */
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -23,13 +24,14 @@
 import org.cuminrack.quorum.QuorumSettings;
 import org.cuminrack.settings.ControlSettings;
 import org.cuminrack.settings.NodeSettings;
+import org.cuminrack.settings.SettingsFile;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
 import org.cuminrack.wire.WireClient;
 import org.cuminrack.wire.WireServer;
 
 /** A control VM's process: a replica of the control state, and what entries and operators ask. */
-public final class ControlProcess implements ManagedService {
+public final class ControlProcess implements ManagedService, Reloadable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int SNAPSHOT_EVERY_ENTRIES = 10_000;
   private static final long MAX_BODY_BYTES = 4L << 20;
@@ -115,6 +117,20 @@
             .with("wire", Addresses.text(settings.node().wireAddress())));
   }
 
+  /** Checks changed settings and says so; the seeds only count at the next start. */
+  @Override
+  public void reload(Path file) {
+    SettingsFile.control(file)
+        .peek(
+            changed ->
+                logger.atInfo().log(
+                    "%s", LogEvent.named("reloaded").with("seeds", changed.voters().keySet())))
+        .peekLeft(
+            errors ->
+                logger.atWarning().log(
+                    "%s", LogEvent.named("reload-refused").with("detail", errors)));
+  }
+
   /** Returns host and port where operators connect. */
   public String httpAddress() {
     InetSocketAddress address = settings.node().httpAddress();
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -1,8 +1,12 @@
 package org.cuminrack.process;
 
 import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
@@ -21,12 +25,14 @@
 import org.cuminrack.platform.RoutingDocuments;
 import org.cuminrack.settings.GatewayNodeSettings;
 import org.cuminrack.settings.NodeSettings;
+import org.cuminrack.settings.SettingsFile;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.WireClient;
 import org.cuminrack.wire.WireServer;
+import org.cuminrack.yaml.YamlError;
 
 /** A gateway VM's process: takes callers' requests and relays them to upstreams. */
-public final class GatewayProcess implements ManagedService {
+public final class GatewayProcess implements ManagedService, Reloadable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long MAX_BODY_BYTES = 4L << 20;
   private static final double PERCENT = 100;
@@ -110,10 +116,17 @@
   }
 
   /** Takes the control seeds of changed settings; everything else needs a restart. */
-  public void reload(GatewayNodeSettings changed) {
-    watcher.useSeeds(Set.copyOf(changed.controlSeeds().values()));
-    logger.atInfo().log(
-        "%s", LogEvent.named("reloaded").with("seeds", changed.controlSeeds().keySet()));
+  @Override
+  public void reload(Path file) {
+    Either<List<YamlError>, GatewayNodeSettings> changed = SettingsFile.gateway(file);
+    if (changed.isLeft()) {
+      logger.atWarning().log(
+          "%s", LogEvent.named("reload-refused").with("detail", changed.getLeft()));
+      return;
+    }
+    Map<String, String> seeds = changed.get().controlSeeds();
+    watcher.useSeeds(Set.copyOf(seeds.values()));
+    logger.atInfo().log("%s", LogEvent.named("reloaded").with("seeds", seeds.keySet()));
   }
 
   /**
--- a/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
+++ b/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
@@ -30,6 +30,7 @@
     Duration retryWindow,
     Duration upstreamSilence) {
   private static final int MAX_IO_THREADS = 64;
+  private static final int MAX_PORT = 65_535;
   private static final Duration DEFAULT_STOP_TIMEOUT = Duration.ofMillis(7500);
   private static final int DEFAULT_RETRY_PERCENT = 10;
   private static final int DEFAULT_RETRY_SLACK = 20;
@@ -40,7 +41,9 @@
     NodeSettings node = NodeSettings.read(reader);
     return new GatewayNodeSettings(
         node,
-        SeedAddresses.byName(reader.texts("control_seeds"), node.wireAddress().getPort()),
+        SeedAddresses.byName(
+            reader.texts("control_seeds"),
+            reader.number("control_wire_port", node.wireAddress().getPort(), 1, MAX_PORT)),
         reader.address("caller_address"),
         reader.address("ready_address"),
         reader.number("io_threads", 1, 1, MAX_IO_THREADS),
--- a/src/test/java/org/cuminrack/settings/SettingsFileTest.java
+++ b/src/test/java/org/cuminrack/settings/SettingsFileTest.java
@@ -47,7 +47,7 @@
   @Test
   void shouldRefuseAnUnknownKey() throws IOException {
     assertThat(errors(CONTROL + "hartbeat_millis: 5\n").get(0))
-        .contains("settings.yaml:10: hartbeat_millis: expected one of data_centre, data_folder,");
+        .contains("settings.yaml:10: hartbeat_millis: expected one of control_seeds, data_centre,");
   }
 
   @Test
