--- a/src/main/java/org/cuminrack/http/HttpServer.java
+++ b/src/main/java/org/cuminrack/http/HttpServer.java
@@ -45,7 +45,21 @@
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
             .build();
-    undertow.start();
+    try {
+      undertow.start();
+    } catch (RuntimeException e) {
+      undertow = null;
+      String place = address.getHostString() + ":" + address.getPort();
+      throw new IllegalStateException("HTTP on " + place + ": " + rootMessage(e), e);
+    }
+  }
+
+  private static String rootMessage(Throwable failure) {
+    Throwable root = failure;
+    while (root.getCause() != null) {
+      root = root.getCause();
+    }
+    return root.getMessage();
   }
 
   /** Returns the port that was taken; useful where the settings asked for any free one. */
--- a/src/main/java/org/cuminrack/wire/WireServer.java
+++ b/src/main/java/org/cuminrack/wire/WireServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -51,7 +52,18 @@
             channel.pipeline().addLast(new ServerCallHandler(group, handlers));
           }
         });
-    listener = bootstrap.bind(address).syncUninterruptibly().channel();
+    ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      stopLoops();
+      throw new IllegalStateException(
+          "wire_address: "
+              + address.getHostString()
+              + ":"
+              + address.getPort()
+              + ": "
+              + bound.cause().getMessage());
+    }
+    listener = bound.channel();
   }
 
   /** Returns the port that was taken; useful where the settings asked for any free one. */
@@ -65,6 +77,10 @@
       return;
     }
     listener.close().syncUninterruptibly();
+    stopLoops();
+  }
+
+  private void stopLoops() {
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     loops = null;
   }
--- /dev/null
+++ b/src/test/java/org/cuminrack/fleet/UpstreamTableTest.java
@@ -0,0 +1,100 @@
+package org.cuminrack.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class UpstreamTableTest {
+  private final UpstreamTable table = new UpstreamTable();
+
+  @Test
+  void shouldTakeANewUpstream() {
+    assertThat(table.merge(ready("i-1", "10.0.0.1:80", 100, 1))).isEqualTo(UpstreamChange.MOVED);
+    assertThat(table.ofService("shop")).hasSize(1);
+  }
+
+  @Test
+  void shouldRenewWithoutAMove() {
+    table.merge(ready("i-1", "10.0.0.1:80", 100, 1));
+
+    assertThat(table.merge(ready("i-1", "10.0.0.1:80", 100, 2))).isEqualTo(UpstreamChange.RENEWED);
+  }
+
+  @Test
+  void shouldRefuseAnEarlierAnnouncementOfTheSameLife() {
+    table.merge(draining("i-1", "10.0.0.1:80", 100, 5));
+
+    assertThat(table.merge(ready("i-1", "10.0.0.1:80", 100, 4))).isEqualTo(UpstreamChange.STALE);
+    assertThat(table.find("i-1").get().phase()).isEqualTo(UpstreamPhase.DRAINING);
+  }
+
+  @Test
+  void shouldTakeANewLifeUnderTheSameIdThoughItsCountStartsAnew() {
+    table.merge(ready("i-1", "10.0.0.1:80", 100, 50));
+
+    assertThat(table.merge(ready("i-1", "10.0.0.1:80", 200, 1))).isEqualTo(UpstreamChange.MOVED);
+  }
+
+  @Test
+  void shouldRefuseALateAnnouncementOfALifeBeforeTheOneAtItsAddress() {
+    table.merge(ready("i-2", "10.0.0.1:80", 200, 1));
+
+    assertThat(table.merge(ready("i-1", "10.0.0.1:80", 100, 9))).isEqualTo(UpstreamChange.STALE);
+  }
+
+  @Test
+  void shouldRetireWhatStoodAtTheAddressOfANewcomer() {
+    table.merge(ready("i-1", "10.0.0.1:80", 100, 1));
+    table.merge(ready("i-2", "10.0.0.1:80", 200, 1));
+
+    assertThat(table.find("i-1").get().phase()).isEqualTo(UpstreamPhase.LEFT);
+    assertThat(table.ofService("shop").stream().map(UpstreamRecord::id).toList())
+        .containsExactly("i-2");
+  }
+
+  @Test
+  void shouldNotBringAnUpstreamBackThatHasLeft() {
+    UpstreamRecord ready = ready("i-1", "10.0.0.1:80", 100, 3);
+    table.merge(ready);
+    table.merge(ready.in(UpstreamPhase.LEFT));
+
+    assertThat(table.merge(ready("i-1", "10.0.0.1:80", 100, 4))).isEqualTo(UpstreamChange.STALE);
+    assertThat(table.ofService("shop")).isEmpty();
+  }
+
+  @Test
+  void shouldTellOnlyWhatChangedAfterAnother() {
+    table.merge(ready("i-1", "10.0.0.1:80", 100, 1));
+    long known = table.lastChange();
+    table.merge(ready("i-2", "10.0.0.2:80", 100, 1));
+
+    assertThat(table.changesAfter(known).stream().map(UpstreamRecord::id).toList())
+        .containsExactly("i-2");
+  }
+
+  @Test
+  void shouldEndWithTheSameTableInWhateverOrderAnnouncementsCome() {
+    List<UpstreamRecord> announcements =
+        List.of(
+            ready("i-1", "10.0.0.1:80", 100, 1),
+            draining("i-1", "10.0.0.1:80", 100, 2),
+            ready("i-2", "10.0.0.1:80", 200, 1));
+    UpstreamTable reversed = new UpstreamTable();
+    announcements.forEach(table::merge);
+    for (int i = announcements.size() - 1; i >= 0; i--) {
+      reversed.merge(announcements.get(i));
+    }
+
+    assertThat(reversed.ofService("shop")).containsExactlyElementsIn(table.ofService("shop"));
+  }
+
+  private static UpstreamRecord ready(String id, String address, long born, long sequence) {
+    return new UpstreamRecord(
+        id, "shop", address, "dc-a", 6, UpstreamPhase.READY, born, sequence, 0, 0);
+  }
+
+  private static UpstreamRecord draining(String id, String address, long born, long sequence) {
+    return ready(id, address, born, sequence).in(UpstreamPhase.DRAINING);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/gateway/PlacementTest.java
@@ -0,0 +1,95 @@
+package org.cuminrack.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.cuminrack.fleet.UpstreamPhase;
+import org.cuminrack.fleet.UpstreamRecord;
+import org.cuminrack.routing.EngineSpec;
+import org.junit.jupiter.api.Test;
+
+class PlacementTest {
+  private static final EngineSpec ENGINE = new EngineSpec(24, 34_000, 4, true);
+
+  @Test
+  void shouldSendAPlainRequestWhereTheFewestRun() {
+    assertThat(
+            Placement.plain(List.of(plain("a", 3), plain("b", 1), plain("c", 2)))
+                .map(each -> each.upstream().id()))
+        .hasValue("b");
+  }
+
+  @Test
+  void shouldRefuseAPlainRequestWhereAllAreFull() {
+    assertThat(Placement.plain(List.of(plain("a", 18), plain("b", 18)))).isEmpty();
+  }
+
+  @Test
+  void shouldLeaveAnAvoidedUpstreamForWhenThereIsNoOther() {
+    Candidate avoided = new Candidate(upstream("a"), load(0, 0, 0), true, 0);
+
+    assertThat(Placement.plain(List.of(avoided, plain("b", 5))).get().upstream().id())
+        .isEqualTo("b");
+    assertThat(Placement.plain(List.of(avoided)).get().upstream().id()).isEqualTo("a");
+  }
+
+  @Test
+  void shouldSendAGenerationWhereTheMostMemoryIsLeft() {
+    assertThat(
+            Placement.generation(
+                    List.of(engine("a", 20_000, 0), engine("b", 9_000, 0)), ENGINE, 4_000)
+                .get()
+                .upstream()
+                .id())
+        .isEqualTo("b");
+  }
+
+  @Test
+  void shouldRefuseAGenerationThatFitsNowhere() {
+    assertThat(Placement.generation(List.of(engine("a", 31_000, 0)), ENGINE, 4_000)).isEmpty();
+  }
+
+  @Test
+  void shouldPreferAnEngineThatReadsNoPrompt() {
+    Candidate reading = engine("a", 8_000, 6_000);
+    Candidate fuller = engine("b", 16_000, 0);
+
+    assertThat(Placement.generation(List.of(reading, fuller), ENGINE, 4_000).get().upstream().id())
+        .isEqualTo("b");
+  }
+
+  @Test
+  void shouldKeepACopyOnAnotherEngineOnly() {
+    Candidate running = engine("a", 4_000, 0);
+
+    assertThat(Placement.backup(List.of(running), "a", ENGINE, 4_000)).isEmpty();
+    assertThat(
+            Placement.backup(List.of(running, engine("b", 9_000, 0)), "a", ENGINE, 4_000)
+                .get()
+                .upstream()
+                .id())
+        .isEqualTo("b");
+  }
+
+  @Test
+  void shouldKeepNoCopyWhereGenerationsNeedTheMemory() {
+    assertThat(Placement.backup(List.of(engine("b", 29_000, 0)), "a", ENGINE, 4_000)).isEmpty();
+  }
+
+  private static Candidate plain(String id, int requests) {
+    return new Candidate(upstream(id), load(requests, 0, 0), false, 0);
+  }
+
+  private static Candidate engine(String id, long tokens, long unreadTokens) {
+    return new Candidate(upstream(id), load(2, tokens, unreadTokens), false, 0);
+  }
+
+  private static UpstreamLoad load(int requests, long tokens, long unreadTokens) {
+    return new UpstreamLoad(requests, tokens, unreadTokens);
+  }
+
+  private static UpstreamRecord upstream(String id) {
+    return new UpstreamRecord(
+        id, "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.READY, 1, 1, 0, 0);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/gateway/UpstreamHealthTest.java
@@ -0,0 +1,48 @@
+package org.cuminrack.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.cuminrack.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+class UpstreamHealthTest {
+  private final ManualClock clock = new ManualClock();
+  private final UpstreamHealth health = new UpstreamHealth(clock);
+
+  @Test
+  void shouldAvoidAnUpstreamForAWhileAfterAFailure() {
+    health.failed("i-1");
+
+    assertThat(health.isAvoided("i-1")).isTrue();
+    clock.advance(Duration.ofMillis(401));
+    assertThat(health.isAvoided("i-1")).isFalse();
+  }
+
+  @Test
+  void shouldAvoidItLongerEachTime() {
+    health.failed("i-1");
+    health.failed("i-1");
+    clock.advance(Duration.ofMillis(401));
+
+    assertThat(health.isAvoided("i-1")).isTrue();
+  }
+
+  @Test
+  void shouldForgiveAfterASuccess() {
+    health.failed("i-1");
+    health.succeeded("i-1");
+
+    assertThat(health.isAvoided("i-1")).isFalse();
+  }
+
+  @Test
+  void shouldNeverAvoidForLongerThanFiveSeconds() {
+    for (int i = 0; i < 40; i++) {
+      health.failed("i-1");
+    }
+    clock.advance(Duration.ofSeconds(5).plusMillis(1));
+
+    assertThat(health.isAvoided("i-1")).isFalse();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/platform/AnnouncementsTest.java
@@ -0,0 +1,71 @@
+package org.cuminrack.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import org.cuminrack.fleet.UpstreamPhase;
+import org.cuminrack.fleet.UpstreamRecord;
+import org.junit.jupiter.api.Test;
+
+class AnnouncementsTest {
+  private static final String REPORT =
+      """
+      {"service":"llm","address":"10.128.0.9:8080","zone":"dc-a","version":"v1","slots":24,
+       "state":"ready","cold-left-ms":250,"call-seq":4,"born":1786843519001}""";
+
+  @Test
+  void shouldReadAReport() {
+    UpstreamRecord record = read(REPORT).get();
+
+    assertThat(record.id()).isEqualTo("i-1");
+    assertThat(record.phase()).isEqualTo(UpstreamPhase.READY);
+    assertThat(record.sequence()).isEqualTo(4);
+    assertThat(record.bornMillis()).isEqualTo(1_786_843_519_001L);
+    assertThat(record.isCold(249_000_000)).isTrue();
+    assertThat(record.isCold(251_000_000)).isFalse();
+  }
+
+  @Test
+  void shouldRefuseAnUnknownState() {
+    assertThat(read(REPORT.replace("\"ready\"", "\"resting\"")).getLeft())
+        .isEqualTo("state: expected a known state, found resting");
+  }
+
+  @Test
+  void shouldRefuseAMissingField() {
+    assertThat(read(REPORT.replace("\"service\"", "\"servant\"")).getLeft())
+        .startsWith("service: expected a text");
+  }
+
+  @Test
+  void shouldRefuseAFieldOfAnotherType() {
+    assertThat(read(REPORT.replace("24", "\"24\"")).getLeft())
+        .startsWith("slots: expected a whole number");
+  }
+
+  @Test
+  void shouldRefuseWhatIsNoAddress() {
+    assertThat(read(REPORT.replace("10.128.0.9:8080", "somewhere")).getLeft())
+        .startsWith("address: expected an IP number and a port");
+  }
+
+  @Test
+  void shouldRefuseBytesThatCannotBeRead() {
+    assertThat(read("\u0000\u0001").isLeft()).isTrue();
+  }
+
+  @Test
+  void shouldPassOverAFarewellOfAnEarlierLife() {
+    UpstreamRecord known = read(REPORT).get();
+
+    assertThat(Announcements.farewell(known, "{\"born\":5}".getBytes(StandardCharsets.UTF_8), 0))
+        .isEmpty();
+    assertThat(Announcements.farewell(known, new byte[0], 0).get().phase())
+        .isEqualTo(UpstreamPhase.LEFT);
+  }
+
+  private static Either<String, UpstreamRecord> read(String report) {
+    return Announcements.report("i-1", report.getBytes(StandardCharsets.UTF_8), 0);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
@@ -0,0 +1,124 @@
+package org.cuminrack.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import java.time.Duration;
+import java.util.Optional;
+import org.cuminrack.gateway.AnswerHead;
+import org.cuminrack.gateway.RequestHead;
+import org.cuminrack.gateway.ResumePoint;
+import org.cuminrack.gateway.SendHead;
+import org.junit.jupiter.api.Test;
+
+class PlatformHeadersTest {
+  private final PlatformHeaders headers = new PlatformHeaders();
+
+  @Test
+  void shouldReadWhatARequestSaysOfItself() {
+    RequestHead head =
+        headers
+            .readRequest(
+                map(
+                    "Attempt-Id", "9c41",
+                    "Deadline-Ms", "1500",
+                    "Token-Counts", "1460,80",
+                    "Prompt-Prefix", "5c1e:800,91bd:410",
+                    "Authorization", "Bearer secret"))
+            .get();
+
+    assertThat(head.attemptId()).isEqualTo("9c41");
+    assertThat(head.deadline()).hasValue(Duration.ofMillis(1500));
+    assertThat(head.key()).hasValue("secret");
+    assertThat(head.demand().get().promptTokens()).isEqualTo(1460);
+    assertThat(head.demand().get().maxOutputTokens()).isEqualTo(80);
+    assertThat(head.demand().get().promptParts()).containsExactly("5c1e:800", "91bd:410");
+  }
+
+  @Test
+  void shouldRefuseARequestWithoutAnId() {
+    assertThat(headers.readRequest(map("Deadline-Ms", "5")).getLeft()).startsWith("Attempt-Id:");
+  }
+
+  @Test
+  void shouldRefuseTokenCountsThatCannotBeRead() {
+    assertThat(headers.readRequest(map("Attempt-Id", "1", "Token-Counts", "12")).getLeft())
+        .isEqualTo("Token-Counts: expected two whole numbers, found '12'");
+  }
+
+  @Test
+  void shouldDropWhatOnlyTheSystemMaySet() {
+    HeaderMap sent =
+        map(
+            "Authorization", "Bearer secret",
+            "Tenant", "other",
+            "Hold", "h-1",
+            "Pin-Ms", "100",
+            "Kv-From", "10.0.0.1:80/x",
+            "Kv-Backup", "10.0.0.1:80",
+            "X-Own", "kept");
+
+    headers.writeRequest(
+        sent,
+        new SendHead(
+            Duration.ofMillis(700),
+            "i-1",
+            Optional.of("org-1"),
+            Optional.empty(),
+            Optional.empty()));
+
+    assertThat(sent.getFirst("Authorization")).isNull();
+    assertThat(sent.getFirst("Hold")).isNull();
+    assertThat(sent.getFirst("Pin-Ms")).isNull();
+    assertThat(sent.getFirst("Kv-From")).isNull();
+    assertThat(sent.getFirst("Kv-Backup")).isNull();
+    assertThat(sent.getFirst("Tenant")).isEqualTo("org-1");
+    assertThat(sent.getFirst("Expect-Instance")).isEqualTo("i-1");
+    assertThat(sent.getFirst("Deadline-Ms")).isEqualTo("700");
+    assertThat(sent.getFirst("X-Own")).isEqualTo("kept");
+  }
+
+  @Test
+  void shouldSayWhereAGenerationGoesOn() {
+    HeaderMap sent = new HeaderMap();
+
+    headers.writeRequest(
+        sent,
+        new SendHead(
+            Duration.ofMillis(700),
+            "i-2",
+            Optional.empty(),
+            Optional.empty(),
+            Optional.of(new ResumePoint("10.0.0.2:80", "9c41", "17"))));
+
+    assertThat(sent.getFirst("Kv-From")).isEqualTo("10.0.0.2:80/9c41");
+    assertThat(sent.getFirst("Last-Event-Id")).isEqualTo("17");
+  }
+
+  @Test
+  void shouldNotTakeAnotherRequestsAnswer() {
+    assertThat(headers.readAnswer(200, map("Attempt-Id", "other"), "9c41").belongs()).isFalse();
+    assertThat(headers.readAnswer(200, new HeaderMap(), "9c41").belongs()).isFalse();
+  }
+
+  @Test
+  void shouldTakeOnlyAStatementForNotRun() {
+    assertThat(headers.readAnswer(503, map("Attempt-Id", "9c41"), "9c41").notRun()).isFalse();
+    assertThat(
+            headers
+                .readAnswer(503, map("Attempt-Id", "9c41", "Not-Executed", "1"), "9c41")
+                .notRun())
+        .isTrue();
+    assertThat(headers.readAnswer(421, new HeaderMap(), "9c41"))
+        .isEqualTo(new AnswerHead(true, true, true));
+  }
+
+  private static HeaderMap map(String... namesAndValues) {
+    HeaderMap map = new HeaderMap();
+    for (int i = 0; i < namesAndValues.length; i += 2) {
+      map.put(new HttpString(namesAndValues[i]), namesAndValues[i + 1]);
+    }
+    return map;
+  }
+}
--- a/src/test/java/org/cuminrack/quorum/internal/FormationTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/FormationTest.java
@@ -71,6 +71,50 @@
     assertThat(messagesOf(effects)).doesNotContain(new Message.Form(VOTERS));
   }
 
+  @Test
+  void shouldNotFormAGroupOnAVmThatReplacesAnother() {
+    QuorumCore core =
+        new QuorumCore(
+            Recovered.blank(A), new Admission(VMS, true, false), TIMING, new Random(1), 0);
+    long round = roundOf(core.step(List.of(), 0));
+
+    core.step(List.of(reply(B, true, round), reply(C, true, round)), 1);
+
+    assertThat(core.view().role()).isEqualTo(Role.BLANK);
+  }
+
+  @Test
+  void shouldNotCountAStrangerAmongTheFounders() {
+    QuorumCore core =
+        new QuorumCore(
+            Recovered.blank(A), new Admission(VMS, true, true), TIMING, new Random(1), 0);
+    long round = roundOf(core.step(List.of(), 0));
+
+    core.step(List.of(reply(B, true, round), reply(new ReplicaId("d", 4), true, round)), 1);
+
+    assertThat(core.view().role()).isEqualTo(Role.BLANK);
+  }
+
+  @Test
+  void shouldAskTheVotersThatAFounderNames() {
+    ReplicaId stranger = new ReplicaId("d", 4);
+    QuorumCore core =
+        new QuorumCore(
+            Recovered.blank(stranger), new Admission(VMS, true, false), TIMING, new Random(1), 0);
+    core.step(List.of(), 0);
+    VoterSet others = VoterSet.of(Map.of("a", 1L, "e", 5L));
+
+    core.step(List.of(received(A, GROUP, new Message.Form(others))), 1);
+    List<Effect> effects = core.step(List.of(), 2 * TIMING.electionMaxNanos());
+
+    assertThat(
+            effects.stream()
+                .filter(each -> each instanceof Effect.Send)
+                .map(each -> ((Effect.Send) each).packet().toVm())
+                .toList())
+        .contains("e");
+  }
+
   @Test
   void shouldNotVoteWhileBlank() {
     QuorumCore core = core(Recovered.blank(B));
