Let no generation go on in an evacuated data centre or on a draining engine

Change: resumed streams pass the same check; one whose copy may not be used is broken off. WholePathTest.shouldNotGoOnInAnEvacuatedDataCentre failed before (events 3 and 4 came) and passes.

Ruled out: a late evacuation in the gateway's view (plain requests stopped in time).

--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -257,7 +257,7 @@
 
     @Override
     public boolean maySend() {
-      sent = resumedFrom.isPresent() || context.selector().takesRequests(place.upstream());
+      sent = context.selector().takesRequests(place.upstream());
       return sent;
     }
 
@@ -365,6 +365,13 @@
       lost(detail);
     }
 
+    private boolean mayResume() {
+      return events > 0
+          && resumes < MAX_RESUMES
+          && !call.left().isNegative()
+          && copy.filter(each -> context.selector().takesRequests(each.upstream())).isPresent();
+    }
+
     /** The engine or the way to it is lost; the generation goes on from its copy, if it has one. */
     void lost(String detail) {
       if (closed) {
@@ -372,9 +379,7 @@
       }
       closeExchange();
       context.health().failed(place.upstream().id());
-      boolean mayResume =
-          copy.isPresent() && events > 0 && resumes < MAX_RESUMES && !call.left().isNegative();
-      if (mayResume && context.retries().allowsRepeat(call.service().name())) {
+      if (mayResume() && context.retries().allowsRepeat(call.service().name())) {
         StreamRelay.this.resume(copy.get(), detail);
         return;
       }
--- /dev/null
+++ b/src/test/java/org/cuminrack/platform/FakeServer.java
@@ -0,0 +1,112 @@
+package org.cuminrack.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** A server of the platform on loopback, which answers as a test scripts it. */
+final class FakeServer implements AutoCloseable {
+  private final HttpServer server;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  final List<String> requests = new CopyOnWriteArrayList<>();
+  private volatile Script script = FakeServer::answerWhole;
+
+  /** Answers one request. */
+  interface Script {
+    void answer(HttpExchange exchange) throws IOException, InterruptedException;
+  }
+
+  FakeServer() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  FakeServer answering(Script newScript) {
+    script = newScript;
+    return this;
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  private void handle(HttpExchange exchange) throws IOException {
+    requests.add(
+        exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + headers(exchange));
+    String id = exchange.getRequestHeaders().getFirst("Attempt-Id");
+    exchange.getResponseHeaders().set("Attempt-Id", id);
+    exchange.getResponseHeaders().set("Server-Seal", "seal-" + id);
+    try {
+      script.answer(exchange);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String headers(HttpExchange exchange) {
+    StringBuilder text = new StringBuilder();
+    exchange
+        .getRequestHeaders()
+        .forEach((name, values) -> text.append(name).append('=').append(values.get(0)).append(' '));
+    return text.toString();
+  }
+
+  static void answerWhole(HttpExchange exchange) throws IOException {
+    exchange.getRequestBody().readAllBytes();
+    byte[] body = "whole answer".getBytes(StandardCharsets.UTF_8);
+    exchange.sendResponseHeaders(200, body.length);
+    exchange.getResponseBody().write(body);
+    exchange.close();
+  }
+
+  /** Returns a script that sends the events of these ids and ends the stream. */
+  static Script streaming(int first, int last) {
+    return exchange -> {
+      OutputStream out = begin(exchange);
+      events(out, first, last);
+      exchange.close();
+    };
+  }
+
+  /** Returns a script that sends events, waits, and drops the connection inside the stream. */
+  static Script cutAfter(int first, int last, CountDownLatch until) {
+    return exchange -> {
+      OutputStream out = begin(exchange);
+      events(out, first, last);
+      until.await();
+      // More bytes than were announced: the server drops the connection.
+      throw new IOException("cut");
+    };
+  }
+
+  private static OutputStream begin(HttpExchange exchange) throws IOException {
+    exchange.getRequestBody().readAllBytes();
+    exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+    exchange.sendResponseHeaders(200, 0);
+    return exchange.getResponseBody();
+  }
+
+  private static void events(OutputStream out, int first, int last) throws IOException {
+    for (int id = first; id <= last; id++) {
+      out.write(("id: " + id + "\ndata: t" + id + "\n\n").getBytes(StandardCharsets.UTF_8));
+      out.flush();
+    }
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+}
