Show routing only from a current state, wait with prompts that engines can't read yet, move near first

Tests: QuorumNodeTest.shouldShowNoOldStateAsCurrentAfterARestart, PlacementTest (waiting, near moves).

--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cuminrack.control.ControlState;
 import org.cuminrack.generated.control.RoutingData;
@@ -36,6 +37,9 @@
   /** How long a gateway's call is held while there is nothing new. */
   private static final Duration WATCH_HOLD = Duration.ofMillis(500);
 
+  /** The same while this VM's state is not current; it soon will be. */
+  private static final Duration WATCH_HOLD_NOT_CURRENT = Duration.ofMillis(50);
+
   /** How often renewals, which change no routing, are passed on to the other control VMs. */
   private static final Duration SHARE_INTERVAL = Duration.ofMillis(500);
 
@@ -48,6 +52,7 @@
   private final long boot = new SecureRandom().nextLong(1, Long.MAX_VALUE);
   private final ControlState state;
   private final WireClient wire;
+  private final BooleanSupplier stateIsCurrent;
   private final Supplier<Set<String>> voterAddresses;
   private final String ownAddress;
   private final Clock clock;
@@ -57,17 +62,20 @@
   /**
    * Makes a service.
    *
+   * @param stateIsCurrent whether the replicated state here is no older than its leader's term
    * @param voterAddresses wire addresses of the voters at this moment
    * @param ownAddress this VM's wire address
    */
   public FleetControl(
       ControlState state,
       WireClient wire,
+      BooleanSupplier stateIsCurrent,
       Supplier<Set<String>> voterAddresses,
       String ownAddress,
       Clock clock) {
     this.state = state;
     this.wire = wire;
+    this.stateIsCurrent = stateIsCurrent;
     this.voterAddresses = voterAddresses;
     this.ownAddress = ownAddress;
     this.clock = clock;
@@ -237,7 +245,9 @@
       answerWatches();
     }
     boolean isFirst = call.getControlBoot() != boot;
-    if (isFirst || state.routing().getRevision() > call.getRoutingRevision()) {
+    boolean hasNewer =
+        stateIsCurrent.getAsBoolean() && state.routing().getRevision() > call.getRoutingRevision();
+    if (isFirst || hasNewer) {
       return CompletableFuture.completedFuture(answer(call));
     }
     return hold(call);
@@ -250,7 +260,8 @@
         return CompletableFuture.completedFuture(answer(call));
       }
       watches.add(watch);
-      worker.schedule(() -> end(watch), WATCH_HOLD.toMillis(), TimeUnit.MILLISECONDS);
+      Duration hold = stateIsCurrent.getAsBoolean() ? WATCH_HOLD : WATCH_HOLD_NOT_CURRENT;
+      worker.schedule(() -> end(watch), hold.toMillis(), TimeUnit.MILLISECONDS);
     }
     return watch.answer;
   }
@@ -281,9 +292,12 @@
         .forEach(each -> answer.addUpstreams(FleetCodec.data(each, nowNanos)));
     gateways.live(nowNanos).forEach(each -> answer.addGateways(FleetCodec.data(each)));
     answer.addAllControlAddresses(voterAddresses.get());
-    RoutingData routing = state.routing();
-    if (routing.getRevision() > call.getRoutingRevision()) {
-      answer.setRouting(routing);
+    if (stateIsCurrent.getAsBoolean()) {
+      answer.setStateCurrent(true);
+      RoutingData routing = state.routing();
+      if (routing.getRevision() > call.getRoutingRevision()) {
+        answer.setRouting(routing);
+      }
     }
     return answer.build().toByteArray();
   }
--- a/src/main/java/org/cuminrack/fleet/FleetView.java
+++ b/src/main/java/org/cuminrack/fleet/FleetView.java
@@ -22,6 +22,7 @@
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private final RoutingDecoder decoder;
   private volatile InForce inForce = new InForce(0, Optional.empty(), Set.of());
+  private volatile boolean complete;
   private volatile List<GatewayRecord> gateways = List.of();
 
   public FleetView(RoutingDecoder decoder) {
@@ -33,9 +34,14 @@
     listeners.add(listener);
   }
 
-  /** Returns the routing table in force; empty while none is known. */
+  /** Returns the routing table in force; empty while none is known for sure. */
   public Optional<RoutingTable> routing() {
-    return inForce.table();
+    return complete ? inForce.table() : Optional.empty();
+  }
+
+  /** Notes that a quorum of control VMs has told what it knows. */
+  void complete() {
+    complete = true;
   }
 
   /** Returns the number that control gave to the routing in force. */
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -162,9 +162,21 @@
     }
     link.noteAnswer(answer, clock.nanoTime());
     apply(answer);
+    if (answer.getStateCurrent()) {
+      link.current = true;
+      countCurrent();
+    }
     return true;
   }
 
+  /** A quorum of control VMs together knows every change; one alone may have been cut off. */
+  private void countCurrent() {
+    long current = links.values().stream().filter(link -> link.current).count();
+    if (current > Math.max(named.size(), seeds.size()) / 2) {
+      view.complete();
+    }
+  }
+
   private void apply(WatchAnswer answer) {
     long nowNanos = clock.nanoTime();
     if (answer.hasRouting()) {
@@ -187,6 +199,7 @@
     private volatile long boot;
     private volatile long change;
     private volatile boolean answered;
+    private volatile boolean current;
     private volatile long answeredNanos;
 
     Link(String address, long nowNanos) {
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.concurrent.TimeUnit;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerExchanges;
@@ -37,6 +36,7 @@
   private final long arrivedNanos;
   private int sends;
   private String upstreamId = "none";
+  private long firstEventMillis = -1;
   private boolean ended;
 
   GatewayCall(
@@ -85,6 +85,11 @@
     return ofOrganisation.orElse(route.priority());
   }
 
+  /** Notes that the first event of a stream has come. */
+  void firstEvent() {
+    firstEventMillis = age().toMillis();
+  }
+
   boolean isOver() {
     return ended;
   }
@@ -198,7 +203,8 @@
             .with("status", status)
             .with("upstream", upstreamId)
             .with("sends", sends)
-            .with("total_ms", TimeUnit.NANOSECONDS.toMillis(age().toNanos()))
+            .with("first_event_ms", firstEventMillis)
+            .with("total_ms", age().toMillis())
             .with("detail", detail));
     return true;
   }
--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -31,6 +31,12 @@
    */
   private static final double UNREAD_PROMPT_WEIGHT = 3.0;
 
+  /**
+   * Unread prompts that an engine is given at most. It reads about 7 tokens a millisecond beside
+   * others (chunks of 112 in steps of 16 ms); the rest waits here, where the urgent go first.
+   */
+  private static final long MAX_UNREAD_TOKENS = 7_000;
+
   private Placement() {}
 
   /** Chooses for a plain request; empty if all upstreams are full. */
@@ -45,11 +51,27 @@
       List<Candidate> candidates, EngineSpec engine, long tokens) {
     return candidates.stream()
         .filter(fits(engine, tokens, engine.memoryTokens() * USED_MEMORY))
+        .filter(each -> each.load().unreadPromptTokens() < MAX_UNREAD_TOKENS)
         .min(
             avoidedLast()
                 .thenComparing(Comparator.comparingDouble(each -> engineScore(each, engine))));
   }
 
+  /**
+   * Chooses where a generation goes on whose engine leaves. Its memory travels twice as long
+   * between data centres, and the engine's end does not wait.
+   */
+  public static Optional<Candidate> move(
+      List<Candidate> candidates, String fromDataCentre, EngineSpec engine, long tokens) {
+    return candidates.stream()
+        .filter(each -> !each.avoided())
+        .filter(fits(engine, tokens, engine.memoryTokens() * USED_MEMORY))
+        .min(
+            Comparator.comparing(
+                    (Candidate each) -> !each.upstream().dataCentre().equals(fromDataCentre))
+                .thenComparing(Comparator.comparingDouble(each -> engineScore(each, engine))));
+  }
+
   /** Chooses an engine for the copy of a generation's memory, other than where it runs. */
   public static Optional<Candidate> backup(
       List<Candidate> candidates, String runningOn, EngineSpec engine, long tokens) {
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -1,5 +1,6 @@
 package org.cuminrack.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
@@ -7,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerWatch;
 import org.cuminrack.relay.HopByHopHeaders;
 import org.cuminrack.relay.NotSent;
@@ -19,6 +21,7 @@
  * that one that was cut is never taken for a whole one.
  */
 final class PlainRelay {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int SERVER_ERROR = 500;
 
   /** Upstreams that can't be reached are left behind this often before the request is refused. */
@@ -102,7 +105,14 @@
         && context.retries().allowsRepeat(call.service().name());
   }
 
-  private void repeat() {
+  private void repeat(String cause) {
+    logger.atInfo().log(
+        "%s",
+        LogEvent.named("request-repeated")
+            .with("request", call.head().attemptId())
+            .with("cause", cause)
+            .with("sends", call.sends())
+            .with("age_ms", call.age().toMillis()));
     context.counters().add(GatewayCounters.Kind.REPEATED_SENDS);
     send();
   }
@@ -168,7 +178,7 @@
         context.health().failed(place.upstream().id());
         lostOne = true;
         close();
-        repeat();
+        repeat("no answer yet");
       }
     }
 
@@ -202,7 +212,7 @@
       } else if (answer.notRun()) {
         notRun();
       } else if (status >= SERVER_ERROR && mayRepeat()) {
-        repeat();
+        repeat("status " + status);
       } else {
         passOn();
       }
@@ -210,7 +220,7 @@
 
     private void notRun() {
       if (mayRepeat()) {
-        repeat();
+        repeat("not run, status " + status);
       } else {
         refuse(GatewayFailure.UPSTREAM_REFUSED, "status " + status);
       }
@@ -237,7 +247,7 @@
       close();
       context.health().failed(place.upstream().id());
       if (mayRepeat()) {
-        repeat();
+        repeat(detail);
       } else {
         call.fail(GatewayFailure.UPSTREAM_LOST, Optional.empty(), detail);
       }
--- a/src/main/java/org/cuminrack/gateway/Reservation.java
+++ b/src/main/java/org/cuminrack/gateway/Reservation.java
@@ -6,6 +6,7 @@
 final class Reservation {
   private final LoadTable loads;
   private final UpstreamRecord upstream;
+  private final UpstreamLoad loadBefore;
   private long tokens;
   private long unreadPromptTokens;
   private boolean released;
@@ -14,6 +15,7 @@
       LoadTable loads, UpstreamRecord upstream, long tokens, long unreadPromptTokens) {
     this.loads = loads;
     this.upstream = upstream;
+    this.loadBefore = loads.total(upstream.id());
     this.tokens = tokens;
     this.unreadPromptTokens = unreadPromptTokens;
   }
@@ -35,8 +37,14 @@
 
   private static Reservation take(
       LoadTable loads, UpstreamRecord upstream, long tokens, long unreadPromptTokens) {
+    Reservation taken = new Reservation(loads, upstream, tokens, unreadPromptTokens);
     loads.add(upstream.id(), new UpstreamLoad(1, tokens, unreadPromptTokens));
-    return new Reservation(loads, upstream, tokens, unreadPromptTokens);
+    return taken;
+  }
+
+  /** Returns what ran on the upstream when this place was taken. */
+  UpstreamLoad loadBefore() {
+    return loadBefore;
   }
 
   UpstreamRecord upstream() {
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -112,7 +112,21 @@
       place.release();
       return;
     }
-    current = new Sending(place, backupFor(place.upstream()), Optional.empty());
+    Optional<Reservation> copy = backupFor(place.upstream());
+    UpstreamLoad load = place.loadBefore();
+    logger.atInfo().log(
+        "%s",
+        LogEvent.named("request-placed")
+            .with("request", call.head().attemptId())
+            .with("upstream", place.upstream().id())
+            .with("announced_ms", place.upstream().age(context.clock().nanoTime()).toMillis())
+            .with("running", load.requests())
+            .with("reserved_tokens", load.reservedTokens())
+            .with("unread_tokens", load.unreadPromptTokens())
+            .with("needed_tokens", need.expectedTokens())
+            .with("copy", copy.map(each -> each.upstream().id()).orElse("none"))
+            .with("queued_ms", call.age().toMillis()));
+    current = new Sending(place, copy, Optional.empty());
     current.open();
   }
 
@@ -178,6 +192,9 @@
   }
 
   private void event(String id, byte[] bytes) {
+    if (events == 0) {
+      call.firstEvent();
+    }
     if (!id.isEmpty()) {
       if (!lastEventId.isEmpty() && !EventOrder.isAfter(id, lastEventId)) {
         return;
@@ -209,9 +226,7 @@
       return;
     }
     Optional<Reservation> target =
-        context
-            .selector()
-            .generation(call.service().name(), engine, need, Set.of(current.place.upstream().id()));
+        context.selector().move(call.service().name(), engine, need, current.place.upstream());
     if (target.isPresent()) {
       movesTried++;
       move =
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -52,6 +52,17 @@
         .map(each -> Reservation.copy(loads, each.upstream(), need));
   }
 
+  /** Reserves memory for a generation that leaves an engine; empty if no other has room. */
+  synchronized Optional<Reservation> move(
+      String service, EngineSpec engine, MemoryNeed need, UpstreamRecord from) {
+    return Placement.move(
+            candidates(service, Set.of(from.id())),
+            from.dataCentre(),
+            engine,
+            need.expectedTokens())
+        .map(each -> Reservation.copy(loads, each.upstream(), need));
+  }
+
   /** Tells whether a service has any upstream that takes requests. */
   boolean hasUpstreams(String service) {
     return !candidates(service, Set.of()).isEmpty();
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -76,6 +76,7 @@
             new FleetControl(
                 state,
                 wire,
+                log::isCurrent,
                 () -> voterAddresses(log),
                 Addresses.text(settings.node().wireAddress()),
                 clock));
--- a/src/main/java/org/cuminrack/quorum/EffectRunner.java
+++ b/src/main/java/org/cuminrack/quorum/EffectRunner.java
@@ -22,6 +22,7 @@
   private final RequestTable requests;
   private long voteSynced;
   private long snapshotIndex;
+  private long appliedTerm;
 
   EffectRunner(
       StateMachine stateMachine,
@@ -51,6 +52,7 @@
     } else if (effect instanceof Effect.Restore restore) {
       stateMachine.restore(restore.image().index(), restore.image().data());
       snapshotIndex = restore.image().index();
+      appliedTerm = restore.image().term();
     } else if (effect instanceof Effect.Fail fail) {
       requests.fail(fail.requestId(), fail.failure());
     } else if (effect instanceof Effect.Confirm confirm) {
@@ -69,6 +71,11 @@
     return Optional.of(new Event.SnapshotTaken(appliedIndex, stateMachine.snapshot()));
   }
 
+  /** Returns the term of the newest entry that the state holds. */
+  long appliedTerm() {
+    return appliedTerm;
+  }
+
   private void send(Effect.Send send) {
     if (send.afterVoteSequence() <= voteSynced) {
       sender.send(send.packet());
@@ -79,6 +86,7 @@
 
   private void apply(Effect.Apply apply) {
     LogEntry entry = apply.entry();
+    appliedTerm = entry.term();
     switch (entry.kind()) {
       case COMMAND ->
           requests.applied(
--- a/src/main/java/org/cuminrack/quorum/QuorumNode.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -57,6 +57,7 @@
   private Thread thread;
   private EffectRunner effects;
   private volatile CoreView view;
+  private volatile boolean current;
   private volatile boolean stopping;
   private volatile String broken = "";
 
@@ -200,6 +201,14 @@
     return isWorking() ? view.leader() : "";
   }
 
+  /**
+   * Tells whether the state here holds all that was committed before the present term began. While
+   * a restarted replica still applies its log, it shows states of long ago.
+   */
+  public boolean isCurrent() {
+    return isWorking() && current;
+  }
+
   private boolean isWorking() {
     return !stopping && broken.isEmpty();
   }
@@ -245,6 +254,7 @@
     List<Effect> decided = core.step(events, clock.nanoTime());
     view = core.view();
     decided.forEach(effects::carryOut);
+    current = effects.appliedTerm() == view.term();
     effects
         .snapshotIfDue(view.appliedIndex(), settings.snapshotEveryEntries())
         .ifPresent(ownEvents::add);
--- a/src/test/java/org/cuminrack/gateway/PlacementTest.java
+++ b/src/test/java/org/cuminrack/gateway/PlacementTest.java
@@ -58,6 +58,28 @@
         .isEqualTo("b");
   }
 
+  @Test
+  void shouldLetGenerationsWaitWhereEnginesReadEnoughPromptsAlready() {
+    assertThat(Placement.generation(List.of(engine("a", 9_000, 7_000)), ENGINE, 4_000)).isEmpty();
+  }
+
+  @Test
+  void shouldMoveWithinADataCentreWhereItCan() {
+    Candidate near = engine("near", 20_000, 0);
+    Candidate far =
+        new Candidate(
+            new UpstreamRecord(
+                "far", "shop", "10.0.0.2:80", "dc-b", 6, UpstreamPhase.READY, 1, 1, 0, 0),
+            load(0, 0, 0),
+            false,
+            0);
+
+    assertThat(Placement.move(List.of(far, near), "dc-a", ENGINE, 4_000).get().upstream().id())
+        .isEqualTo("near");
+    assertThat(Placement.move(List.of(far), "dc-a", ENGINE, 4_000).get().upstream().id())
+        .isEqualTo("far");
+  }
+
   @Test
   void shouldKeepACopyOnAnotherEngineOnly() {
     Candidate running = engine("a", 4_000, 0);
--- a/src/test/java/org/cuminrack/quorum/QuorumNodeTest.java
+++ b/src/test/java/org/cuminrack/quorum/QuorumNodeTest.java
@@ -36,6 +36,27 @@
     }
   }
 
+  @Test
+  void shouldShowNoOldStateAsCurrentAfterARestart() {
+    try (TestGroup group = new TestGroup(folder, "a", "b", "c").startAll()) {
+      for (int i = 0; i < 20; i++) {
+        group.proposeUntilApplied("line-" + i);
+      }
+      group.vms.values().forEach(TestVm::stopNode);
+      TestVm first = group.vm("a");
+      TestVm second = group.vm("b");
+      group.start(first);
+      assertThat(first.node.isCurrent()).isFalse();
+
+      group.start(second);
+
+      TestGroup.await(
+          "both to be current", () -> first.node.isCurrent() && second.node.isCurrent());
+      assertThat(first.list.lines()).hasSize(20);
+      assertThat(second.list.lines()).hasSize(20);
+    }
+  }
+
   @Test
   void shouldNameTheLeaderWhereItDoesNotLead() {
     try (TestGroup group = new TestGroup(folder, "a", "b", "c").startAll()) {
