Take only what ends before a planned stop does

Change: a stopping gateway refuses long generations at once, and other requests once they might outlast it; the refusal says that nothing has run and to ask elsewhere. StopWindowTest plays the times.

Ruled out: a longer grace (the platform kills after 8 s).

--- a/src/main/java/org/cuminrack/gateway/GatewayFailure.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayFailure.java
@@ -16,6 +16,7 @@
   BODY_TOO_LARGE(413, Ran.NO, "the body is larger than allowed"),
   BODY_TOO_SLOW(503, Ran.NO, "the body did not come in time"),
   NOT_READY(503, Ran.NO, "this gateway knows no routes yet"),
+  STOPPING(503, Ran.NO, "this gateway is stopping; ask another one"),
   NO_UPSTREAM(503, Ran.NO, "no upstream of the service takes requests"),
   OVERLOADED(503, Ran.NO, "the wait would be too long"),
   UPSTREAM_REFUSED(503, Ran.NO, "the upstream has not run the request"),
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -32,8 +32,10 @@
   /** How long a refused slow sender's connection stays open, for the answer to leave. */
   private static final long LINGER_MILLIS = 200;
 
+  private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(50);
+
   private final GatewayContext context;
-  private volatile boolean stopping;
+  private final StopWindow stop;
 
   public GatewayHandler(
       FleetView view,
@@ -55,6 +57,7 @@
             new GatewayCounters(),
             RelayBounds.defaults().withConnectTimeout(CONNECT_TIMEOUT),
             clock);
+    stop = new StopWindow(clock);
     view.onChange(context.queue()::retry);
   }
 
@@ -63,9 +66,12 @@
     context.queue().retry();
   }
 
-  /** Asks callers from now on not to use their connections again. */
-  public void beginStop() {
-    stopping = true;
+  /**
+   * Asks callers from now on not to use their connections again, and takes only requests that will
+   * have ended within this time.
+   */
+  public void beginStop(Duration within) {
+    stop.begin(within);
   }
 
   public GatewayCounters counters() {
@@ -80,7 +86,7 @@
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     long arrivedNanos = context.clock().nanoTime();
-    if (stopping) {
+    if (stop.isStopping()) {
       exchange.setPersistent(false);
     }
     context.counters().begun();
@@ -114,6 +120,10 @@
       reject(exchange, GatewayFailure.KEY_UNKNOWN, "route " + route.get().name());
       return;
     }
+    if (!stop.admits(route.get(), head.get().demand())) {
+      reject(exchange, GatewayFailure.STOPPING, head.get().attemptId());
+      return;
+    }
     readBody(exchange, table, new Admitted(route.get(), head.get(), holder, arrivedNanos));
   }
 
@@ -195,7 +205,11 @@
             .with("detail", detail));
     context.counters().add(GatewayCounters.Kind.REFUSED);
     Optional<Duration> retryAfter =
-        failure == GatewayFailure.NOT_READY ? Optional.of(RETRY_NOT_READY) : Optional.empty();
+        switch (failure) {
+          case NOT_READY -> Optional.of(RETRY_NOT_READY);
+          case STOPPING -> Optional.of(RETRY_ELSEWHERE);
+          default -> Optional.empty();
+        };
     failure.send(exchange, retryAfter);
   }
 
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -139,7 +139,7 @@
   @Override
   public void stop() {
     stopping = true;
-    handler.beginStop();
+    handler.beginStop(settings.stopTimeout());
     watcher.announceSelf();
     logger.atInfo().log(
         "%s",
--- /dev/null
+++ b/src/test/java/org/cuminrack/gateway/StopWindowTest.java
@@ -0,0 +1,74 @@
+package org.cuminrack.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.cuminrack.routing.HttpRoute;
+import org.cuminrack.routing.RequestKind;
+import org.cuminrack.routing.WeightedService;
+import org.cuminrack.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+class StopWindowTest {
+  private static final HttpRoute ORDER =
+      route(RequestKind.AT_MOST_ONCE, Duration.ofSeconds(1), Duration.ofMillis(200));
+  private static final HttpRoute GENERATION =
+      route(RequestKind.EVENT_STREAM, Duration.ofSeconds(39), Duration.ofMillis(1500));
+
+  private final ManualClock clock = new ManualClock();
+  private final StopWindow window = new StopWindow(clock);
+
+  @Test
+  void shouldTakeEverythingBeforeTheStop() {
+    assertThat(window.admits(GENERATION, demand(2_000))).isTrue();
+  }
+
+  @Test
+  void shouldTakeNoLongGenerationOnceTheStopHasBegun() {
+    window.begin(Duration.ofMillis(7500));
+
+    assertThat(window.admits(GENERATION, demand(2_000))).isFalse();
+    assertThat(window.admits(GENERATION, Optional.empty())).isFalse();
+  }
+
+  @Test
+  void shouldTakeAQuestionWhileItCanBeAnsweredInTime() {
+    window.begin(Duration.ofMillis(7500));
+
+    assertThat(window.admits(GENERATION, demand(30))).isTrue();
+    clock.advance(Duration.ofMillis(4600));
+    assertThat(window.admits(GENERATION, demand(30))).isFalse();
+  }
+
+  @Test
+  void shouldTakeAnOrderWhileItsTimeoutEndsBeforeTheStop() {
+    window.begin(Duration.ofMillis(7500));
+    clock.advance(Duration.ofMillis(6400));
+    assertThat(window.admits(ORDER, Optional.empty())).isTrue();
+
+    clock.advance(Duration.ofMillis(200));
+    assertThat(window.admits(ORDER, Optional.empty())).isFalse();
+  }
+
+  private static Optional<GenerationDemand> demand(int maxOutputTokens) {
+    return Optional.of(
+        new GenerationDemand(2_000, maxOutputTokens, OptionalInt.empty(), List.of()));
+  }
+
+  private static HttpRoute route(RequestKind kind, Duration timeout, Duration target) {
+    return new HttpRoute(
+        "route",
+        "shop.example",
+        "/",
+        kind,
+        timeout,
+        target,
+        0,
+        List.of(new WeightedService("shop", 1)),
+        1,
+        false);
+  }
+}
