Let requests wait a moment for a gateway or upstreams that have just started

Change: a gateway without routes holds a request for 0.8 s at most; for 3 s after it knows its routes it waits for upstreams to announce themselves, within the request's own limits.

--- a/src/main/java/org/cuminrack/fleet/FleetView.java
+++ b/src/main/java/org/cuminrack/fleet/FleetView.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -18,11 +19,15 @@
 public final class FleetView {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Upstreams announce themselves about every second, and try three control VMs. */
+  private static final Duration YOUTH = Duration.ofSeconds(3);
+
   private final UpstreamTable upstreams = new UpstreamTable();
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private final RoutingDecoder decoder;
   private volatile InForce inForce = new InForce(0, Optional.empty(), Set.of());
   private volatile boolean complete;
+  private volatile long completeNanos;
   private volatile List<GatewayRecord> gateways = List.of();
 
   public FleetView(RoutingDecoder decoder) {
@@ -40,8 +45,16 @@
   }
 
   /** Notes that a quorum of control VMs has told what it knows. */
-  void complete() {
-    complete = true;
+  void complete(long nowNanos) {
+    if (!complete) {
+      completeNanos = nowNanos;
+      complete = true;
+    }
+  }
+
+  /** Tells whether upstreams may not have announced themselves to restarted control VMs yet. */
+  public boolean isYoung(long nowNanos) {
+    return !complete || nowNanos - completeNanos < YOUTH.toNanos();
   }
 
   /** Returns the number that control gave to the routing in force. */
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -173,7 +173,7 @@
   private void countCurrent() {
     long current = links.values().stream().filter(link -> link.current).count();
     if (current > Math.max(named.size(), seeds.size()) / 2) {
-      view.complete();
+      view.complete(clock.nanoTime());
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
@@ -27,6 +28,11 @@
   /** Upstreams are a millisecond away; a connection that takes longer meets a dead VM. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
+  /** Callers with a target of a second or more are then still on time. */
+  private static final Duration MAX_WAIT_FOR_ROUTES = Duration.ofMillis(800);
+
+  private static final Duration ROUTES_POLL = Duration.ofMillis(20);
+
   private static final Duration RETRY_NOT_READY = Duration.ofMillis(500);
 
   /** How long a refused slow sender's connection stays open, for the answer to leave. */
@@ -96,11 +102,25 @@
           chain.proceed();
         });
     Optional<RoutingTable> table = context.view().routing();
-    if (table.isEmpty()) {
+    if (table.isPresent()) {
+      admit(exchange, table.get(), arrivedNanos);
+    } else {
+      IoContext io = IoContext.of(exchange, context.bounds());
+      exchange.dispatch(
+          SameThreadExecutor.INSTANCE, () -> awaitRouting(exchange, io, arrivedNanos));
+    }
+  }
+
+  /** A gateway that has just started knows its routes within a moment. */
+  private void awaitRouting(HttpServerExchange exchange, IoContext io, long arrivedNanos) {
+    Optional<RoutingTable> table = context.view().routing();
+    if (table.isPresent()) {
+      admit(exchange, table.get(), arrivedNanos);
+    } else if (context.clock().nanoTime() - arrivedNanos > MAX_WAIT_FOR_ROUTES.toNanos()) {
       reject(exchange, GatewayFailure.NOT_READY, "");
-      return;
+    } else {
+      io.after(ROUTES_POLL.toMillis(), () -> awaitRouting(exchange, io, arrivedNanos));
     }
-    admit(exchange, table.get(), arrivedNanos);
   }
 
   private void admit(HttpServerExchange exchange, RoutingTable table, long arrivedNanos) {
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -30,6 +30,9 @@
   /** How much longer than its target an idempotent request waits before it is sent elsewhere. */
   private static final int TARGETS_BEFORE_REPEAT = 2;
 
+  /** How often a gateway that has just started looks for upstreams. */
+  private static final Duration UPSTREAMS_POLL = Duration.ofMillis(50);
+
   private static final Duration RETRY_SOON = Duration.ofMillis(100);
 
   private final GatewayContext context;
@@ -61,6 +64,10 @@
     }
     if (place.isEmpty()) {
       boolean any = context.selector().hasUpstreams(call.service().name());
+      if (!any && context.view().isYoung(context.clock().nanoTime()) && mayWait()) {
+        call.io().after(UPSTREAMS_POLL.toMillis(), this::sendUnlessOver);
+        return;
+      }
       refuse(any ? GatewayFailure.OVERLOADED : GatewayFailure.NO_UPSTREAM, "");
       return;
     }
@@ -68,6 +75,16 @@
     current.open();
   }
 
+  private boolean mayWait() {
+    return call.left().compareTo(call.route().targetLatency()) > 0;
+  }
+
+  private void sendUnlessOver() {
+    if (!call.isOver()) {
+      send();
+    }
+  }
+
   /** Says that the request has not run, unless an earlier sending of it may have. */
   private void refuse(GatewayFailure failure, String detail) {
     if (lostOne) {
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -85,7 +85,8 @@
   }
 
   private void enterQueue() {
-    if (!context.selector().hasUpstreams(call.service().name())) {
+    boolean mayComeSoon = context.view().isYoung(context.clock().nanoTime());
+    if (!mayComeSoon && !context.selector().hasUpstreams(call.service().name())) {
       call.fail(GatewayFailure.NO_UPSTREAM, Optional.of(RETRY_SOON), "");
       return;
     }
