Explain a request from the logs of all processes, and check a gateway's settings

Cause: on-call engineers have a request's id and logs only; lines of a request lie in the logs of a gateway, those that moved its upstreams in control's.

Not measured: nothing on the request path changes.

--- a/src/main/java/org/cuminrack/cli/CheckCommand.java
+++ b/src/main/java/org/cuminrack/cli/CheckCommand.java
@@ -20,7 +20,7 @@
   void describeArguments(Subparser parser) {
     parser
         .addArgument("--kind")
-        .choices("control", "entry", "configuration")
+        .choices("control", "entry", "gateway", "configuration")
         .setDefault("configuration")
         .help("what the file is (default: %(default)s)");
     parser.addArgument("file").help("the file");
@@ -33,6 +33,7 @@
         switch (arguments.getString("kind")) {
           case "control" -> SettingsFile.control(file);
           case "entry" -> SettingsFile.entry(file);
+          case "gateway" -> SettingsFile.gateway(file);
           default -> ConfigurationFile.read(file);
         };
     if (result.isLeft()) {
--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/ExplainCommand.java
@@ -0,0 +1,48 @@
+package org.cuminrack.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cuminrack.log.LogLine;
+import org.cuminrack.log.RequestExplanation;
+
+/** Shows what became of a request, from the logs of all processes. */
+final class ExplainCommand extends DescribedCommand {
+
+  ExplainCommand() {
+    super("explain", "shows what became of a request, from the logs of all processes");
+  }
+
+  @Override
+  void describeArguments(Subparser parser) {
+    parser.addArgument("request").help("the request's id");
+    parser.addArgument("file").nargs("+").help("log files of gateways and control VMs");
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments) {
+    String request = arguments.getString("request");
+    List<LogLine> lines = new ArrayList<>();
+    for (Object file : arguments.getList("file")) {
+      try (Stream<String> text = Files.lines(Path.of(file.toString()))) {
+        text.map(LogLine::parse).flatMap(Optional::stream).forEach(lines::add);
+      } catch (IOException e) {
+        System.err.println(file + ": expected a readable file, found " + e.getMessage());
+        return ExitCode.USAGE;
+      }
+    }
+    List<LogLine> explanation = RequestExplanation.of(request, lines);
+    explanation.forEach(each -> System.out.println(each.text()));
+    if (explanation.isEmpty()) {
+      System.err.println("no line names request " + request);
+      return ExitCode.FAILED;
+    }
+    return ExitCode.DONE;
+  }
+}
--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -28,6 +28,7 @@
           new RolloutCommand(),
           new DumpCommand(),
           new CheckCommand(),
+          new ExplainCommand(),
           new StandInCommand(),
           new ControlCommand(),
           new EntryCommand(),
--- a/src/test/java/org/cuminrack/cli/DocumentedExamplesTest.java
+++ b/src/test/java/org/cuminrack/cli/DocumentedExamplesTest.java
@@ -82,6 +82,7 @@
     return switch (kind) {
       case "control" -> SettingsFile.control(file);
       case "entry" -> SettingsFile.entry(file);
+      case "gateway" -> SettingsFile.gateway(file);
       default -> ConfigurationFile.read(file);
     };
   }
