Draw between near-equal upstreams, so that gateways don't choose the same at once

Change: a draw that weighs less than one request more.

Ruled out: sharing loads more often (each message costs every gateway).

--- a/src/main/java/org/cuminrack/gateway/Candidate.java
+++ b/src/main/java/org/cuminrack/gateway/Candidate.java
@@ -8,6 +8,11 @@
  * @param load what all gateways have running there
  * @param avoided whether its last requests failed or it has fallen silent
  * @param failureShare the share of its last requests that failed
+ * @param draw a number from 0 to 1, drawn anew for each choice
  */
 public record Candidate(
-    UpstreamRecord upstream, UpstreamLoad load, boolean avoided, double failureShare) {}
+    UpstreamRecord upstream,
+    UpstreamLoad load,
+    boolean avoided,
+    double failureShare,
+    double draw) {}
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -9,6 +9,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.BodyReader;
@@ -56,7 +57,13 @@
             view,
             headers,
             engineCalls,
-            new UpstreamSelector(view, loads, health, settings.upstreamSilence(), clock),
+            new UpstreamSelector(
+                view,
+                loads,
+                health,
+                settings.upstreamSilence(),
+                clock,
+                RandomGenerator.getDefault()),
             health,
             new RetryBudgets(settings, () -> view.gateways().size()),
             new GenerationQueue(),
--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -16,6 +16,12 @@
   /** Requests a place at which a plain upstream counts as full; beyond, waits pass any target. */
   private static final int PLAIN_REQUESTS_A_SLOT = 3;
 
+  /**
+   * What the draw weighs: less than one request more. Gateways hear of each other's choices after
+   * some 50 ms; without it, those who choose meanwhile all choose the same.
+   */
+  private static final double DRAW_WEIGHT = 0.06;
+
   /** What failures weigh beside load: an upstream that fails all counts as this much fuller. */
   private static final double FAILURE_WEIGHT = 2.0;
 
@@ -95,13 +101,16 @@
 
   private static double plainScore(Candidate each) {
     double load = (double) each.load().requests() / slots(each);
-    return load + FAILURE_WEIGHT * each.failureShare();
+    return load + FAILURE_WEIGHT * each.failureShare() + DRAW_WEIGHT * each.draw();
   }
 
   private static double engineScore(Candidate each, EngineSpec engine) {
     double memory = (double) each.load().reservedTokens() / engine.memoryTokens();
     double unread = (double) each.load().unreadPromptTokens() / engine.memoryTokens();
-    return memory + UNREAD_PROMPT_WEIGHT * unread + FAILURE_WEIGHT * each.failureShare();
+    return memory
+        + UNREAD_PROMPT_WEIGHT * unread
+        + FAILURE_WEIGHT * each.failureShare()
+        + DRAW_WEIGHT * each.draw();
   }
 
   private static int slots(Candidate each) {
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.UpstreamPhase;
 import org.cuminrack.fleet.UpstreamRecord;
@@ -17,6 +18,7 @@
   private final UpstreamHealth health;
   private final Duration silence;
   private final Clock clock;
+  private final RandomGenerator random;
 
   /**
    * Makes a selector.
@@ -24,12 +26,18 @@
    * @param silence how long an upstream may announce nothing before it is avoided
    */
   UpstreamSelector(
-      FleetView view, LoadTable loads, UpstreamHealth health, Duration silence, Clock clock) {
+      FleetView view,
+      LoadTable loads,
+      UpstreamHealth health,
+      Duration silence,
+      Clock clock,
+      RandomGenerator random) {
     this.view = view;
     this.loads = loads;
     this.health = health;
     this.silence = silence;
     this.clock = clock;
+    this.random = random;
   }
 
   /** Reserves a place for a plain request; empty if no upstream has room. */
@@ -106,6 +114,7 @@
         upstream,
         loads.total(upstream.id()),
         silent || health.isAvoided(upstream.id()),
-        health.failureShare(upstream.id()));
+        health.failureShare(upstream.id()),
+        random.nextDouble());
   }
 }
--- a/src/test/java/org/cuminrack/gateway/PlacementTest.java
+++ b/src/test/java/org/cuminrack/gateway/PlacementTest.java
@@ -2,7 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
 import org.cuminrack.fleet.UpstreamPhase;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.routing.EngineSpec;
@@ -26,7 +30,7 @@
 
   @Test
   void shouldLeaveAnAvoidedUpstreamForWhenThereIsNoOther() {
-    Candidate avoided = new Candidate(upstream("a"), load(0, 0, 0), true, 0);
+    Candidate avoided = new Candidate(upstream("a"), load(0, 0, 0), true, 0, 0);
 
     assertThat(Placement.plain(List.of(avoided, plain("b", 5))).get().upstream().id())
         .isEqualTo("b");
@@ -72,6 +76,7 @@
                 "far", "shop", "10.0.0.2:80", "dc-b", 6, UpstreamPhase.READY, 1, 1, 0, 0),
             load(0, 0, 0),
             false,
+            0,
             0);
 
     assertThat(Placement.move(List.of(far, near), "dc-a", ENGINE, 4_000).get().upstream().id())
@@ -80,6 +85,30 @@
         .isEqualTo("far");
   }
 
+  @Test
+  void shouldSpreadWhatGatewaysChooseAtTheSameTime() {
+    Set<String> chosen = new HashSet<>();
+    Random random = new Random(7);
+    for (int gateway = 0; gateway < 20; gateway++) {
+      List<Candidate> equal =
+          Stream.of("a", "b", "c", "d")
+              .map(id -> new Candidate(upstream(id), load(0, 0, 0), false, 0, random.nextDouble()))
+              .toList();
+      chosen.add(Placement.generation(equal, ENGINE, 4_000).get().upstream().id());
+    }
+
+    assertThat(chosen).containsExactly("a", "b", "c", "d");
+  }
+
+  @Test
+  void shouldLetTheDrawDecideOnlyBetweenNearEquals() {
+    Candidate full = new Candidate(upstream("full"), load(4, 16_000, 0), false, 0, 0);
+    Candidate free = new Candidate(upstream("free"), load(2, 8_000, 0), false, 0, 1);
+
+    assertThat(Placement.generation(List.of(full, free), ENGINE, 4_000).get().upstream().id())
+        .isEqualTo("free");
+  }
+
   @Test
   void shouldKeepACopyOnAnotherEngineOnly() {
     Candidate running = engine("a", 4_000, 0);
@@ -99,11 +128,11 @@
   }
 
   private static Candidate plain(String id, int requests) {
-    return new Candidate(upstream(id), load(requests, 0, 0), false, 0);
+    return new Candidate(upstream(id), load(requests, 0, 0), false, 0, 0);
   }
 
   private static Candidate engine(String id, long tokens, long unreadTokens) {
-    return new Candidate(upstream(id), load(2, tokens, unreadTokens), false, 0);
+    return new Candidate(upstream(id), load(2, tokens, unreadTokens), false, 0, 0);
   }
 
   private static UpstreamLoad load(int requests, long tokens, long unreadTokens) {
