--- /dev/null
+++ b/src/test/java/org/cuminrack/control/RoutingStateTest.java
@@ -0,0 +1,84 @@
+package org.cuminrack.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import org.cuminrack.generated.control.PutRouting;
+import org.cuminrack.generated.control.RoutingVerdict;
+import org.cuminrack.generated.control.SetEvacuation;
+import org.junit.jupiter.api.Test;
+
+class RoutingStateTest {
+  private final RoutingState state = new RoutingState();
+
+  @Test
+  void shouldPutAHigherVersionInForce() {
+    assertThat(put(1, 3, "three")).isEqualTo(RoutingVerdict.ROUTING_STORED);
+    assertThat(put(2, 7, "seven")).isEqualTo(RoutingVerdict.ROUTING_STORED);
+
+    assertThat(state.data().getVersion()).isEqualTo(7);
+    assertThat(state.data().getRevision()).isEqualTo(2);
+  }
+
+  @Test
+  void shouldTakeAResendWithoutAChange() {
+    put(1, 3, "three");
+
+    assertThat(put(2, 3, "three")).isEqualTo(RoutingVerdict.ROUTING_UNCHANGED);
+    assertThat(state.data().getRevision()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldPassOverAnOlderVersion() {
+    put(1, 7, "seven");
+
+    assertThat(put(2, 3, "three")).isEqualTo(RoutingVerdict.ROUTING_SUPERSEDED);
+    assertThat(state.data().getDocument().toStringUtf8()).isEqualTo("seven");
+  }
+
+  @Test
+  void shouldRefuseOtherContentUnderTheVersionInForce() {
+    put(1, 3, "three");
+
+    assertThat(put(2, 3, "other")).isEqualTo(RoutingVerdict.ROUTING_CONFLICT);
+    assertThat(state.data().getDocument().toStringUtf8()).isEqualTo("three");
+  }
+
+  @Test
+  void shouldMoveTheRevisionOnlyWhereAnEvacuationChanges() {
+    evacuate(1, "dc-a", true);
+    evacuate(2, "dc-a", true);
+    assertThat(state.data().getRevision()).isEqualTo(1);
+
+    evacuate(3, "dc-a", false);
+
+    assertThat(state.data().getRevision()).isEqualTo(3);
+    assertThat(state.data().getEvacuatedList()).isEmpty();
+  }
+
+  @Test
+  void shouldKeepEverythingOverASnapshot() {
+    put(1, 3, "three");
+    evacuate(2, "dc-a", true);
+    RoutingState restored = new RoutingState();
+
+    restored.restore(state.data());
+
+    assertThat(restored.data()).isEqualTo(state.data());
+  }
+
+  private RoutingVerdict put(long index, long version, String document) {
+    PutRouting command =
+        PutRouting.newBuilder()
+            .setVersion(version)
+            .setDocument(ByteString.copyFromUtf8(document))
+            .build();
+    return state.put(index, command).getVerdict();
+  }
+
+  private void evacuate(long index, String dataCentre, boolean evacuated) {
+    state.evacuate(
+        index,
+        SetEvacuation.newBuilder().setDataCentre(dataCentre).setEvacuated(evacuated).build());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/fleet/FleetControlTest.java
@@ -0,0 +1,90 @@
+package org.cuminrack.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cuminrack.control.ControlState;
+import org.cuminrack.system.FreePorts;
+import org.cuminrack.time.ManualClock;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireGroup;
+import org.cuminrack.wire.WireServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FleetControlTest {
+  private static final WireGroup GROUP = new WireGroup("eu", "main");
+  private static final UpstreamRecord READY =
+      new UpstreamRecord(
+          "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.READY, 100, 1, 0, 0);
+
+  private final int firstPort = FreePorts.port();
+  private final int secondPort = FreePorts.port();
+  private final Set<String> voters =
+      new TreeSet<>(Set.of("127.0.0.1:" + firstPort, "127.0.0.1:" + secondPort));
+  private final WireClient wire = new WireClient(GROUP);
+  private final FleetControl first = control(firstPort);
+  private final FleetControl second = control(secondPort);
+  private WireServer secondServer;
+
+  @BeforeEach
+  void start() {
+    wire.start();
+    secondServer = new WireServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), secondPort), GROUP);
+    second.register(secondServer);
+    secondServer.start();
+  }
+
+  @AfterEach
+  void stop() {
+    secondServer.stop();
+    wire.stop();
+  }
+
+  @Test
+  void shouldAcknowledgeOnceASecondControlVmKnows() {
+    assertThat(first.announce(READY).join()).isTrue();
+
+    assertThat(second.upstream("i-1").get().phase()).isEqualTo(UpstreamPhase.READY);
+  }
+
+  @Test
+  void shouldNotAcknowledgeAMoveThatNoOtherControlVmKnows() {
+    first.announce(READY).join();
+    secondServer.stop();
+
+    assertThat(first.announce(draining()).join()).isFalse();
+  }
+
+  @Test
+  void shouldAcknowledgeARenewalAlone() {
+    first.announce(READY).join();
+    secondServer.stop();
+    UpstreamRecord renewed =
+        new UpstreamRecord(
+            "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.READY, 100, 2, 0, 0);
+
+    assertThat(first.announce(renewed).join()).isTrue();
+  }
+
+  @Test
+  void shouldAcknowledgeAloneWhereItIsTheOnlyVoter() {
+    voters.remove("127.0.0.1:" + secondPort);
+
+    assertThat(first.announce(READY).join()).isTrue();
+  }
+
+  private static UpstreamRecord draining() {
+    return new UpstreamRecord(
+        "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.DRAINING, 100, 2, 0, 0);
+  }
+
+  private FleetControl control(int port) {
+    return new FleetControl(
+        new ControlState(), wire, () -> true, () -> voters, "127.0.0.1:" + port, new ManualClock());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/OpenGroupTest.java
@@ -0,0 +1,133 @@
+package org.cuminrack.quorum;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.cuminrack.system.FreePorts;
+import org.cuminrack.time.Clock;
+import org.cuminrack.wire.Method;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireGroup;
+import org.cuminrack.wire.WireServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A group whose founders are known by address, and whose lost VMs others replace. */
+class OpenGroupTest {
+  private static final WireGroup GROUP = new WireGroup("eu", "main");
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final List<String> FOUNDERS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3");
+  private static final String NEWCOMER = "127.0.0.4";
+
+  @TempDir Path folder;
+  private final int port = FreePorts.port();
+  private final Map<String, OpenVm> vms = new TreeMap<>();
+
+  @AfterEach
+  void stopAll() {
+    vms.values().forEach(OpenVm::stop);
+  }
+
+  @Test
+  void shouldLetANewVmTakeThePlaceOfALostOne() {
+    FOUNDERS.forEach(each -> start(each, true));
+    propose("before");
+    String lost = FOUNDERS.get(2);
+    vms.remove(lost).stop();
+
+    start(NEWCOMER, false);
+
+    TestGroup.await(
+        "the new VM to vote in place of the lost one",
+        () -> voters().contains(NEWCOMER) && !voters().contains(lost));
+    propose("after");
+    TestGroup.await(
+        "the new VM to have everything",
+        () -> vms.get(NEWCOMER).list.lines().containsAll(List.of("before", "after")));
+  }
+
+  @Test
+  void shouldKeepItsVotersWhileAllOfThemLive() {
+    FOUNDERS.forEach(each -> start(each, true));
+    propose("before");
+
+    start(NEWCOMER, false);
+
+    TestGroup.await(
+        "the new VM to be caught up", () -> vms.get(NEWCOMER).list.lines().contains("before"));
+    assertThat(voters()).containsExactlyElementsIn(FOUNDERS);
+  }
+
+  private void start(String name, boolean mayForm) {
+    OpenVm vm = new OpenVm(name, mayForm);
+    vms.put(name, vm);
+    vm.start();
+  }
+
+  private List<String> voters() {
+    return vms.values().stream()
+        .filter(each -> each.node.leads())
+        .findFirst()
+        .map(each -> List.copyOf(each.node.status().voters().keySet()))
+        .orElse(List.of());
+  }
+
+  private void propose(String line) {
+    TestGroup.await(
+        line + " to be applied",
+        () ->
+            new ArrayList<>(vms.values())
+                .stream()
+                    .filter(each -> each.node.leads())
+                    .anyMatch(
+                        each -> each.node.propose(TextList.bytes(line), TIMEOUT).join().isRight()));
+  }
+
+  /** A VM known by its loopback address. */
+  private final class OpenVm {
+    private final TextList list = new TextList();
+    private final WireClient client = new WireClient(GROUP);
+    private final WireServer server;
+    private final QuorumNode node;
+
+    OpenVm(String name, boolean mayForm) {
+      Map<String, String> founders = new TreeMap<>();
+      FOUNDERS.forEach(each -> founders.put(each, each + ":" + port));
+      QuorumSettings settings =
+          new QuorumSettings(
+              name,
+              founders,
+              port,
+              mayForm,
+              folder.resolve(name),
+              Duration.ofMillis(30),
+              Duration.ofMillis(150),
+              Duration.ofMillis(300),
+              100);
+      node = new QuorumNode(settings, list, client, Clock.system(), new Random(name.hashCode()));
+      server =
+          new WireServer(new InetSocketAddress(name, port), GROUP)
+              .serve(Method.QUORUM_MESSAGE, payload -> node.handler().handle(payload));
+    }
+
+    void start() {
+      client.start();
+      node.start();
+      server.start();
+    }
+
+    void stop() {
+      server.stop();
+      node.stop();
+      client.stop();
+    }
+  }
+}
