--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -6,7 +6,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -48,7 +50,7 @@
 
   private final UpstreamTable upstreams = new UpstreamTable();
   private final GatewayTable gateways = new GatewayTable();
-  private final List<Watch> watches = new ArrayList<>();
+  private final HeldCalls watches = new HeldCalls(this::answer);
   private final long boot = new SecureRandom().nextLong(1, Long.MAX_VALUE);
   private final ControlState state;
   private final WireClient wire;
@@ -79,7 +81,7 @@
     this.voterAddresses = voterAddresses;
     this.ownAddress = ownAddress;
     this.clock = clock;
-    state.onRouting(this::answerWatches);
+    state.onRouting(watches::answerAll);
   }
 
   /** Serves this service's methods on a server; call before the server starts. */
@@ -115,7 +117,7 @@
   }
 
   /** Returns the newest announcement of an upstream's id. */
-  public java.util.Optional<UpstreamRecord> upstream(String id) {
+  public Optional<UpstreamRecord> upstream(String id) {
     return upstreams.find(id);
   }
 
@@ -134,7 +136,7 @@
       return CompletableFuture.completedFuture(true);
     }
     logMoved(announced, "announcement");
-    answerWatches();
+    watches.answerAll();
     return shareWithAnother(announced);
   }
 
@@ -162,7 +164,7 @@
   }
 
   private Set<String> others() {
-    Set<String> others = new java.util.TreeSet<>(voterAddresses.get());
+    Set<String> others = new TreeSet<>(voterAddresses.get());
     others.remove(ownAddress);
     return others;
   }
@@ -189,7 +191,7 @@
       return CompletableFuture.failedFuture(e);
     }
     if (moved) {
-      answerWatches();
+      watches.answerAll();
     }
     return CompletableFuture.completedFuture(NOTHING);
   }
@@ -242,7 +244,7 @@
           LogEvent.named("gateway-seen")
               .with("vm", gateway.vm())
               .with("serving", gateway.serving()));
-      answerWatches();
+      watches.answerAll();
     }
     boolean isFirst = call.getControlBoot() != boot;
     boolean hasNewer =
@@ -254,32 +256,15 @@
   }
 
   private CompletableFuture<byte[]> hold(WatchCall call) {
-    Watch watch = new Watch(call, new CompletableFuture<>());
+    ScheduledExecutorService timer;
     synchronized (this) {
-      if (worker == null) {
-        return CompletableFuture.completedFuture(answer(call));
-      }
-      watches.add(watch);
-      Duration hold = stateIsCurrent.getAsBoolean() ? WATCH_HOLD : WATCH_HOLD_NOT_CURRENT;
-      worker.schedule(() -> end(watch), hold.toMillis(), TimeUnit.MILLISECONDS);
-    }
-    return watch.answer;
-  }
-
-  private void end(Watch watch) {
-    synchronized (this) {
-      watches.remove(watch);
+      timer = worker;
     }
-    watch.answer.complete(answer(watch.call));
-  }
-
-  private void answerWatches() {
-    List<Watch> waiting;
-    synchronized (this) {
-      waiting = new ArrayList<>(watches);
-      watches.clear();
+    if (timer == null) {
+      return CompletableFuture.completedFuture(answer(call));
     }
-    waiting.forEach(each -> each.answer.complete(answer(each.call)));
+    Duration most = stateIsCurrent.getAsBoolean() ? WATCH_HOLD : WATCH_HOLD_NOT_CURRENT;
+    return watches.hold(call, most, timer);
   }
 
   private byte[] answer(WatchCall call) {
@@ -301,6 +286,4 @@
     }
     return answer.build().toByteArray();
   }
-
-  private record Watch(WatchCall call, CompletableFuture<byte[]> answer) {}
 }
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
@@ -84,7 +85,7 @@
 
   /** Returns each control VM's address and whether its last call was answered, for the dump. */
   public Map<String, Boolean> controlVms() {
-    Map<String, Boolean> answered = new java.util.TreeMap<>();
+    Map<String, Boolean> answered = new TreeMap<>();
     links.forEach((address, link) -> answered.put(address, link.answered));
     return answered;
   }
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -160,6 +160,18 @@
     }
   }
 
+  /** Notes that a stream goes on at another upstream after an event. */
+  void resumed(String nextUpstreamId, String lastEventId, String cause) {
+    logger.atInfo().log(
+        "%s",
+        LogEvent.named("stream-resumed")
+            .with("request", head.attemptId())
+            .with("upstream", nextUpstreamId)
+            .with("after_event", lastEventId)
+            .with("cause", cause));
+    context.counters().add(GatewayCounters.Kind.RESUMED_STREAMS);
+  }
+
   /** Notes that an upstream's answer goes to the caller; the owner sends it. */
   boolean answered(int status, String detail) {
     boolean first = end("answered", status, detail);
--- a/src/main/java/org/cuminrack/gateway/GatewayFailure.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayFailure.java
@@ -4,6 +4,7 @@
 import io.undertow.util.Headers;
 import java.math.BigDecimal;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.cuminrack.http.ProblemDocument;
 import org.cuminrack.http.Ran;
@@ -43,7 +44,7 @@
 
   /** Returns the name in logs. */
   public String label() {
-    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
   /** Answers the exchange and ends it. */
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -94,6 +94,15 @@
         .isEmpty();
   }
 
+  /** Tells whether an upstream has announced nothing for longer than this. */
+  boolean isSilent(UpstreamRecord chosen, Duration longerThan) {
+    return view.upstreams()
+        .find(chosen.id())
+        .filter(each -> each.bornMillis() == chosen.bornMillis())
+        .filter(each -> each.age(clock.nanoTime()).compareTo(longerThan) <= 0)
+        .isEmpty();
+  }
+
   private List<Candidate> candidates(String service, Set<String> excludedIds) {
     long nowNanos = clock.nanoTime();
     return view.upstreams().ofService(service).stream()
--- a/src/test/java/org/cuminrack/fleet/FleetControlTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetControlTest.java
@@ -34,7 +34,8 @@
   @BeforeEach
   void start() {
     wire.start();
-    secondServer = new WireServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), secondPort), GROUP);
+    secondServer =
+        new WireServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), secondPort), GROUP);
     second.register(secondServer);
     secondServer.start();
   }
--- /dev/null
+++ b/src/test/java/org/cuminrack/gateway/EngineStallTest.java
@@ -0,0 +1,25 @@
+package org.cuminrack.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class EngineStallTest {
+
+  @Test
+  void shouldGiveUpASilentEngineSoon() {
+    assertThat(EngineStall.isLost(Duration.ofMillis(1200), true)).isFalse();
+    assertThat(EngineStall.isLost(Duration.ofMillis(1201), true)).isTrue();
+  }
+
+  @Test
+  void shouldWaitForAnEngineThatMayHavePreemptedTheGeneration() {
+    assertThat(EngineStall.isLost(Duration.ofSeconds(4), false)).isFalse();
+  }
+
+  @Test
+  void shouldGiveUpAnyEngineBeforeCallersDo() {
+    assertThat(EngineStall.isLost(Duration.ofMillis(5001), false)).isTrue();
+  }
+}
