--- a/src/main/java/org/cuminrack/gateway/GatewaySettings.java
+++ b/src/main/java/org/cuminrack/gateway/GatewaySettings.java
@@ -6,9 +6,7 @@
  * Limits of a gateway.
  *
  * @param retryShare repeated sends that all gateways together may make, as a share of requests
- * @param retrySlack repeated sends that are allowed beside that, in {@code retryWindow}
- * @param retryWindow the span that the retry limits count in
+ * @param retrySlack repeated sends that are allowed beside that
  * @param upstreamSilence how long an upstream may announce nothing before it is avoided
  */
-public record GatewaySettings(
-    double retryShare, double retrySlack, Duration retryWindow, Duration upstreamSilence) {}
+public record GatewaySettings(double retryShare, double retrySlack, Duration upstreamSilence) {}
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -86,10 +86,7 @@
 
   private static GatewaySettings limits(GatewayNodeSettings settings) {
     return new GatewaySettings(
-        settings.retryPercent() / PERCENT,
-        settings.retrySlack(),
-        settings.retryWindow(),
-        settings.upstreamSilence());
+        settings.retryPercent() / PERCENT, settings.retrySlack(), settings.upstreamSilence());
   }
 
   private GatewayRecord self() {
--- a/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
+++ b/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
@@ -14,8 +14,7 @@
  * @param ioThreads threads that carry requests; one a core of the VM serves best
  * @param stopTimeout how long a planned stop may take in all
  * @param retryPercent repeated sends that all gateways together may make, in percent of requests
- * @param retrySlack repeated sends that are allowed beside that, in a window
- * @param retryWindow the span that the retry limits count in
+ * @param retrySlack repeated sends that are allowed beside that
  * @param upstreamSilence how long an upstream may announce nothing before it is avoided
  */
 public record GatewayNodeSettings(
@@ -27,14 +26,12 @@
     Duration stopTimeout,
     int retryPercent,
     int retrySlack,
-    Duration retryWindow,
     Duration upstreamSilence) {
   private static final int MAX_IO_THREADS = 64;
   private static final int MAX_PORT = 65_535;
   private static final Duration DEFAULT_STOP_TIMEOUT = Duration.ofMillis(7500);
   private static final int DEFAULT_RETRY_PERCENT = 10;
   private static final int DEFAULT_RETRY_SLACK = 20;
-  private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofSeconds(10);
   private static final Duration DEFAULT_UPSTREAM_SILENCE = Duration.ofSeconds(4);
 
   static GatewayNodeSettings read(MappingReader reader) {
@@ -50,7 +47,6 @@
         reader.millis("stop_timeout_millis", DEFAULT_STOP_TIMEOUT, 100, 3_600_000),
         reader.number("retry_percent", DEFAULT_RETRY_PERCENT, 0, 100),
         reader.number("retry_slack", DEFAULT_RETRY_SLACK, 0, 100_000),
-        reader.millis("retry_window_millis", DEFAULT_RETRY_WINDOW, 100, 600_000),
         reader.millis("upstream_silence_millis", DEFAULT_UPSTREAM_SILENCE, 100, 600_000));
   }
 }
