Stop a generation whose connection was lost before its copy goes on

In 288 resumes of the logs kept, none came from a stall and 143 from a lost connection; a server may lose an answer and go on.

Change: the lost engine is told to stop and to move what it has; where it can't be reached or knows no such generation, the copy goes on at once. GenerationMoves is a type of its own. WholePathTest.shouldStopALostGenerationBeforeItGoesOn failed before (no such call) and passes.

Ruled out: waiting until the engine has let go (1.5 s, an unknown bound).

--- a/src/main/java/org/cuminrack/gateway/MemoryMove.java
+++ b/src/main/java/org/cuminrack/gateway/MemoryMove.java
@@ -10,9 +10,10 @@
 import org.cuminrack.relay.UpstreamListener;
 
 /**
- * Moves a running generation's memory to another engine in two steps: most of it is copied while
- * the generation goes on, then it is stopped and the rest is copied, so that the pause is short.
- * Lives on one I/O thread.
+ * Moves a running generation's memory to another engine. In two steps, most of it is copied while
+ * the generation goes on, then it is stopped and the rest is copied, so that the pause is short. In
+ * one step, it is stopped at once: an engine whose connection was lost may work on. Lives on one
+ * I/O thread.
  */
 final class MemoryMove {
   private final EngineCalls calls;
@@ -45,11 +46,12 @@
     /** The generation has stopped and can go on from the copy of this name. */
     void moved(Reservation target, ResumePoint from);
 
-    /** Nothing can go on at the target. */
-    void failed(String detail);
+    /** Nothing was moved; the target's place is the listener's to use or release. */
+    void failed(Reservation target, String detail);
   }
 
-  static MemoryMove begin(
+  /** Begins to move in two steps. */
+  static MemoryMove inTwoSteps(
       EngineCalls calls,
       IoContext io,
       String fromAddress,
@@ -61,6 +63,19 @@
     return move;
   }
 
+  /** Begins to stop the generation and to move what it had. */
+  static MemoryMove stoppingAtOnce(
+      EngineCalls calls,
+      IoContext io,
+      String fromAddress,
+      String attemptId,
+      Reservation target,
+      Listener listener) {
+    MemoryMove move = new MemoryMove(calls, io, fromAddress, attemptId, target, listener);
+    move.call(true);
+    return move;
+  }
+
   /** Tells whether the generation has been told to stop where it ran. */
   boolean isStopping() {
     return stopping;
@@ -87,8 +102,7 @@
     if (!over) {
       over = true;
       exchange.close();
-      target.release();
-      listener.failed(detail);
+      listener.failed(target, detail);
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -14,43 +14,39 @@
  * Carries a generation: passes each whole event on as it comes, goes on from the copy on a second
  * engine where the first one is lost, and moves away from an engine that leaves.
  */
-final class StreamRelay implements CallerSink.Listener, EngineSending.Listener {
+final class StreamRelay
+    implements CallerSink.Listener, EngineSending.Listener, GenerationMoves.Owner {
   private static final int MAX_CONNECT_FAILURES = 4;
 
   /** How often one generation goes on elsewhere before it counts as lost. */
   private static final int MAX_RESUMES = 4;
 
-  /** How often a generation is moved away before its engine's end is waited for. */
-  private static final int MAX_MOVES = 3;
-
   private static final Duration WATCH_INTERVAL = Duration.ofMillis(200);
   private static final Duration RETRY_SOON = Duration.ofMillis(200);
 
   private final GatewayContext context;
   private final GatewayCall call;
-  private final EngineSpec engine;
   private final MemoryNeed need;
   private final CallerSink sink;
   private final PlaceWait places;
   private final StreamProgress progress;
+  private final GenerationMoves moves;
   private XnioExecutor.Key watchTimer = () -> false;
   private EngineSending current;
-  private Optional<MemoryMove> move = Optional.empty();
   private int connectFailures;
   private int resumes;
-  private int movesTried;
   private boolean begun;
 
   private StreamRelay(GatewayContext context, GatewayCall call, EngineSpec engine) {
     this.context = context;
     this.call = call;
-    this.engine = engine;
     this.need = MemoryNeed.of(call.head().demand(), engine);
     this.sink = new CallerSink(call.exchange(), context.clock(), this);
     this.places =
         new PlaceWait(
             context, call, engine, need, (place, copy) -> send(place, copy, Optional.empty()));
     this.progress = new StreamProgress(context.clock());
+    this.moves = new GenerationMoves(context, call, engine, need, this);
   }
 
   static void begin(GatewayContext context, GatewayCall call, EngineSpec engine) {
@@ -80,18 +76,13 @@
 
   private void closeAll() {
     watchTimer.remove();
-    cancelMove();
+    moves.cancel();
     places.cancel();
     if (current != null) {
       current.close();
     }
   }
 
-  private void cancelMove() {
-    move.ifPresent(MemoryMove::cancel);
-    move = Optional.empty();
-  }
-
   private void breakOff(String detail) {
     closeAll();
     if (call.brokenOff(detail + " after " + progress.events() + " events")) {
@@ -188,16 +179,13 @@
 
   @Override
   public void lost(EngineSending sending, String detail) {
-    if (move.filter(MemoryMove::isStopping).isPresent()) {
-      // The move has stopped the generation here; its end tells how to go on.
+    if (moves.isStopping()) {
       return;
     }
-    cancelMove();
+    moves.cancel();
     context.health().failed(sending.place().upstream().id());
     if (mayResume(sending) && context.retries().allowsRepeat(call.service().name())) {
-      Reservation copy = sending.copy().get();
-      String copyName = call.head().attemptId();
-      goOn(copy, new ResumePoint(copy.upstream().address(), copyName, ""), detail);
+      moves.resume(sending, detail);
       return;
     }
     sending.copy().ifPresent(Reservation::release);
@@ -215,7 +203,8 @@
         && sending.hasUsableCopy();
   }
 
-  private void goOn(Reservation place, ResumePoint from, String cause) {
+  @Override
+  public void goOn(Reservation place, ResumePoint from, String cause) {
     resumes++;
     call.resumed(place.upstream().id(), progress.lastEventId(), cause);
     progress.touch();
@@ -225,41 +214,11 @@
 
   private void watch() {
     if (progress.events() > 0 && !call.isOver() && !current.isClosed()) {
-      moveIfLeaving();
+      moves.moveIfLeaving(current);
       giveUpIfStalled();
     }
   }
 
-  /** Moves the generation away from an engine that ends soon, where no copy will outlive it. */
-  private void moveIfLeaving() {
-    boolean due =
-        move.isEmpty()
-            && movesTried < MAX_MOVES
-            && engine.movesMemory()
-            && context.selector().isLeaving(current.place().upstream())
-            && !current.hasUsableCopy();
-    if (!due) {
-      return;
-    }
-    context
-        .selector()
-        .move(call.service().name(), engine, need, current.place().upstream())
-        .ifPresent(this::beginMove);
-  }
-
-  private void beginMove(Reservation target) {
-    movesTried++;
-    move =
-        Optional.of(
-            MemoryMove.begin(
-                context.engineCalls(),
-                call.io(),
-                current.place().upstream().address(),
-                call.head().attemptId(),
-                target,
-                new MoveListener()));
-  }
-
   private void giveUpIfStalled() {
     if (sink.isBlocked()) {
       return;
@@ -272,25 +231,10 @@
     }
   }
 
-  /** Goes on at the other engine, or stays. */
-  private final class MoveListener implements MemoryMove.Listener {
-    @Override
-    public void moved(Reservation target, ResumePoint from) {
-      move = Optional.empty();
-      if (call.isOver()) {
-        target.release();
-        return;
-      }
-      current.close();
-      goOn(target, from, "the engine is leaving");
-    }
-
-    @Override
-    public void failed(String detail) {
-      move = Optional.empty();
-      if (!call.isOver() && current.isClosed()) {
-        breakOff("not moved: " + detail);
-      }
+  @Override
+  public void notMoved(String detail) {
+    if (!call.isOver() && current.isClosed()) {
+      breakOff("not moved: " + detail);
     }
   }
 }
--- a/src/test/java/org/cuminrack/platform/WholePathTest.java
+++ b/src/test/java/org/cuminrack/platform/WholePathTest.java
@@ -124,6 +124,25 @@
     assertThat(requestsOf(engines, "Last-event-id=2 ")).hasSize(1);
   }
 
+  @Test
+  void shouldStopALostGenerationBeforeItGoesOn() throws Exception {
+    CountDownLatch cut = new CountDownLatch(1);
+    List<FakeServer> engines = twoEngines(cut);
+
+    CompletableFuture<String> stream = startPlan();
+    cutOnceSent(engines, cut);
+    stream.get();
+
+    List<String> stops = requestsOf(engines, "POST /cuminrack/kv-move");
+    assertThat(stops).hasSize(1);
+    FakeServer lost =
+        engines.stream()
+            .filter(each -> !requestsOf(List.of(each), "kv-move").isEmpty())
+            .findFirst()
+            .get();
+    assertThat(requestsOf(List.of(lost), "Kv-from=")).isEmpty();
+  }
+
   @Test
   void shouldNotGoOnInAnEvacuatedDataCentre() throws Exception {
     CountDownLatch cut = new CountDownLatch(1);
