--- a/src/test/java/org/cuminrack/platform/PlatformFixture.java
+++ b/src/test/java/org/cuminrack/platform/PlatformFixture.java
@@ -16,13 +16,33 @@
 import org.cuminrack.process.ControlProcess;
 import org.cuminrack.process.GatewayProcess;
 import org.cuminrack.settings.SettingsFile;
+import org.cuminrack.system.Conditions;
 import org.cuminrack.system.FreePorts;
 import org.cuminrack.time.Clock;
 
 /** One control VM and one gateway on loopback, with the platform's callers and operator. */
 final class PlatformFixture implements AutoCloseable {
+  /** The header of the only key. */
+  static final String KEY = "Authorization: Bearer key-1";
+
+  /** A routing document of three routes; takes its version. */
+  static final String DOCUMENT =
+      """
+      {"version":%d,"routes":[
+       {"name":"read","host":"shop.example","path-prefix":"/read/","kind":"safe","timeout-ms":1000,
+        "target-latency-ms":200,"priority":2,"service":"shop","max-attempts":2,"public":false},
+       {"name":"order","host":"shop.example","path-prefix":"/order/","kind":"unsafe",
+        "timeout-ms":1000,"target-latency-ms":200,"priority":2,"service":"shop","max-attempts":1,
+        "public":false},
+       {"name":"plan","host":"shop.example","path-prefix":"/plan/","kind":"streaming",
+        "timeout-ms":20000,"target-latency-ms":1800,"priority":1,"service":"llm",
+        "max-attempts":1,"public":false}],
+       "services":[{"name":"shop","health-path":"/health","max-conns":96},
+        {"name":"llm","health-path":"/health","max-conns":222,"engine":{"slots":24,
+         "kv-capacity-tokens":34000,"stride":4,"backups":true,"moves":true}}],
+       "tenants":[{"name":"org-1","api-keys":["key-1"],"priority":1}]}""";
+
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
-  private static final long POLL_MILLIS = 10;
 
   private final HttpClient http =
       HttpClient.newBuilder().connectTimeout(TIMEOUT).version(HttpClient.Version.HTTP_1_1).build();
@@ -33,7 +53,7 @@
   private final int readyPort = FreePorts.port();
   private final int dumpPort = FreePorts.port();
 
-  PlatformFixture(Path folder) throws IOException {
+  private PlatformFixture(Path folder) throws IOException {
     int wirePort = FreePorts.port();
     Path control =
         Files.writeString(
@@ -83,6 +103,16 @@
     open.push(gatewayProcess::stop);
   }
 
+  /** Starts both and waits until callers are served under the document's version 3. */
+  static PlatformFixture serving(Path folder) throws IOException {
+    PlatformFixture platform = new PlatformFixture(folder);
+    platform.acknowledged("POST", "/config/replace", DOCUMENT.formatted(3));
+    await(
+        "the gateway to be ready",
+        () -> platform.statusOf(platform.readyPort, "/cuminrack/ready") == 200);
+    return platform;
+  }
+
   FakeServer server() throws IOException {
     FakeServer server = new FakeServer();
     open.push(server);
@@ -121,10 +151,6 @@
     return http.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
   }
 
-  int readyPort() {
-    return readyPort;
-  }
-
   String directory() throws Exception {
     HttpRequest request =
         HttpRequest.newBuilder(
@@ -165,21 +191,15 @@
 
   /** Waits until a condition holds. */
   static void await(String what, Condition condition) {
-    long deadline = System.nanoTime() + TIMEOUT.toNanos();
-    while (System.nanoTime() < deadline) {
-      try {
-        if (condition.holds()) {
-          return;
-        }
-        Thread.sleep(POLL_MILLIS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new AssertionError("interrupted while waiting for " + what, e);
-      } catch (Exception e) {
-        throw new AssertionError("while waiting for " + what, e);
-      }
+    Conditions.await(what, TIMEOUT, () -> holds(what, condition));
+  }
+
+  private static boolean holds(String what, Condition condition) {
+    try {
+      return condition.holds();
+    } catch (Exception e) {
+      throw new AssertionError("while waiting for " + what, e);
     }
-    throw new AssertionError("waited " + TIMEOUT + " for " + what);
   }
 
   /** Something that a test waits for. */
--- a/src/test/java/org/cuminrack/system/Conditions.java
+++ b/src/test/java/org/cuminrack/system/Conditions.java
@@ -6,12 +6,12 @@
 import java.util.function.Supplier;
 
 /** Waits for what must come true, and says what it waited for when it doesn't. */
-final class Conditions {
+public final class Conditions {
   private static final Duration PAUSE = Duration.ofMillis(20);
 
   private Conditions() {}
 
-  static void await(String what, Duration timeout, BooleanSupplier condition) {
+  public static void await(String what, Duration timeout, BooleanSupplier condition) {
     awaitValue(what, timeout, () -> condition.getAsBoolean() ? true : null, () -> "");
   }
 
