Ask an engine again whose probe's connection was reset

A process that ends accepts for a moment after its first connections were reset: the probe's own connection lands in the backlog, is reset, and the probe said OUT_OF_REACH; the entry then sent the request that had crashed engine-1 on to engine-2. Beside load the window is wide.

Change: a probe whose connection breaks (also before anything was sent: NotSent.RESET) asks again every 20 ms until it is refused, answered or out of time (the bound of silence, as before). Refused, no connection in time and answers end it as before.

--- a/src/main/java/org/cuminrack/relay/EngineProbe.java
+++ b/src/main/java/org/cuminrack/relay/EngineProbe.java
@@ -8,12 +8,21 @@
 import org.cuminrack.http.Json;
 import org.xnio.XnioExecutor;
 
-/** Asks an upstream over a fresh connection whether the life that ran a request still runs. */
+/**
+ * Asks an upstream over fresh connections whether the life that ran a request still runs.
+ *
+ * <p>A process that ends still accepts for a moment and resets what it accepted, so a connection
+ * that breaks says nothing: the probe asks again until it is refused, answered or out of time.
+ */
 final class EngineProbe implements UpstreamListener {
   private static final int STATUS_OK = 200;
   private static final int MAX_ANSWER_BYTES = 16 << 10;
 
+  /** Pause after a connection that broke; a fraction of the shortest bound of silence. */
+  private static final long AGAIN_MILLIS = 20;
+
   private final EngineTarget target;
+  private final IoContext io;
   private final Consumer<EngineLoss> result;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private UpstreamExchange exchange;
@@ -21,22 +30,34 @@
   private int status;
   private boolean done;
 
-  private EngineProbe(EngineTarget target, Consumer<EngineLoss> result) {
+  private EngineProbe(EngineTarget target, IoContext io, Consumer<EngineLoss> result) {
     this.target = target;
+    this.io = io;
     this.result = result;
   }
 
   /** Asks; the result is called once on the I/O thread, within the bound of silence. */
   static void ask(EngineTarget target, IoContext io, Consumer<EngineLoss> result) {
-    EngineProbe probe = new EngineProbe(target, result);
+    EngineProbe probe = new EngineProbe(target, io, result);
     probe.timer =
         io.after(io.bounds().silence().toMillis(), () -> probe.finish(EngineLoss.OUT_OF_REACH));
-    probe.exchange = io.open(UpstreamRequest.get(target.address(), "/v1/status"), probe);
+    probe.open();
+  }
+
+  private void open() {
+    if (!done) {
+      body.reset();
+      exchange = io.open(UpstreamRequest.get(target.address(), "/v1/status"), this);
+    }
   }
 
   @Override
   public void notSent(NotSent reason) {
-    finish(reason == NotSent.REFUSED ? EngineLoss.PROCESS_DIED : EngineLoss.OUT_OF_REACH);
+    switch (reason) {
+      case REFUSED -> finish(EngineLoss.PROCESS_DIED);
+      case RESET -> askAgain();
+      case NO_CONNECTION, VETOED -> finish(EngineLoss.OUT_OF_REACH);
+    }
   }
 
   @Override
@@ -68,7 +89,11 @@
 
   @Override
   public void broken(String detail) {
-    finish(EngineLoss.OUT_OF_REACH);
+    askAgain();
+  }
+
+  private void askAgain() {
+    io.after(AGAIN_MILLIS, this::open);
   }
 
   private void finish(EngineLoss loss) {
--- a/src/main/java/org/cuminrack/relay/NotSent.java
+++ b/src/main/java/org/cuminrack/relay/NotSent.java
@@ -6,6 +6,8 @@
   REFUSED,
   /** No connection came about in time, or the way there is closed. */
   NO_CONNECTION,
+  /** The connection was reset before anything was sent. */
+  RESET,
   /** The right to send had ended. */
   VETOED
 }
--- a/src/main/java/org/cuminrack/relay/UpstreamExchange.java
+++ b/src/main/java/org/cuminrack/relay/UpstreamExchange.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.NoRouteToHostException;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
@@ -70,7 +71,11 @@
   }
 
   private void connectFailed(IOException cause) {
-    notSent(cause instanceof ConnectException ? NotSent.REFUSED : NotSent.NO_CONNECTION);
+    if (cause instanceof ConnectException) {
+      notSent(NotSent.REFUSED);
+    } else {
+      notSent(cause instanceof NoRouteToHostException ? NotSent.NO_CONNECTION : NotSent.RESET);
+    }
   }
 
   private void connected(ClientConnection made) {
--- a/src/test/java/org/cuminrack/relay/PoisonTest.java
+++ b/src/test/java/org/cuminrack/relay/PoisonTest.java
@@ -123,6 +123,18 @@
     assertThat(fixture.crashReports.crashes(fingerprint(CallerMessage.PROMPT))).isEqualTo(1);
   }
 
+  @Test
+  void shouldSuspectTheRequestWhoseEngineDiesWhileItIsAsked() throws IOException {
+    scriptAll();
+    first.on("POST /v1/completions", ScriptedConnection::reset);
+    first.on("GET /v1/status", connection -> first.crash());
+    fixture.admission.upstreams(first);
+
+    entry.send(CallerMessage.generation()).readHead();
+
+    assertThat(fixture.crashReports.crashes(fingerprint(CallerMessage.PROMPT))).isEqualTo(1);
+  }
+
   private static Fingerprint fingerprint(String body) {
     return Fingerprint.of("lyzicka", "planner", body.getBytes(StandardCharsets.UTF_8));
   }
