Tell gateways at once that control is current

A gateway serves once a quorum of control VMs has said that its state is current; a follower that became current held the gateway's call for 500 ms, since the routing revision was known already from the leader.

Change: a gateway's call says whether this control VM has told it that it is current; where it has not and is, that is news and the call is answered.

Ruled out: processor time at the gateways (idle in that half second); waiting calls of VMs that are not current (held for 50 ms as before).

--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -229,7 +229,7 @@
     others().forEach(each -> wire.call(each, Method.SHARE_UPSTREAMS, payload, SHARE_TIMEOUT));
   }
 
-  private CompletableFuture<byte[]> watch(byte[] payload) {
+  CompletableFuture<byte[]> watch(byte[] payload) {
     WatchCall call;
     try {
       call = WatchCall.parseFrom(payload);
@@ -247,14 +247,18 @@
       watches.answerAll();
     }
     boolean isFirst = call.getControlBoot() != boot;
-    boolean hasNewer =
-        stateIsCurrent.getAsBoolean() && state.routing().getRevision() > call.getRoutingRevision();
-    if (isFirst || hasNewer) {
+    if (isFirst || hasNews(call)) {
       return CompletableFuture.completedFuture(answer(call));
     }
     return hold(call);
   }
 
+  /** A gateway serves once a quorum has told it that it is current, so that is news as well. */
+  private boolean hasNews(WatchCall call) {
+    boolean hasNewer = state.routing().getRevision() > call.getRoutingRevision();
+    return stateIsCurrent.getAsBoolean() && (hasNewer || !call.getKnownCurrent());
+  }
+
   private CompletableFuture<byte[]> hold(WatchCall call) {
     ScheduledExecutorService timer;
     synchronized (this) {
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -115,6 +115,7 @@
             .setControlBoot(link.boot)
             .setUpstreamChange(link.change)
             .setRoutingRevision(view.routingRevision())
+            .setKnownCurrent(link.current)
             .build();
     wire.call(link.address, Method.WATCH_FLEET, call.toByteArray(), CALL_TIMEOUT)
         .whenComplete(
--- a/src/test/java/org/cuminrack/fleet/FleetControlTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetControlTest.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.cuminrack.control.ControlState;
+import org.cuminrack.generated.fleet.WatchAnswer;
+import org.cuminrack.generated.fleet.WatchCall;
 import org.cuminrack.system.FreePorts;
 import org.cuminrack.time.ManualClock;
 import org.cuminrack.wire.WireClient;
@@ -22,6 +24,11 @@
       new UpstreamRecord(
           "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.READY, 100, 1, 0, 0);
 
+  private static final WatchCall WATCH =
+      WatchCall.newBuilder()
+          .setGateway(FleetCodec.data(new GatewayRecord("gw-1", "dc-a", "a:1", "a:2", false)))
+          .build();
+
   private final int firstPort = FreePorts.port();
   private final int secondPort = FreePorts.port();
   private final Set<String> voters =
@@ -79,6 +86,21 @@
     assertThat(first.announce(READY).join()).isTrue();
   }
 
+  @Test
+  void shouldAnswerAtOnceWhereAGatewayDoesNotKnowThatTheStateIsCurrent() throws Exception {
+    second.start();
+    try {
+      WatchAnswer met = WatchAnswer.parseFrom(second.watch(WATCH.toByteArray()).join());
+      WatchCall next = WATCH.toBuilder().setControlBoot(met.getControlBoot()).build();
+
+      assertThat(second.watch(next.toByteArray()).isDone()).isTrue();
+      WatchCall informed = next.toBuilder().setKnownCurrent(true).build();
+      assertThat(second.watch(informed.toByteArray()).isDone()).isFalse();
+    } finally {
+      second.stop();
+    }
+  }
+
   private static UpstreamRecord draining() {
     return new UpstreamRecord(
         "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.DRAINING, 100, 2, 0, 0);
