Ask for pre-votes again soon, and soon after a restart

Cause: control VMs that start together after a kill of all miss each other's first pre-votes (their wire servers are not up yet), and each asked again only after another election timeout.

Change: a voter that asks for pre-votes repeats the question after one to two heartbeats, and one that restarts with a log asks first after one to two heartbeats instead of an election timeout. A pre-vote changes nothing: where one of the others follows a leader it says no, as before.

Ruled out: a shorter election timeout (a core that pauses for 100 ms would lose its leadership); votes instead of pre-votes (terms would rise).

ElectionsTest fails in all three tests without the change.

--- a/src/main/java/org/cuminrack/quorum/internal/CoreState.java
+++ b/src/main/java/org/cuminrack/quorum/internal/CoreState.java
@@ -42,10 +42,10 @@
     this.term = recovered.term();
     this.votedFor = recovered.votedFor();
     this.leaderContactNanos = now - timing.electionMaxNanos();
+    resetElectionDeadline();
     if (recovered.snapshot() != null) {
       recover(recovered);
     }
-    resetElectionDeadline();
   }
 
   private void recover(Recovered recovered) {
@@ -56,9 +56,18 @@
     commitIndex = snapshot.index();
     appliedIndex = snapshot.index();
     durableIndex = log.lastIndex();
+    electionDeadline = now + oneToTwoHeartbeats();
     effects.add(new Effect.Restore(snapshot));
   }
 
+  /**
+   * Returns how long a question to voters waits. They may all have started together and miss each
+   * other's first questions; where one of them follows a leader, it says no and nothing changes.
+   */
+  long oneToTwoHeartbeats() {
+    return timing.heartbeatNanos() + random.nextLong(timing.heartbeatNanos());
+  }
+
   /** Begins with a snapshot instead of all that was here before. */
   void begin(SnapshotImage image) {
     if (role == Role.BLANK) {
--- a/src/main/java/org/cuminrack/quorum/internal/Elections.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Elections.java
@@ -10,6 +10,7 @@
   private final CoreState state;
   private final Set<ReplicaId> granted = new HashSet<>();
   private long ownVoteSequence;
+  private long nextQuestionNanos;
 
   Elections(CoreState state) {
     this.state = state;
@@ -22,9 +23,18 @@
     }
     if (state.now >= state.electionDeadline && !leavesItToOthers()) {
       beginPreVote();
+    } else if (state.now >= nextDeadline()) {
+      askPreVote();
     }
   }
 
+  /** Returns when there is something to do without an event. */
+  long nextDeadline() {
+    return state.role == Role.PRE_CANDIDATE
+        ? Math.min(state.electionDeadline, nextQuestionNanos)
+        : state.electionDeadline;
+  }
+
   /** A replica whose disk is full leads only if nobody else does for a while. */
   private boolean leavesItToOthers() {
     long silentNanos = state.now - state.leaderContactNanos;
@@ -42,12 +52,15 @@
     state.resetElectionDeadline();
     granted.clear();
     granted.add(state.self);
-    Message question =
-        new Message.PreVote(state.term + 1, state.log.lastIndex(), state.log.lastTerm());
-    askOthers(question);
+    askPreVote();
     countPreVotes();
   }
 
+  private void askPreVote() {
+    nextQuestionNanos = state.now + state.oneToTwoHeartbeats();
+    askOthers(new Message.PreVote(state.term + 1, state.log.lastIndex(), state.log.lastTerm()));
+  }
+
   private void beginVote() {
     state.role = Role.CANDIDATE;
     state.beginOwnTerm();
--- a/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
+++ b/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
@@ -63,7 +63,7 @@
     if (state.role == Role.LEADER) {
       return replication.nextDeadline();
     }
-    long election = state.isVoter() ? state.electionDeadline : Long.MAX_VALUE;
+    long election = state.isVoter() ? elections.nextDeadline() : Long.MAX_VALUE;
     return Math.min(election, formation.nextDeadline());
   }
 
--- /dev/null
+++ b/src/test/java/org/cuminrack/quorum/internal/ElectionsTest.java
@@ -0,0 +1,63 @@
+package org.cuminrack.quorum.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class ElectionsTest {
+  private static final Timing TIMING = SimulatedVm.TIMING;
+  private static final ReplicaId A = new ReplicaId("a", 1);
+  private static final ReplicaId B = new ReplicaId("b", 2);
+  private static final VoterSet VOTERS = VoterSet.of(Map.of("a", 1L, "b", 2L, "c", 3L));
+  private static final long GROUP = 1;
+
+  private final QuorumCore core = restarted();
+
+  @Test
+  void shouldAskForVotesSoonAfterARestart() {
+    assertThat(preVotesAt(2 * TIMING.heartbeatNanos())).isEqualTo(2);
+  }
+
+  @Test
+  void shouldAskAgainWhereNobodyAnswered() {
+    preVotesAt(2 * TIMING.heartbeatNanos());
+
+    assertThat(core.nextDeadline()).isAtMost(4 * TIMING.heartbeatNanos());
+    assertThat(preVotesAt(4 * TIMING.heartbeatNanos())).isEqualTo(2);
+    assertThat(core.view().term()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldStandOnceAQuorumAnsweredTheSecondQuestion() {
+    preVotesAt(2 * TIMING.heartbeatNanos());
+    preVotesAt(4 * TIMING.heartbeatNanos());
+    Packet granted = new Packet(B, "", Packet.ANY, GROUP, 1, new Message.PreVoteReply(2, true));
+
+    core.step(List.of(new Event.Received(granted)), 4 * TIMING.heartbeatNanos() + 1);
+
+    assertThat(core.view().role()).isEqualTo(Role.CANDIDATE);
+    assertThat(core.view().term()).isEqualTo(2);
+  }
+
+  private long preVotesAt(long nowNanos) {
+    return core.step(List.of(), nowNanos).stream()
+        .filter(each -> each instanceof Effect.Send)
+        .map(each -> ((Effect.Send) each).packet().message())
+        .filter(each -> each instanceof Message.PreVote)
+        .count();
+  }
+
+  private static QuorumCore restarted() {
+    SnapshotImage snapshot = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
+    return new QuorumCore(
+        new Recovered(A, 1, null, snapshot, List.of()),
+        Admission.closed(Set.of("a", "b", "c")),
+        TIMING,
+        new Random(1),
+        0);
+  }
+}
