Rehearse whole requests for the class-data archive

Cause: the archive was recorded from processes that started, idled and stopped, so that a restarted process loaded and verified from the jar every class of an election, of the control calls and of a request, just when the fewest processor seconds are left (gateways have 0.75 of a core, control 0.45).

Change: cuminrack rehearse starts three control processes, a gateway and two upstreams, puts routing, announces and sends requests of each kind, in two lives, so that recovery from disk is rehearsed too. The samples of messages stand in the platform's package, which alone knows their names.

Ruled out: idling longer (loads nothing more).

--- /dev/null
+++ b/src/main/java/org/cuminrack/cli/Rehearsal.java
@@ -0,0 +1,196 @@
+package org.cuminrack.cli;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.cuminrack.http.HttpAnswer;
+import org.cuminrack.http.HttpCall;
+import org.cuminrack.http.HttpClient;
+import org.cuminrack.http.HttpServer;
+import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.platform.RehearsalMessages;
+import org.cuminrack.platform.RehearsalUpstream;
+import org.cuminrack.process.ControlProcess;
+import org.cuminrack.process.GatewayProcess;
+import org.cuminrack.settings.SettingsFile;
+import org.cuminrack.time.Clock;
+
+/**
+ * Three control processes, a gateway and an upstream on loopback, taken through what they do after
+ * a restart until requests of each kind are answered.
+ */
+final class Rehearsal {
+  private static final List<String> CONTROL_HOSTS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3");
+  private static final int REQUESTS_OF_A_KIND = 20;
+  private static final long MAX_BODY_BYTES = 1 << 20;
+  private static final Duration PATIENCE = Duration.ofSeconds(30);
+  private static final Duration PAUSE = Duration.ofMillis(50);
+
+  private final Path folder;
+  private final int[] ports = freePorts(8);
+  private final Clock clock = Clock.system();
+
+  Rehearsal(Path folder) throws IOException {
+    this.folder = folder;
+  }
+
+  /** Plays one life of the processes; a second one in the same folder reads what the first left. */
+  void play(long routingVersion) throws IOException {
+    List<ManagedService> started = new ArrayList<>();
+    try {
+      HttpClient client = start(started, new HttpClient());
+      HttpServer shop = start(started, upstream());
+      HttpServer engine = start(started, upstream());
+      for (String host : CONTROL_HOSTS) {
+        start(started, new ControlProcess(SettingsFile.control(control(host)).get(), clock));
+      }
+      start(started, new GatewayProcess(SettingsFile.gateway(gateway()).get(), clock));
+      announce(client, RehearsalMessages.PLAIN_SERVICE, shop, routingVersion);
+      announce(client, RehearsalMessages.ENGINE_SERVICE, engine, routingVersion);
+      putRouting(client, routingVersion);
+      serve(client);
+    } finally {
+      for (int i = started.size() - 1; i >= 0; i--) {
+        started.get(i).stop();
+      }
+    }
+  }
+
+  private static <T extends ManagedService> T start(List<ManagedService> started, T service) {
+    service.start();
+    started.add(service);
+    return service;
+  }
+
+  private static HttpServer upstream() {
+    return new HttpServer(
+        InetSocketAddress.createUnresolved("127.0.0.1", 0),
+        new RehearsalUpstream(),
+        MAX_BODY_BYTES);
+  }
+
+  private void announce(HttpClient client, String service, HttpServer upstream, long sequence)
+      throws IOException {
+    for (String host : CONTROL_HOSTS) {
+      awaitOk(
+          client,
+          RehearsalMessages.announcement(
+              host + ":" + ports[2], service, "127.0.0.1:" + upstream.port(), sequence));
+    }
+  }
+
+  /** Puts the routing at whichever control VM leads. */
+  private void putRouting(HttpClient client, long version) throws IOException {
+    long deadlineNanos = clock.nanoTime() + PATIENCE.toNanos();
+    while (clock.nanoTime() < deadlineNanos) {
+      for (String host : CONTROL_HOSTS) {
+        if (isOk(client, RehearsalMessages.routing(host + ":" + ports[2], version))) {
+          return;
+        }
+      }
+      pause();
+    }
+    throw new IOException("no control process took the routing in " + PATIENCE);
+  }
+
+  private void serve(HttpClient client) throws IOException {
+    awaitOk(client, RehearsalMessages.readiness("127.0.0.1:" + ports[7]));
+    awaitOk(client, RehearsalMessages.lookup("127.0.0.1:" + ports[3]));
+    String callers = "127.0.0.1:" + ports[6];
+    for (int i = 0; i < REQUESTS_OF_A_KIND; i++) {
+      awaitOk(client, RehearsalMessages.read(callers, i));
+      awaitOk(client, RehearsalMessages.order(callers, i));
+      awaitOk(client, RehearsalMessages.generation(callers, i));
+    }
+  }
+
+  private void awaitOk(HttpClient client, HttpCall call) throws IOException {
+    long deadlineNanos = clock.nanoTime() + PATIENCE.toNanos();
+    while (!isOk(client, call)) {
+      if (clock.nanoTime() >= deadlineNanos) {
+        throw new IOException(call.path() + ": expected 200 within " + PATIENCE);
+      }
+      pause();
+    }
+  }
+
+  private static boolean isOk(HttpClient client, HttpCall call) {
+    return client.send(call).join().map(HttpAnswer::status).getOrElse(0) == 200;
+  }
+
+  private static void pause() throws InterruptedIOException {
+    try {
+      Thread.sleep(PAUSE.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new InterruptedIOException("interrupted");
+    }
+  }
+
+  private static int[] freePorts(int count) throws IOException {
+    List<ServerSocket> held = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+    }
+    int[] ports = held.stream().mapToInt(ServerSocket::getLocalPort).toArray();
+    for (ServerSocket each : held) {
+      each.close();
+    }
+    return ports;
+  }
+
+  private String seeds(int port) {
+    return IntStream.range(0, CONTROL_HOSTS.size())
+        .mapToObj(i -> "  - \"" + CONTROL_HOSTS.get(i) + ":" + port + "\"\n")
+        .reduce("control_seeds:\n", String::concat);
+  }
+
+  private Path control(String host) throws IOException {
+    return Files.writeString(
+        folder.resolve("control-" + host + ".yaml"),
+        """
+        vm: "%1$s"
+        region: "local"
+        data_centre: "local-a"
+        wire_address: "%1$s:%2$d"
+        http_address: "%1$s:%3$d"
+        data_folder: "%4$s"
+        control_address: "%1$s:%5$d"
+        directory_address: "%1$s:%6$d"
+        %7$s"""
+            .formatted(
+                host,
+                ports[0],
+                ports[1],
+                folder.resolve("data-" + host),
+                ports[2],
+                ports[3],
+                seeds(ports[2])));
+  }
+
+  /** The gateway's wire port differs here from control's, so that both fit one address. */
+  private Path gateway() throws IOException {
+    return Files.writeString(
+        folder.resolve("gateway.yaml"),
+        """
+        vm: "gateway-1"
+        region: "local"
+        data_centre: "local-a"
+        wire_address: "127.0.0.1:%d"
+        http_address: "127.0.0.1:%d"
+        caller_address: "127.0.0.1:%d"
+        ready_address: "127.0.0.1:%d"
+        control_wire_port: %d
+        stop_timeout_millis: 100
+        %s"""
+            .formatted(ports[4], ports[5], ports[6], ports[7], ports[0], seeds(ports[2])));
+  }
+}
