Log a replica's role and leader where they change

Cause: how an election went after a kill of all could not be told from the logs: nothing said who asked, stood or won.

Change: event=replica-role with role, term and leader, one line a change.

--- a/src/main/java/org/cuminrack/quorum/QuorumNode.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -252,7 +252,9 @@
   private void step(List<Event> events) {
     effects.noteSyncedVotes(events);
     List<Effect> decided = core.step(events, clock.nanoTime());
+    CoreView before = view;
     view = core.view();
+    logRole(before, view);
     decided.forEach(effects::carryOut);
     current = effects.appliedTerm() == view.term();
     effects
@@ -260,6 +262,17 @@
         .ifPresent(ownEvents::add);
   }
 
+  private static void logRole(CoreView before, CoreView after) {
+    if (before.role() != after.role() || !before.leader().equals(after.leader())) {
+      logger.atInfo().log(
+          "%s",
+          LogEvent.named("replica-role")
+              .with("role", after.role())
+              .with("term", after.term())
+              .with("leader", after.leader()));
+    }
+  }
+
   private void breakDown(Throwable cause) {
     broken = cause.toString();
     stopping = true;
