Let voters that ask together give way to the first by name

Change: a voter that asks and gets the question of one that is ahead of it, or level and first by name, goes back to following and waits for its timeout. It does so once only until it has heard of a leader: where the other is cut off one way and hears no answers, nobody would ever stand.

Ruled out: a wider spread of the questions (slower where one starts alone); yielding every time (no leader under a one-way cut).

ElectionsTest: giving way fails without the change; that it happens once and not towards a later name is checked too.

--- a/src/main/java/org/cuminrack/quorum/internal/Elections.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Elections.java
@@ -11,6 +11,7 @@
   private final Set<ReplicaId> granted = new HashSet<>();
   private long ownVoteSequence;
   private long nextQuestionNanos;
+  private long yieldedNanos = Long.MIN_VALUE;
 
   Elections(CoreState state) {
     this.state = state;
@@ -85,9 +86,27 @@
             && state.role != Role.LEADER
             && !state.leaderIsRecent()
             && state.isUpToDate(question.lastIndex(), question.lastTerm());
+    if (grant && state.role == Role.PRE_CANDIDATE && yieldsTo(from, question)) {
+      yieldedNanos = state.now;
+      state.role = Role.FOLLOWER;
+      state.resetElectionDeadline();
+    }
     state.send(from, new Message.PreVoteReply(question.nextTerm(), grant));
   }
 
+  /**
+   * Voters that start together all ask, and would all stand and vote for themselves. One that could
+   * win gives way to one that is ahead of it or comes first by name; once only after each leader,
+   * since the other may not hear the answers.
+   */
+  private boolean yieldsTo(ReplicaId from, Message.PreVote question) {
+    boolean sameLog =
+        question.lastTerm() == state.log.lastTerm()
+            && question.lastIndex() == state.log.lastIndex();
+    boolean comesFirst = from.vmName().compareTo(state.self.vmName()) < 0;
+    return yieldedNanos <= state.leaderContactNanos && (!sameLog || comesFirst);
+  }
+
   void onPreVoteReply(ReplicaId from, Message.PreVoteReply reply) {
     boolean expected = state.role == Role.PRE_CANDIDATE && reply.nextTerm() == state.term + 1;
     if (expected && reply.granted()) {
--- a/src/test/java/org/cuminrack/quorum/internal/ElectionsTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/ElectionsTest.java
@@ -15,7 +15,7 @@
   private static final VoterSet VOTERS = VoterSet.of(Map.of("a", 1L, "b", 2L, "c", 3L));
   private static final long GROUP = 1;
 
-  private final QuorumCore core = restarted();
+  private final QuorumCore core = restarted(A);
 
   @Test
   void shouldAskForVotesSoonAfterARestart() {
@@ -43,6 +43,46 @@
     assertThat(core.view().term()).isEqualTo(2);
   }
 
+  @Test
+  void shouldGiveWayToAVoterThatComesFirst() {
+    QuorumCore later = restarted(B);
+    long asked = 2 * TIMING.heartbeatNanos();
+    later.step(List.of(), asked);
+
+    later.step(List.of(preVoteOf(A)), asked + 1);
+
+    assertThat(later.view().role()).isEqualTo(Role.FOLLOWER);
+  }
+
+  @Test
+  void shouldNotGiveWayToAVoterThatComesLater() {
+    long asked = 2 * TIMING.heartbeatNanos();
+    preVotesAt(asked);
+
+    core.step(List.of(preVoteOf(B)), asked + 1);
+
+    assertThat(core.view().role()).isEqualTo(Role.PRE_CANDIDATE);
+  }
+
+  @Test
+  void shouldGiveWayOnceOnlyWhileThereIsNoLeader() {
+    QuorumCore later = restarted(B);
+    long asked = 2 * TIMING.heartbeatNanos();
+    later.step(List.of(), asked);
+    later.step(List.of(preVoteOf(A)), asked + 1);
+    long askedAgain = asked + 1 + TIMING.electionMaxNanos();
+    later.step(List.of(), askedAgain);
+
+    later.step(List.of(preVoteOf(A)), askedAgain + 1);
+
+    assertThat(later.view().role()).isEqualTo(Role.PRE_CANDIDATE);
+  }
+
+  private static Event preVoteOf(ReplicaId from) {
+    return new Event.Received(
+        new Packet(from, "", Packet.ANY, GROUP, 1, new Message.PreVote(2, 20, 1)));
+  }
+
   private long preVotesAt(long nowNanos) {
     return core.step(List.of(), nowNanos).stream()
         .filter(each -> each instanceof Effect.Send)
@@ -51,10 +91,10 @@
         .count();
   }
 
-  private static QuorumCore restarted() {
+  private static QuorumCore restarted(ReplicaId self) {
     SnapshotImage snapshot = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
     return new QuorumCore(
-        new Recovered(A, 1, null, snapshot, List.of()),
+        new Recovered(self, 1, null, snapshot, List.of()),
         Admission.closed(Set.of("a", "b", "c")),
         TIMING,
         new Random(1),
