Start the quorum's traffic before the HTTP servers of control

Change: the wire server starts before the HTTP servers.

Ruled out: sharing one I/O worker among the servers (the first one costs most, and it comes after the wire server now).

--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -55,16 +56,23 @@
     WireServer server = new WireServer(node.wireAddress(), node.group());
     server.serve(Method.QUORUM_MESSAGE, log.handler());
     control.register(server);
-    settings.fleet().ifPresent(fleet -> addFleet(fleet, log, state, wire, server, clock));
+    List<HttpServer> fleetServers =
+        settings
+            .fleet()
+            .map(each -> addFleet(each, log, state, wire, server, clock))
+            .orElse(List.of());
     ControlClient leader = new ControlClient(wire, settings.voters(), clock);
     ProcessApi api =
         new ProcessApi(
             dump(log, state), metrics(metrics, log, state), new OperatorApi(leader).handler());
+    // The quorum's traffic first: after a loss of all, nothing is served before an election.
     services.add(server);
+    fleetServers.forEach(services::add);
     http = services.add(new HttpServer(node.httpAddress(), api, MAX_BODY_BYTES));
   }
 
-  private void addFleet(
+  /** Adds what control knows of the fleet; returns the servers of its callers. */
+  private List<HttpServer> addFleet(
       ControlSettings.Fleet addresses,
       QuorumNode log,
       ControlState state,
@@ -83,13 +91,12 @@
     fleet.register(server);
     RoutingControl routing = new RoutingControl(log, state, clock);
     int controlPort = addresses.controlAddress().getPort();
-    services.add(
+    return List.of(
         new HttpServer(
             addresses.controlAddress(),
             new ControlEndpoints(routing, fleet, controlPort, clock),
             MAX_BODY_BYTES,
-            1));
-    services.add(
+            1),
         new HttpServer(
             addresses.directoryAddress(),
             new DirectoryEndpoint(fleet, addresses.addressTtl()),
