--- a/src/test/java/org/cuminrack/quorum/internal/ExplorationTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/ExplorationTest.java
@@ -26,6 +26,12 @@
     }
   }
 
+  /** A frozen leader commits and is overruled in one batch, which loses its completed voters. */
+  @Test
+  void shouldAcceptACommitByVotersThatWereCompletedInTheSameBatch() {
+    explore(1368, 5);
+  }
+
   private static void explore(long seed, int size) {
     Simulation simulation = new Simulation(seed, size, Mutation.NONE);
     try {
