Keep the cold limit of upstreams over all gateways

Cause: the limit of requests a second that a cold upstream bears was read from the routing document and used nowhere; where many gateways meet few cold upstreams (a data centre that comes back), nothing kept it.

Change: each gateway spaces its requests to a cold upstream by its equal part of the limit, beginning at a drawn moment, since all hear of it at once. A held-back upstream counts as full; a plain request waits for its turn while its target allows it.

Ruled out: counting over all gateways by shared loads (they are 50 ms old, so that all would see the same free second).

--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -64,7 +64,7 @@
     }
     if (place.isEmpty()) {
       boolean any = context.selector().hasUpstreams(call.service().name());
-      if (!any && context.view().isYoung(context.clock().nanoTime()) && mayWait()) {
+      if (mayOpenSoon(any) && mayWait()) {
         call.io().after(UPSTREAMS_POLL.toMillis(), this::sendUnlessOver);
         return;
       }
@@ -75,6 +75,12 @@
     current.open();
   }
 
+  private boolean mayOpenSoon(boolean any) {
+    return any
+        ? context.selector().isHeldBack(call.service().name())
+        : context.view().isYoung(context.clock().nanoTime());
+  }
+
   private boolean mayWait() {
     return call.left().compareTo(call.route().targetLatency()) > 0;
   }
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -9,6 +9,7 @@
 import org.cuminrack.fleet.UpstreamPhase;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.routing.EngineSpec;
+import org.cuminrack.routing.ServiceSpec;
 import org.cuminrack.time.Clock;
 
 /** Gathers what is known of a service's upstreams and reserves a place on one of them. */
@@ -19,6 +20,7 @@
   private final Duration silence;
   private final Clock clock;
   private final RandomGenerator random;
+  private final ColdLimits coldLimits;
 
   /**
    * Makes a selector.
@@ -38,19 +40,22 @@
     this.silence = silence;
     this.clock = clock;
     this.random = random;
+    this.coldLimits = new ColdLimits(random);
   }
 
   /** Reserves a place for a plain request; empty if no upstream has room. */
   synchronized Optional<Reservation> plain(String service, Set<String> excludedIds) {
     return Placement.plain(candidates(service, excludedIds))
-        .map(each -> Reservation.plain(loads, each.upstream()));
+        .map(this::chosen)
+        .map(each -> Reservation.plain(loads, each));
   }
 
   /** Reserves memory for a generation; empty if no engine has room. */
   synchronized Optional<Reservation> generation(
       String service, EngineSpec engine, MemoryNeed need, Set<String> excludedIds) {
     return Placement.generation(candidates(service, excludedIds), engine, need.expectedTokens())
-        .map(each -> Reservation.generation(loads, each.upstream(), need));
+        .map(this::chosen)
+        .map(each -> Reservation.generation(loads, each, need));
   }
 
   /** Reserves memory for the copy of a generation; empty if no other engine has enough. */
@@ -68,12 +73,25 @@
             from.dataCentre(),
             engine,
             need.expectedTokens())
-        .map(each -> Reservation.copy(loads, each.upstream(), need));
+        .map(this::chosen)
+        .map(each -> Reservation.copy(loads, each, need));
+  }
+
+  private UpstreamRecord chosen(Candidate candidate) {
+    coldLimits.note(candidate.upstream(), clock.nanoTime());
+    return candidate.upstream();
   }
 
   /** Tells whether a service has any upstream that takes requests. */
   boolean hasUpstreams(String service) {
-    return !candidates(service, Set.of()).isEmpty();
+    return view.upstreams().ofService(service).stream().anyMatch(this::isOpen);
+  }
+
+  /** Tells whether a service has an upstream that waits for its turn only because it is cold. */
+  synchronized boolean isHeldBack(String service) {
+    long nowNanos = clock.nanoTime();
+    return view.upstreams().ofService(service).stream()
+        .anyMatch(each -> isOpen(each) && !mayTake(each, nowNanos));
   }
 
   /** Tells whether an upstream still takes new requests. */
@@ -108,6 +126,7 @@
     return view.upstreams().ofService(service).stream()
         .filter(this::isOpen)
         .filter(each -> !excludedIds.contains(each.id()))
+        .filter(each -> mayTake(each, nowNanos))
         .map(each -> candidate(each, nowNanos))
         .toList();
   }
@@ -117,6 +136,15 @@
         && !view.evacuated().contains(upstream.dataCentre());
   }
 
+  private boolean mayTake(UpstreamRecord upstream, long nowNanos) {
+    double perSecond =
+        view.routing()
+            .flatMap(each -> each.service(upstream.service()))
+            .map(ServiceSpec::coldRequestsPerSecond)
+            .orElse(0.0);
+    return coldLimits.allows(upstream, perSecond, view.gateways().size(), nowNanos);
+  }
+
   private Candidate candidate(UpstreamRecord upstream, long nowNanos) {
     boolean silent = upstream.age(nowNanos).compareTo(silence) > 0;
     return new Candidate(
