Show how long requests took as histograms

Cause: metrics counted requests and could not tell late ones from others.

Change: cuminrack_gateway_request_seconds by outcome (the words of the request-ended line) and cuminrack_gateway_first_event_seconds, with fixed bounds from 5 ms to a minute.

Ruled out: a label for routes or organisations (unbounded).

--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -87,7 +87,9 @@
 
   /** Notes that the first event of a stream has come. */
   void firstEvent() {
-    firstEventMillis = age().toMillis();
+    Duration after = age();
+    firstEventMillis = after.toMillis();
+    context.times().firstEvent(after);
   }
 
   boolean isOver() {
@@ -204,6 +206,7 @@
       return false;
     }
     ended = true;
+    context.times().ended(outcome, age());
     logger.atInfo().log(
         "%s",
         LogEvent.named("request-ended")
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -14,5 +14,6 @@
     RetryBudgets retries,
     GenerationQueue queue,
     GatewayCounters counters,
+    RequestTimes times,
     RelayBounds bounds,
     Clock clock) {}
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -50,6 +50,7 @@
       HeaderTranslation headers,
       EngineCalls engineCalls,
       GatewaySettings settings,
+      RequestTimes times,
       Clock clock) {
     UpstreamHealth health = new UpstreamHealth(clock);
     context =
@@ -68,6 +69,7 @@
             new RetryBudgets(settings, () -> view.gateways().size()),
             new GenerationQueue(),
             new GatewayCounters(),
+            times,
             RelayBounds.defaults().withConnectTimeout(CONNECT_TIMEOUT),
             clock);
     stop = new StopWindow(clock);
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -57,10 +57,16 @@
     this.clock = clock;
     NodeSettings node = settings.node();
     loads = new LoadTable(clock);
+    Metrics metrics = services.add(new Metrics());
     handler =
         new GatewayHandler(
-            view, loads, new PlatformHeaders(), new PlatformEngineCalls(), limits(settings), clock);
-    Metrics metrics = services.add(new Metrics());
+            view,
+            loads,
+            new PlatformHeaders(),
+            new PlatformEngineCalls(),
+            limits(settings),
+            new RequestTimers(metrics),
+            clock);
     WireClient wire = services.add(new WireClient(node.group()));
     LoadSharing sharing = new LoadSharing(node.vm(), loads, view, wire, handler::loadsChanged);
     WireServer server = new WireServer(node.wireAddress(), node.group());
--- a/src/test/java/org/cuminrack/platform/PlatformFixture.java
+++ b/src/test/java/org/cuminrack/platform/PlatformFixture.java
@@ -162,8 +162,17 @@
 
   /** Returns the gateway's own account of its state. */
   String dump() throws Exception {
+    return own("/dump");
+  }
+
+  /** Returns the gateway's metrics. */
+  String metrics() throws Exception {
+    return own("/metrics");
+  }
+
+  private String own(String path) throws Exception {
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + dumpPort + "/dump"))
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + dumpPort + path))
             .timeout(TIMEOUT)
             .build();
     return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
--- a/src/test/java/org/cuminrack/platform/WholePathTest.java
+++ b/src/test/java/org/cuminrack/platform/WholePathTest.java
@@ -62,6 +62,17 @@
     }
   }
 
+  @Test
+  void shouldShowHowLongRequestsTookByOutcome() throws Exception {
+    announceAndAwait("i-1", "shop", platform.server(), "dc-a", "/read/warm");
+
+    platform.call("a-1", "GET", "/read/x", KEY);
+
+    assertThat(platform.metrics())
+        .containsMatch(
+            "cuminrack_gateway_request_seconds_bucket\\{outcome=\"answered\",le=\"60.0\"\\} [1-9]");
+  }
+
   @Test
   void shouldSendAnOrderOnce() throws Exception {
     FakeServer failing = platform.server().answering(WholePathTest::fail);
