Make the metrics' registry when it is first needed

Cause: a restarted process built the registry and bound the machine's meters (and with them the management beans) before it served anything.

Change: gauges and counters wait for the first scrape or the first timer.

--- a/src/main/java/org/cuminrack/metrics/Metrics.java
+++ b/src/main/java/org/cuminrack/metrics/Metrics.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
@@ -9,11 +10,17 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.cuminrack.lifecycle.ManagedService;
 
-/** The metrics of one process. Names begin with {@code cuminrack.} and end with their unit. */
+/**
+ * The metrics of one process. Names begin with {@code cuminrack.} and end with their unit. The
+ * registry is made when it is first needed, since a restarted process has better things to do.
+ */
 public final class Metrics implements ManagedService {
   /** From a fast plain answer to the longest stream. */
   private static final Duration[] BOUNDS =
@@ -21,26 +28,39 @@
           .map(Duration::ofMillis)
           .toArray(Duration[]::new);
 
-  private final PrometheusMeterRegistry registry =
-      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-  private final JvmGcMetrics gcMetrics = new JvmGcMetrics();
+  private final List<Consumer<MeterRegistry>> waiting = new ArrayList<>();
+  private PrometheusMeterRegistry registry;
+  private JvmGcMetrics gcMetrics;
 
   @Override
-  public void start() {
-    new JvmMemoryMetrics().bindTo(registry);
-    new ProcessorMetrics().bindTo(registry);
-    gcMetrics.bindTo(registry);
+  public void start() {}
+
+  private synchronized PrometheusMeterRegistry registry() {
+    if (registry == null) {
+      registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+      gcMetrics = new JvmGcMetrics();
+      gcMetrics.bindTo(registry);
+      new JvmMemoryMetrics().bindTo(registry);
+      new ProcessorMetrics().bindTo(registry);
+    }
+    waiting.forEach(each -> each.accept(registry));
+    waiting.clear();
+    return registry;
+  }
+
+  private synchronized void later(Consumer<MeterRegistry> registration) {
+    waiting.add(registration);
   }
 
   /** Shows a value that is read from an object at each scrape. */
   public <T> Metrics gauge(String name, T object, ToDoubleFunction<T> value) {
-    Gauge.builder(name, object, value).strongReference(true).register(registry);
+    later(each -> Gauge.builder(name, object, value).strongReference(true).register(each));
     return this;
   }
 
   /** Shows a value that only grows. */
   public <T> Metrics counter(String name, T object, ToDoubleFunction<T> value) {
-    FunctionCounter.builder(name, object, value).register(registry);
+    later(each -> FunctionCounter.builder(name, object, value).register(each));
     return this;
   }
 
@@ -50,17 +70,19 @@
    * @param tags names and values in turn; of each name only a few values
    */
   public Timer timer(String name, String... tags) {
-    return Timer.builder(name).tags(tags).serviceLevelObjectives(BOUNDS).register(registry);
+    return Timer.builder(name).tags(tags).serviceLevelObjectives(BOUNDS).register(registry());
   }
 
   /** Returns all metrics in the Prometheus text form. */
   public String scrape() {
-    return registry.scrape();
+    return registry().scrape();
   }
 
   @Override
-  public void stop() {
-    gcMetrics.close();
-    registry.close();
+  public synchronized void stop() {
+    if (registry != null) {
+      gcMetrics.close();
+      registry.close();
+    }
   }
 }
