Begin a watch outside the table of links

Cause: the first call of a watch ran inside computeIfAbsent; a client that is stopped answers at once, and the failed link then removes itself from the table that is being changed, which the map forbids.

Change: the link is put first and called after.

--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -96,13 +96,10 @@
   }
 
   private void watch(String address) {
-    links.computeIfAbsent(
-        address,
-        key -> {
-          Link link = new Link(key, clock.nanoTime());
-          call(link, true);
-          return link;
-        });
+    Link link = new Link(address, clock.nanoTime());
+    if (links.putIfAbsent(address, link) == null) {
+      call(link, true);
+    }
   }
 
   private void call(Link link, boolean again) {
