Keep patient callers until a restarted gateway knows its routes

Change: a request is kept for half of its caller's deadline, 1.6 s at most, and 0.8 s as before where it names none. What is refused then is told when to come back, as before.

Ruled out: waiting for half of any deadline (39 s callers would be held for 20 s where control does not come back).

RoutingWaitTest.

--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -29,9 +29,6 @@
   /** Upstreams are a millisecond away; a connection that takes longer meets a dead VM. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
-  /** Callers with a target of a second or more are then still on time. */
-  private static final Duration MAX_WAIT_FOR_ROUTES = Duration.ofMillis(800);
-
   private static final Duration ROUTES_POLL = Duration.ofMillis(20);
 
   private static final Duration RETRY_NOT_READY = Duration.ofMillis(500);
@@ -115,20 +112,31 @@
       admit(exchange, table.get(), arrivedNanos);
     } else {
       IoContext io = IoContext.of(exchange, context.bounds());
+      Duration longest = longestWait(exchange);
       exchange.dispatch(
-          SameThreadExecutor.INSTANCE, () -> awaitRouting(exchange, io, arrivedNanos));
+          SameThreadExecutor.INSTANCE, () -> awaitRouting(exchange, io, arrivedNanos, longest));
     }
   }
 
+  private Duration longestWait(HttpServerExchange exchange) {
+    return RoutingWait.longest(
+        context
+            .headers()
+            .readRequest(exchange.getRequestHeaders())
+            .map(RequestHead::deadline)
+            .getOrElse(Optional.empty()));
+  }
+
   /** A gateway that has just started knows its routes within a moment. */
-  private void awaitRouting(HttpServerExchange exchange, IoContext io, long arrivedNanos) {
+  private void awaitRouting(
+      HttpServerExchange exchange, IoContext io, long arrivedNanos, Duration longest) {
     Optional<RoutingTable> table = context.view().routing();
     if (table.isPresent()) {
       admit(exchange, table.get(), arrivedNanos);
-    } else if (context.clock().nanoTime() - arrivedNanos > MAX_WAIT_FOR_ROUTES.toNanos()) {
+    } else if (context.clock().nanoTime() - arrivedNanos > longest.toNanos()) {
       reject(exchange, GatewayFailure.NOT_READY, "");
     } else {
-      io.after(ROUTES_POLL.toMillis(), () -> awaitRouting(exchange, io, arrivedNanos));
+      io.after(ROUTES_POLL.toMillis(), () -> awaitRouting(exchange, io, arrivedNanos, longest));
     }
   }
 
--- /dev/null
+++ b/src/test/java/org/cuminrack/gateway/RoutingWaitTest.java
@@ -0,0 +1,27 @@
+package org.cuminrack.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class RoutingWaitTest {
+
+  @Test
+  void shouldLeaveACallerHalfOfItsTime() {
+    assertThat(RoutingWait.longest(Optional.of(Duration.ofMillis(1000))))
+        .isEqualTo(Duration.ofMillis(500));
+  }
+
+  @Test
+  void shouldKeepAPatientCallerUntilRoutesAreKnownAfterALossOfAll() {
+    assertThat(RoutingWait.longest(Optional.of(Duration.ofSeconds(39))))
+        .isEqualTo(Duration.ofMillis(1600));
+  }
+
+  @Test
+  void shouldKeepACallerThatNamesNoDeadlineForLessThanASecond() {
+    assertThat(RoutingWait.longest(Optional.empty())).isLessThan(Duration.ofSeconds(1));
+  }
+}
