--- a/src/main/java/org/cuminrack/cli/Rehearsal.java
+++ b/src/main/java/org/cuminrack/cli/Rehearsal.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import org.cuminrack.http.HttpAnswer;
 import org.cuminrack.http.HttpCall;
@@ -35,7 +37,7 @@
   private static final Duration PAUSE = Duration.ofMillis(50);
 
   private final Path folder;
-  private final int[] ports = freePorts(8);
+  private final Map<Port, Integer> ports = freePorts();
   private final Clock clock = Clock.system();
 
   Rehearsal(Path folder) throws IOException {
@@ -83,7 +85,7 @@
       awaitOk(
           client,
           RehearsalMessages.announcement(
-              host + ":" + ports[2], service, "127.0.0.1:" + upstream.port(), sequence));
+              host + ":" + port(Port.CONTROL), service, "127.0.0.1:" + upstream.port(), sequence));
     }
   }
 
@@ -92,7 +94,7 @@
     long deadlineNanos = clock.nanoTime() + PATIENCE.toNanos();
     while (clock.nanoTime() < deadlineNanos) {
       for (String host : CONTROL_HOSTS) {
-        if (isOk(client, RehearsalMessages.routing(host + ":" + ports[2], version))) {
+        if (isOk(client, RehearsalMessages.routing(host + ":" + port(Port.CONTROL), version))) {
           return;
         }
       }
@@ -102,9 +104,9 @@
   }
 
   private void serve(HttpClient client) throws IOException {
-    awaitOk(client, RehearsalMessages.readiness("127.0.0.1:" + ports[7]));
-    awaitOk(client, RehearsalMessages.lookup("127.0.0.1:" + ports[3]));
-    String callers = "127.0.0.1:" + ports[6];
+    awaitOk(client, RehearsalMessages.readiness("127.0.0.1:" + port(Port.READY)));
+    awaitOk(client, RehearsalMessages.lookup("127.0.0.1:" + port(Port.DIRECTORY)));
+    String callers = "127.0.0.1:" + port(Port.CALLERS);
     for (int i = 0; i < REQUESTS_OF_A_KIND; i++) {
       awaitOk(client, RehearsalMessages.read(callers, i));
       awaitOk(client, RehearsalMessages.order(callers, i));
@@ -135,14 +137,20 @@
     }
   }
 
-  private static int[] freePorts(int count) throws IOException {
-    List<ServerSocket> held = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+  private int port(Port use) {
+    return ports.get(use);
+  }
+
+  /** Takes all at once, so that no two are the same. */
+  private static Map<Port, Integer> freePorts() throws IOException {
+    Map<Port, ServerSocket> held = new EnumMap<>(Port.class);
+    for (Port use : Port.values()) {
+      held.put(use, new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
     }
-    int[] ports = held.stream().mapToInt(ServerSocket::getLocalPort).toArray();
-    for (ServerSocket each : held) {
-      each.close();
+    Map<Port, Integer> ports = new EnumMap<>(Port.class);
+    for (Map.Entry<Port, ServerSocket> each : held.entrySet()) {
+      ports.put(each.getKey(), each.getValue().getLocalPort());
+      each.getValue().close();
     }
     return ports;
   }
@@ -168,12 +176,12 @@
         %7$s"""
             .formatted(
                 host,
-                ports[0],
-                ports[1],
+                port(Port.CONTROL_WIRE),
+                port(Port.CONTROL_HTTP),
                 folder.resolve("data-" + host),
-                ports[2],
-                ports[3],
-                seeds(ports[2])));
+                port(Port.CONTROL),
+                port(Port.DIRECTORY),
+                seeds(port(Port.CONTROL))));
   }
 
   /** The gateway's wire port differs here from control's, so that both fit one address. */
@@ -191,6 +199,24 @@
         control_wire_port: %d
         stop_timeout_millis: 100
         %s"""
-            .formatted(ports[4], ports[5], ports[6], ports[7], ports[0], seeds(ports[2])));
+            .formatted(
+                port(Port.GATEWAY_WIRE),
+                port(Port.GATEWAY_HTTP),
+                port(Port.CALLERS),
+                port(Port.READY),
+                port(Port.CONTROL_WIRE),
+                seeds(port(Port.CONTROL))));
+  }
+
+  /** What listens where; control's are the same on each of its hosts. */
+  private enum Port {
+    CONTROL_WIRE,
+    CONTROL_HTTP,
+    CONTROL,
+    DIRECTORY,
+    GATEWAY_WIRE,
+    GATEWAY_HTTP,
+    CALLERS,
+    READY
   }
 }
--- a/src/main/java/org/cuminrack/gateway/ColdLimits.java
+++ b/src/main/java/org/cuminrack/gateway/ColdLimits.java
@@ -1,5 +1,6 @@
 package org.cuminrack.gateway;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -13,6 +14,9 @@
 final class ColdLimits {
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** An upstream that has left while it was cold is not asked about any more. */
+  private static final long FORGET_AFTER_NANOS = Duration.ofMinutes(1).toNanos();
+
   private final RandomGenerator random;
   private final Map<String, Turn> turns = new HashMap<>();
 
@@ -44,8 +48,12 @@
 
   private Turn turn(UpstreamRecord upstream, double perSecond, int gateways, long nowNanos) {
     long intervalNanos = (long) (NANOS_PER_SECOND * Math.max(1, gateways) / perSecond);
-    Turn turn =
-        turns.computeIfAbsent(upstream.id(), id -> Turn.first(random, intervalNanos, nowNanos));
+    Turn turn = turns.get(upstream.id());
+    if (turn == null) {
+      turns.values().removeIf(each -> nowNanos - each.nextNanos > FORGET_AFTER_NANOS);
+      turn = Turn.first(random, intervalNanos, nowNanos);
+      turns.put(upstream.id(), turn);
+    }
     turn.intervalNanos = intervalNanos;
     return turn;
   }
--- a/src/main/java/org/cuminrack/process/RequestTimers.java
+++ b/src/main/java/org/cuminrack/process/RequestTimers.java
@@ -1,12 +1,16 @@
 package org.cuminrack.process;
 
+import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.cuminrack.gateway.RequestTimes;
 import org.cuminrack.metrics.Metrics;
 
 /** Shows how long requests took as histograms. */
 final class RequestTimers implements RequestTimes {
   private final Metrics metrics;
+  private final Map<String, Timer> byOutcome = new ConcurrentHashMap<>();
 
   RequestTimers(Metrics metrics) {
     this.metrics = metrics;
@@ -19,6 +23,9 @@
 
   @Override
   public void ended(String outcome, Duration after) {
-    metrics.timer("cuminrack.gateway.request", "outcome", outcome).record(after);
+    byOutcome
+        .computeIfAbsent(
+            outcome, each -> metrics.timer("cuminrack.gateway.request", "outcome", each))
+        .record(after);
   }
 }
