--- a/src/main/java/org/cuminrack/cli/Rehearsal.java
+++ b/src/main/java/org/cuminrack/cli/Rehearsal.java
@@ -12,6 +12,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.cuminrack.http.HttpAnswer;
 import org.cuminrack.http.HttpCall;
@@ -30,14 +31,15 @@
  * a restart until requests of each kind are answered.
  */
 final class Rehearsal {
-  private static final List<String> CONTROL_HOSTS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3");
+  private static final int CONTROL_PROCESSES = 3;
   private static final int REQUESTS_OF_A_KIND = 20;
   private static final long MAX_BODY_BYTES = 1 << 20;
   private static final Duration PATIENCE = Duration.ofSeconds(30);
   private static final Duration PAUSE = Duration.ofMillis(50);
 
   private final Path folder;
-  private final Map<Port, Integer> ports = freePorts();
+  private final List<String> hosts = drawHosts();
+  private final Map<Port, Integer> ports = freePorts(hosts.get(0));
   private final Clock clock = Clock.system();
 
   Rehearsal(Path folder) throws IOException {
@@ -51,7 +53,7 @@
       HttpClient client = start(started, new HttpClient());
       HttpServer shop = start(started, upstream());
       HttpServer engine = start(started, upstream());
-      for (String host : CONTROL_HOSTS) {
+      for (String host : hosts) {
         start(started, new ControlProcess(SettingsFile.control(control(host)).get(), clock));
       }
       start(started, new GatewayProcess(SettingsFile.gateway(gateway()).get(), clock));
@@ -72,20 +74,30 @@
     return service;
   }
 
-  private static HttpServer upstream() {
+  /** Loopback addresses that hardly any other process uses, so that two builds don't meet. */
+  private static List<String> drawHosts() {
+    RandomGenerator random = RandomGenerator.getDefault();
+    String network = "127." + random.nextInt(1, 255) + "." + random.nextInt(1, 255) + ".";
+    return IntStream.rangeClosed(1, CONTROL_PROCESSES).mapToObj(each -> network + each).toList();
+  }
+
+  private HttpServer upstream() {
     return new HttpServer(
-        InetSocketAddress.createUnresolved("127.0.0.1", 0),
+        InetSocketAddress.createUnresolved(hosts.get(0), 0),
         new RehearsalUpstream(),
         MAX_BODY_BYTES);
   }
 
   private void announce(HttpClient client, String service, HttpServer upstream, long sequence)
       throws IOException {
-    for (String host : CONTROL_HOSTS) {
+    for (String host : hosts) {
       awaitOk(
           client,
           RehearsalMessages.announcement(
-              host + ":" + port(Port.CONTROL), service, "127.0.0.1:" + upstream.port(), sequence));
+              host + ":" + port(Port.CONTROL),
+              service,
+              hosts.get(0) + ":" + upstream.port(),
+              sequence));
     }
   }
 
@@ -93,7 +105,7 @@
   private void putRouting(HttpClient client, long version) throws IOException {
     long deadlineNanos = clock.nanoTime() + PATIENCE.toNanos();
     while (clock.nanoTime() < deadlineNanos) {
-      for (String host : CONTROL_HOSTS) {
+      for (String host : hosts) {
         if (isOk(client, RehearsalMessages.routing(host + ":" + port(Port.CONTROL), version))) {
           return;
         }
@@ -104,9 +116,9 @@
   }
 
   private void serve(HttpClient client) throws IOException {
-    awaitOk(client, RehearsalMessages.readiness("127.0.0.1:" + port(Port.READY)));
-    awaitOk(client, RehearsalMessages.lookup("127.0.0.1:" + port(Port.DIRECTORY)));
-    String callers = "127.0.0.1:" + port(Port.CALLERS);
+    awaitOk(client, RehearsalMessages.readiness(on(Port.READY)));
+    awaitOk(client, RehearsalMessages.lookup(on(Port.DIRECTORY)));
+    String callers = on(Port.CALLERS);
     for (int i = 0; i < REQUESTS_OF_A_KIND; i++) {
       awaitOk(client, RehearsalMessages.read(callers, i));
       awaitOk(client, RehearsalMessages.order(callers, i));
@@ -137,15 +149,19 @@
     }
   }
 
+  private String on(Port use) {
+    return hosts.get(0) + ":" + port(use);
+  }
+
   private int port(Port use) {
     return ports.get(use);
   }
 
   /** Takes all at once, so that no two are the same. */
-  private static Map<Port, Integer> freePorts() throws IOException {
+  private static Map<Port, Integer> freePorts(String host) throws IOException {
     Map<Port, ServerSocket> held = new EnumMap<>(Port.class);
     for (Port use : Port.values()) {
-      held.put(use, new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+      held.put(use, new ServerSocket(0, 1, InetAddress.getByName(host)));
     }
     Map<Port, Integer> ports = new EnumMap<>(Port.class);
     for (Map.Entry<Port, ServerSocket> each : held.entrySet()) {
@@ -156,8 +172,8 @@
   }
 
   private String seeds(int port) {
-    return IntStream.range(0, CONTROL_HOSTS.size())
-        .mapToObj(i -> "  - \"" + CONTROL_HOSTS.get(i) + ":" + port + "\"\n")
+    return IntStream.range(0, hosts.size())
+        .mapToObj(i -> "  - \"" + hosts.get(i) + ":" + port + "\"\n")
         .reduce("control_seeds:\n", String::concat);
   }
 
@@ -192,18 +208,18 @@
         vm: "gateway-1"
         region: "local"
         data_centre: "local-a"
-        wire_address: "127.0.0.1:%d"
-        http_address: "127.0.0.1:%d"
-        caller_address: "127.0.0.1:%d"
-        ready_address: "127.0.0.1:%d"
+        wire_address: "%s"
+        http_address: "%s"
+        caller_address: "%s"
+        ready_address: "%s"
         control_wire_port: %d
         stop_timeout_millis: 100
         %s"""
             .formatted(
-                port(Port.GATEWAY_WIRE),
-                port(Port.GATEWAY_HTTP),
-                port(Port.CALLERS),
-                port(Port.READY),
+                on(Port.GATEWAY_WIRE),
+                on(Port.GATEWAY_HTTP),
+                on(Port.CALLERS),
+                on(Port.READY),
                 port(Port.CONTROL_WIRE),
                 seeds(port(Port.CONTROL))));
   }
