Log a request's content and its lost dispatches at gateways

Cause of this change: the lines of a request name the caller's attempt, which is new each time. They could not tell a request that comes again from many requests, nor its own retries from sends that another upstream refused. Change: request-ended and the new upstream-lost line carry a hash of organisation, method, host, path and body; counters for lost and misdirected sends and for retries that the budget denied.

--- a/src/main/java/org/cuminrack/admission/Fingerprint.java
+++ b/src/main/java/org/cuminrack/admission/Fingerprint.java
@@ -11,6 +11,7 @@
  * @param hex SHA-256 of organisation, route and body in lower-case hex
  */
 public record Fingerprint(String hex) {
+  private static final int SHORT_LENGTH = 16;
 
   /** Returns the fingerprint of a request. */
   public static Fingerprint of(String organisation, String route, byte[] body) {
@@ -22,6 +23,11 @@
     return new Fingerprint(HexFormat.of().formatHex(digest.digest(body)));
   }
 
+  /** Returns the first digits, which identify the request in logs. */
+  public String shortHex() {
+    return hex.substring(0, Math.min(SHORT_LENGTH, hex.length()));
+  }
+
   private static MessageDigest sha256() {
     try {
       return MessageDigest.getInstance("SHA-256");
--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -209,6 +209,9 @@
 
   private void onRefused() {
     close();
+    if (responseHead.misdirected()) {
+      context.counters().add(GatewayCounters.Kind.MISDIRECTED_SENDS);
+    }
     if (responseHead.misdirected() && !isResumed()) {
       sent = false;
       listener.notSent(this);
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerExchanges;
@@ -37,6 +38,7 @@
   private final RequestHead head;
   private final Optional<KeyHolder> keyHolder;
   private final ByteString body;
+  private final Fingerprint fingerprint;
   private final IoContext io;
   private final long arrivedNanos;
   private int sendCount;
@@ -60,10 +62,20 @@
     this.head = head;
     this.keyHolder = keyHolder;
     this.body = body;
+    this.fingerprint = fingerprint(exchange, keyHolder, body);
     this.io = IoContext.of(exchange, context.bounds());
     this.arrivedNanos = arrivedNanos;
   }
 
+  /** Identifies the request when its caller sends it again under another attempt id. */
+  private static Fingerprint fingerprint(
+      HttpServerExchange exchange, Optional<KeyHolder> keyHolder, ByteString body) {
+    return Fingerprint.of(
+        keyHolder.map(KeyHolder::organisation).orElse(""),
+        exchange.getRequestMethod() + " " + exchange.getHostAndPort() + pathAndQuery(exchange),
+        body.toByteArray());
+  }
+
   HttpServerExchange exchange() {
     return exchange;
   }
@@ -136,6 +148,15 @@
         });
   }
 
+  /** Takes one retry from the service's budget; counts it as denied if the budget is exhausted. */
+  boolean tryAcquireRetry() {
+    boolean acquired = context.retries().tryAcquireRetry(service.name());
+    if (!acquired) {
+      context.counters().add(GatewayCounters.Kind.RETRIES_DENIED);
+    }
+    return acquired;
+  }
+
   /** Creates the request to send to an upstream and counts it as sent. */
   UpstreamRequest requestTo(
       UpstreamRecord upstream, Optional<String> backupAddress, Optional<ResumePoint> resume) {
@@ -156,10 +177,10 @@
                 backupAddress,
                 resume));
     return new UpstreamRequest(
-        upstream.address(), exchange.getRequestMethod(), pathAndQuery(), headers, body);
+        upstream.address(), exchange.getRequestMethod(), pathAndQuery(exchange), headers, body);
   }
 
-  private String pathAndQuery() {
+  private static String pathAndQuery(HttpServerExchange exchange) {
     String query = exchange.getQueryString();
     String path = exchange.getRequestURI();
     return query.isEmpty() ? path : path + "?" + query;
@@ -182,6 +203,21 @@
     }
   }
 
+  /** Logs and counts that a dispatch was lost after it may have reached its upstream. */
+  void logLost(UpstreamRecord upstream, String detail) {
+    logger.atInfo().log(
+        "%s",
+        LogEvent.named("upstream-lost")
+            .with("request", head.attemptId())
+            .with("content", fingerprint.shortHex())
+            .with("upstream", upstream.id())
+            .with("born_millis", upstream.startedMillis())
+            .with("sends", sendCount)
+            .with("age_ms", age().toMillis())
+            .with("detail", detail));
+    context.counters().add(GatewayCounters.Kind.LOST_SENDS);
+  }
+
   /** Logs and counts that the stream resumes on another upstream. */
   void logResume(String nextUpstreamId, String lastEventId, String cause) {
     logger.atInfo().log(
@@ -240,6 +276,7 @@
         "%s",
         LogEvent.named("request-ended")
             .with("request", head.attemptId())
+            .with("content", fingerprint.shortHex())
             .with("route", route.name())
             .with("service", service.name())
             .with("routing_revision", context.view().routingRevision())
--- a/src/main/java/org/cuminrack/gateway/GatewayCounters.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCounters.java
@@ -27,7 +27,13 @@
     /** Retries of plain requests, except after a dispatch that could not be sent. */
     REPEATED_SENDS,
     /** Event streams resumed on another engine. */
-    RESUMED_STREAMS
+    RESUMED_STREAMS,
+    /** Dispatches whose upstream or connection was lost before the response was complete. */
+    LOST_SENDS,
+    /** Dispatches that another upstream than the intended one refused. */
+    MISDIRECTED_SENDS,
+    /** Retries that were not made because the retry budget was exhausted. */
+    RETRIES_DENIED
   }
 
   GatewayCounters() {
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -136,7 +136,7 @@
     return call.route().kind().isRetryable()
         && call.sendCount() < call.route().maxAttempts()
         && call.remaining().compareTo(call.route().targetLatency().dividedBy(2)) > 0
-        && context.retries().tryAcquireRetry(call.service().name());
+        && call.tryAcquireRetry();
   }
 
   private void retry(String cause) {
@@ -213,6 +213,7 @@
         context.health().recordFailure(reservation.upstream().id());
         responseLost = true;
         close();
+        call.logLost(reservation.upstream(), "no answer in time");
         retry("no answer in time");
       }
     }
@@ -243,6 +244,7 @@
     public void completed() {
       close();
       if (responseHead.misdirected()) {
+        context.counters().add(GatewayCounters.Kind.MISDIRECTED_SENDS);
         context.health().recordFailure(reservation.upstream().id());
         notSent(NotSentReason.NOT_PERMITTED);
       } else if (responseHead.notExecuted()) {
@@ -281,6 +283,7 @@
     private void lost(String detail) {
       responseLost = true;
       close();
+      call.logLost(reservation.upstream(), detail);
       context.health().recordFailure(reservation.upstream().id());
       if (tryAcquireRetry()) {
         retry(detail);
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -199,7 +199,8 @@
     }
     moves.cancel();
     context.health().recordFailure(dispatch.reservation().upstream().id());
-    if (canResume(dispatch) && context.retries().tryAcquireRetry(call.service().name())) {
+    call.logLost(dispatch.reservation().upstream(), detail);
+    if (canResume(dispatch) && call.tryAcquireRetry()) {
       moves.resume(dispatch, detail);
       return;
     }
