Show that gateways keep sending a request that crashes upstreams

Callers saw: requests that ran beside such a request were lost again and again, as N upstreams ended under it. Evidence: CrashingRequestTest starts three control processes and three gateways of the binary and upstreams that reset all connections and refuse new ones when a given request begins to run.

--- /dev/null
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -0,0 +1,202 @@
+package org.cuminrack.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * An upstream on loopback that crashes when it begins to run a request with {@code crash} in its
+ * path: it resets all its connections and refuses new ones until it is restarted. A request with
+ * {@code held} in its path runs until {@link #releaseHeld} or a crash while the upstream holds
+ * requests.
+ */
+final class CrashingUpstream implements AutoCloseable {
+  private static final int EVENTS = 3;
+
+  private final String name;
+  private final int port;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger starts = new AtomicInteger();
+  private final AtomicInteger crashes = new AtomicInteger();
+  private final AtomicInteger holding = new AtomicInteger();
+  private volatile CountDownLatch held = new CountDownLatch(0);
+  private volatile ServerSocket listener;
+
+  /** The paths of all requests received, over all starts. */
+  final List<String> paths = new CopyOnWriteArrayList<>();
+
+  CrashingUpstream(String name, int port) throws IOException {
+    this.name = name;
+    this.port = port;
+    restart();
+  }
+
+  /** Returns the id of the current start. */
+  String id() {
+    return name + "-" + starts.get();
+  }
+
+  /** Returns the number of the current start, which serves as its time of birth. */
+  int startNumber() {
+    return starts.get();
+  }
+
+  String address() {
+    return "127.0.0.1:" + port;
+  }
+
+  boolean isRunning() {
+    return !listener.isClosed();
+  }
+
+  int crashes() {
+    return crashes.get();
+  }
+
+  /** Starts the upstream again under another id. */
+  void restart() throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    starts.incrementAndGet();
+    listener = socket;
+    threads.execute(() -> acceptUntilClosed(socket));
+  }
+
+  boolean holdsARequest() {
+    return holding.get() > 0;
+  }
+
+  /** Holds requests with {@code held} in their path from now on. */
+  void hold() {
+    held = new CountDownLatch(1);
+  }
+
+  /** Lets the requests that are held complete; later ones are not held. */
+  void releaseHeld() {
+    held.countDown();
+  }
+
+  /** Ends the upstream as a crash of its process does. */
+  synchronized void crash() throws IOException {
+    if (isRunning()) {
+      listener.close();
+      held.countDown();
+      crashes.incrementAndGet();
+      for (Socket connection : connections) {
+        connection.setSoLinger(true, 0);
+        connection.close();
+      }
+    }
+  }
+
+  private void acceptUntilClosed(ServerSocket socket) {
+    while (!socket.isClosed()) {
+      try {
+        Socket connection = socket.accept();
+        connections.add(connection);
+        threads.execute(() -> serve(connection));
+      } catch (IOException e) {
+        // Closed by a crash or at the end of the test.
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket connection) {
+    try (connection) {
+      Map.Entry<String, String> request = readRequest(connection.getInputStream());
+      paths.add(request.getKey());
+      if (request.getKey().contains("crash")) {
+        crash();
+        return;
+      }
+      if (request.getKey().contains("held")) {
+        holding.incrementAndGet();
+        try {
+          held.await();
+        } finally {
+          holding.decrementAndGet();
+        }
+      }
+      respond(connection.getOutputStream(), request.getKey(), request.getValue());
+    } catch (IOException e) {
+      // The connection was reset by a crash, or closed by its client.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      connections.remove(connection);
+    }
+  }
+
+  /** Returns path and attempt id of a request without a body. */
+  private static Map.Entry<String, String> readRequest(InputStream in) throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+      int next = in.read();
+      if (next < 0) {
+        throw new IOException("the connection ended inside the head of a request");
+      }
+      head.write(next);
+    }
+    List<String> lines = head.toString(StandardCharsets.US_ASCII).lines().toList();
+    String id =
+        lines.stream()
+            .filter(line -> line.startsWith("Attempt-Id: "))
+            .map(line -> line.substring("Attempt-Id: ".length()))
+            .findFirst()
+            .orElse("");
+    String requestLine = lines.get(0);
+    int pathStart = requestLine.indexOf(' ') + 1;
+    return Map.entry(requestLine.substring(pathStart, requestLine.lastIndexOf(' ')), id);
+  }
+
+  private static void respond(OutputStream out, String path, String id) throws IOException {
+    StringBuilder body = new StringBuilder();
+    if (path.startsWith("/plan/")) {
+      for (int event = 1; event <= EVENTS; event++) {
+        body.append("id: ").append(event).append("\ndata: t\n\n");
+      }
+    } else {
+      body.append("whole answer");
+    }
+    String head =
+        """
+        HTTP/1.1 200 OK
+        Connection: close
+        Attempt-Id: %s
+        Server-Seal: seal
+        Content-Length: %d
+
+        """;
+    String response = head.formatted(id, body.length()).replace("\n", "\r\n") + body;
+    out.write(response.getBytes(StandardCharsets.US_ASCII));
+    out.flush();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    releaseHeld();
+    threads.shutdownNow();
+    for (Socket connection : connections) {
+      connection.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/cuminrack/platform/GatewayCluster.java
@@ -0,0 +1,285 @@
+package org.cuminrack.platform;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminrack.system.FreePorts;
+import org.cuminrack.system.RunningProcess;
+
+/**
+ * Three control processes and several gateways of the binary on loopback, and upstreams that crash.
+ */
+final class GatewayCluster implements AutoCloseable {
+  private static final List<String> CONTROL_HOSTS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3");
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final String HEARTBEAT =
+      """
+      {"service":"%s","address":"%s","zone":"dc-a","version":"v1","slots":6,"state":"ready",
+       "cold-left-ms":0,"call-seq":%d,"born":%d}\
+      """;
+
+  private final Path folder;
+  private final HttpClient http =
+      HttpClient.newBuilder().connectTimeout(TIMEOUT).version(HttpClient.Version.HTTP_1_1).build();
+  private final int controlWirePort = FreePorts.port();
+  private final int controlDumpPort = FreePorts.port();
+  private final int controlPort = FreePorts.port();
+  private final int directoryPort = FreePorts.port();
+  private final Map<String, RunningProcess> processes = new LinkedHashMap<>();
+  private final Map<String, Integer> callerPorts = new LinkedHashMap<>();
+  private final Map<String, Integer> dumpPorts = new LinkedHashMap<>();
+  private final Map<CrashingUpstream, String> services = new LinkedHashMap<>();
+  private int sequence;
+
+  private GatewayCluster(Path folder) {
+    this.folder = folder;
+  }
+
+  /** Starts the processes and four upstreams of each service, and waits until all serve. */
+  static GatewayCluster start(Path folder, int gatewayCount) throws Exception {
+    GatewayCluster cluster = new GatewayCluster(folder);
+    for (String host : CONTROL_HOSTS) {
+      cluster.startControl(host);
+    }
+    for (int i = 1; i <= gatewayCount; i++) {
+      cluster.startGateway("gateway-" + i);
+    }
+    for (int i = 1; i <= 4; i++) {
+      cluster.addUpstream("shop", "s" + i);
+      cluster.addUpstream("llm", "e" + i);
+    }
+    cluster.callControlUntilOk("/config/replace", PlatformFixture.DOCUMENT.formatted(3));
+    cluster.recover();
+    return cluster;
+  }
+
+  private void addUpstream(String service, String name) throws IOException {
+    services.put(new CrashingUpstream(name, FreePorts.port()), service);
+  }
+
+  List<CrashingUpstream> upstreams(String service) {
+    return services.keySet().stream().filter(each -> services.get(each).equals(service)).toList();
+  }
+
+  List<String> gateways() {
+    return List.copyOf(callerPorts.keySet());
+  }
+
+  RunningProcess process(String name) {
+    return processes.get(name);
+  }
+
+  /** Kills all control processes at once and starts them again with their data. */
+  void restartAllControl() throws Exception {
+    for (String host : CONTROL_HOSTS) {
+      processes.get(host).kill();
+    }
+    for (String host : CONTROL_HOSTS) {
+      startControl(host);
+    }
+  }
+
+  /** Kills the control process that leads. */
+  void killLeader() throws Exception {
+    for (String host : CONTROL_HOSTS) {
+      if (get(host + ":" + controlDumpPort, "/metrics").contains("cuminrack_quorum_leads 1.0")) {
+        processes.get(host).kill();
+        return;
+      }
+    }
+    throw new AssertionError("expected a control process that leads, found none");
+  }
+
+  void restartGateway(String name) throws Exception {
+    processes.get(name).kill();
+    startGateway(name);
+  }
+
+  /**
+   * Restarts the upstreams that have crashed, announces all of them and waits until each gateway
+   * that runs knows them.
+   */
+  void recover() throws Exception {
+    for (CrashingUpstream upstream : services.keySet()) {
+      if (!upstream.isRunning()) {
+        upstream.restart();
+      }
+      sequence++;
+      String heartbeat =
+          HEARTBEAT.formatted(
+              services.get(upstream),
+              upstream.address(),
+              sequence,
+              1_786_843_519_000L + upstream.startNumber());
+      callControlUntilOk("/instances/" + upstream.id() + "/heartbeat", heartbeat);
+    }
+    for (String gateway : dumpPorts.keySet()) {
+      PlatformFixture.await(gateway + " to know all upstreams", () -> knowsAllUpstreams(gateway));
+    }
+  }
+
+  private boolean knowsAllUpstreams(String gateway) {
+    String dump;
+    try {
+      dump = get("127.0.0.1:" + dumpPorts.get(gateway), "/dump");
+    } catch (IOException | InterruptedException e) {
+      // Not listening yet.
+      return false;
+    }
+    return dump.matches("(?s).*\"ready\"\\s*:\\s*true.*")
+        && services.keySet().stream()
+            .allMatch(upstream -> dump.contains("\"" + upstream.id() + "\""));
+  }
+
+  /** Sends a caller's request and returns the raw response; empty if the connection was lost. */
+  String call(String gateway, String id, String method, String path) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPorts.get(gateway))) {
+      socket.setSoTimeout((int) TIMEOUT.toMillis());
+      String head =
+          """
+          %s %s HTTP/1.1
+          Host: shop.example
+          Connection: close
+          Content-Length: 0
+          Attempt-Id: %s
+          Deadline-Ms: 5000
+          Token-Counts: 900,400
+          %s
+
+          """;
+      String request = head.formatted(method, path, id, PlatformFixture.KEY).replace("\n", "\r\n");
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  /** Returns a gateway's state dump. */
+  String dump(String gateway) throws Exception {
+    return get("127.0.0.1:" + dumpPorts.get(gateway), "/dump");
+  }
+
+  private String get(String address, String path) throws IOException, InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT).build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+  }
+
+  /** Sends an operator's or upstream's call to each control process in turn until one accepts. */
+  private void callControlUntilOk(String path, String body) {
+    PlatformFixture.await(
+        path + " to be acknowledged",
+        () -> CONTROL_HOSTS.stream().anyMatch(host -> isAcknowledged(host, path, body)));
+  }
+
+  private boolean isAcknowledged(String host, String path, String body) {
+    HttpRequest request =
+        HttpRequest.newBuilder(
+                URI.create("http://" + host + ":" + controlPort + "/cuminrack" + path))
+            .timeout(TIMEOUT)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    try {
+      return http.send(request, HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
+    } catch (IOException e) {
+      // Not listening; the next one is asked.
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new AssertionError("interrupted", e);
+    }
+  }
+
+  private void startControl(String host) throws IOException {
+    String settings =
+        """
+        vm: "%1$s"
+        region: "local"
+        data_centre: "dc-a"
+        wire_address: "%1$s:%2$d"
+        http_address: "%1$s:%3$d"
+        data_folder: "%4$s"
+        control_address: "%1$s:%5$d"
+        directory_address: "%1$s:%6$d"
+        heartbeat_millis: 60
+        election_timeout_millis: 300
+        %7$s\
+        """
+            .formatted(
+                host,
+                controlWirePort,
+                controlDumpPort,
+                folder.resolve("data-" + host),
+                controlPort,
+                directoryPort,
+                seeds());
+    start(host, "control", settings);
+  }
+
+  private void startGateway(String name) throws IOException {
+    int callerPort = callerPorts.computeIfAbsent(name, key -> FreePorts.port());
+    int dumpPort = dumpPorts.computeIfAbsent(name, key -> FreePorts.port());
+    String settings =
+        """
+        vm: "%s"
+        region: "local"
+        data_centre: "dc-a"
+        wire_address: "127.0.0.1:%d"
+        http_address: "127.0.0.1:%d"
+        caller_address: "127.0.0.1:%d"
+        ready_address: "127.0.0.1:%d"
+        control_wire_port: %d
+        retry_slack: 1000
+        %s\
+        """
+            .formatted(
+                name,
+                FreePorts.port(),
+                dumpPort,
+                callerPort,
+                FreePorts.port(),
+                controlWirePort,
+                seeds());
+    start(name, "gateway", settings);
+  }
+
+  private void start(String name, String role, String settings) throws IOException {
+    Path file = Files.writeString(folder.resolve(name + ".yaml"), settings);
+    processes.put(name, RunningProcess.start(folder, name, role, "--settings", file.toString()));
+  }
+
+  private String seeds() {
+    List<String> lines = new ArrayList<>(List.of("control_seeds:"));
+    CONTROL_HOSTS.forEach(host -> lines.add("  - \"" + host + ":" + controlPort + "\""));
+    return String.join("\n", lines) + "\n";
+  }
+
+  /** Fails if any process has ended by itself. */
+  void assertAllRunning() {
+    processes.forEach(
+        (name, process) -> assertWithMessage(name + " runs").that(process.isAlive()).isTrue());
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (RunningProcess process : processes.values()) {
+      process.kill();
+    }
+    for (CrashingUpstream upstream : services.keySet()) {
+      upstream.close();
+    }
+  }
+}
--- a/src/test/java/org/cuminrack/system/RunningProcess.java
+++ b/src/test/java/org/cuminrack/system/RunningProcess.java
@@ -12,7 +12,7 @@
 import java.util.regex.Pattern;
 
 /** A process of the binary started by a test, with its output in a log file. */
-final class RunningProcess {
+public final class RunningProcess {
   private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
   private static final Duration EXIT_TIMEOUT = Duration.ofSeconds(40);
 
@@ -26,7 +26,8 @@
     this.process = process;
   }
 
-  static RunningProcess start(Path folder, String name, String... arguments) throws IOException {
+  public static RunningProcess start(Path folder, String name, String... arguments)
+      throws IOException {
     List<String> command = new ArrayList<>();
     command.add(System.getProperty("cuminrack.binary"));
     command.addAll(Arrays.asList(arguments));
@@ -44,7 +45,7 @@
   }
 
   /** Waits for the {@code started} log line and returns the value of one of its keys. */
-  String awaitStarted(String key) {
+  public String awaitStarted(String key) {
     Pattern pattern = Pattern.compile("event=started .*\\b" + key + "=(\\S+)");
     return Conditions.awaitValue(
         name + " to start", START_TIMEOUT, () -> findInLog(pattern), this::logText);
@@ -59,7 +60,7 @@
     return matcher.find() ? matcher.group(1) : null;
   }
 
-  String logText() {
+  public String logText() {
     try {
       return Files.readString(logFile);
     } catch (IOException e) {
@@ -67,12 +68,12 @@
     }
   }
 
-  boolean isAlive() {
+  public boolean isAlive() {
     return process.isAlive();
   }
 
   /** Kills the process with SIGKILL and waits for its exit. */
-  void kill() throws InterruptedException {
+  public void kill() throws InterruptedException {
     process.destroyForcibly().waitFor();
   }
 
@@ -89,12 +90,12 @@
   }
 
   /** Suspends the process with SIGSTOP. */
-  void freeze() throws Exception {
+  public void freeze() throws Exception {
     signal("STOP");
   }
 
   /** Resumes the process with SIGCONT after {@link #freeze()}. */
-  void thaw() throws Exception {
+  public void thaw() throws Exception {
     signal("CONT");
   }
 
