Close upstream connections that send bytes without end

Callers saw: with an upstream that sends no answer but bytes without end, their request failed only at the route's timeout; with a chunk size or trailers without end the gateway answered nobody any more. Cause: what the HTTP client reads before it has a head, a chunk size or the end of trailers had no bound, and its parser reads in a loop as long as bytes come, so a gateway's one I/O thread never ran its timers. Error answers of engines and of copy calls had no bound either, nor had the number of events of a stream. Change: UpstreamExchange counts bytes that become neither a head nor a part of a body and ends after 64 KB. The client has no hook below its parser, so LimitingIoThread wraps the connection as it is opened. Error bodies end at the size of a plain answer, streams after one event for each token that the caller asked for and a few more. Also: the stand-in that crashes no longer fails when a connection closes at the same moment.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -186,6 +186,10 @@
   @Override
   public void bodyReceived(ByteBuffer bytes) {
     if (!isStream()) {
+      if (refusalBody.size() + bytes.remaining() > context.bounds().maxResponseBytes()) {
+        lost("the answer is larger than allowed");
+        return;
+      }
       byte[] chunk = new byte[bytes.remaining()];
       bytes.get(chunk);
       refusalBody.write(chunk, 0, chunk.length);
@@ -194,7 +198,7 @@
     Optional<String> error = splitter.feed(bytes);
     if (error.isPresent()) {
       lost(error.get());
-    } else {
+    } else if (!closed) {
       listener.eventsRead();
     }
   }
--- a/src/main/java/org/cuminrack/gateway/MemoryMove.java
+++ b/src/main/java/org/cuminrack/gateway/MemoryMove.java
@@ -134,6 +134,10 @@
 
     @Override
     public void bodyReceived(ByteBuffer bytes) {
+      if (body.size() + bytes.remaining() > io.bounds().maxResponseBytes()) {
+        fail("the answer is larger than allowed");
+        return;
+      }
       byte[] chunk = new byte[bytes.remaining()];
       bytes.get(chunk);
       body.write(chunk, 0, chunk.length);
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -32,11 +32,15 @@
   /** Interval at which the engine of a stream is checked: whether it is leaving or lost. */
   private static final Duration ENGINE_CHECK_INTERVAL = Duration.ofMillis(200);
 
+  /** Events of a stream beyond one for each token, such as one that ends it. */
+  private static final int MAX_EVENTS_WITHOUT_TOKENS = 64;
+
   private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
   private final GatewayContext context;
   private final GatewayCall call;
   private final MemoryNeed need;
+  private final int maxEvents;
   private final CallerSink sink;
   private final GenerationAdmission admission;
   private final StreamProgress progress;
@@ -51,6 +55,11 @@
     this.context = context;
     this.call = call;
     this.need = MemoryNeed.of(call.head().demand(), engine);
+    this.maxEvents =
+        call.head()
+            .demand()
+            .map(demand -> demand.maxOutputTokens() + MAX_EVENTS_WITHOUT_TOKENS)
+            .orElse(Integer.MAX_VALUE);
     this.sink = new CallerSink(call.exchange(), context.clock(), this);
     this.admission =
         new GenerationAdmission(
@@ -137,6 +146,13 @@
 
   @Override
   public void event(String id, byte[] bytes) {
+    if (current.isClosed()) {
+      return;
+    }
+    if (progress.eventCount() >= maxEvents) {
+      current.lost("more than " + maxEvents + " events");
+      return;
+    }
     if (progress.eventCount() == 0) {
       call.recordFirstEvent();
     }
--- /dev/null
+++ b/src/main/java/org/cuminrack/relay/LimitedSourceConduit.java
@@ -0,0 +1,47 @@
+package org.cuminrack.relay;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** Counts the bytes read from a connection against a {@link ReadLimit}. */
+final class LimitedSourceConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+  private final ReadLimit limit;
+
+  LimitedSourceConduit(StreamSourceConduit next, ReadLimit limit) {
+    super(next);
+    this.limit = limit;
+  }
+
+  @Override
+  public int read(ByteBuffer buffer) throws IOException {
+    int count = super.read(buffer);
+    limit.recordRead(count);
+    return count;
+  }
+
+  @Override
+  public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
+    long count = super.read(buffers, offset, length);
+    limit.recordRead(count);
+    return count;
+  }
+
+  @Override
+  public long transferTo(long position, long count, FileChannel target) throws IOException {
+    long transferred = super.transferTo(position, count, target);
+    limit.recordRead(transferred);
+    return transferred;
+  }
+
+  @Override
+  public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target)
+      throws IOException {
+    long transferred = super.transferTo(count, throughBuffer, target);
+    limit.recordRead(transferred);
+    return transferred;
+  }
+}
--- a/src/main/java/org/cuminrack/relay/UpstreamExchange.java
+++ b/src/main/java/org/cuminrack/relay/UpstreamExchange.java
@@ -32,10 +32,14 @@
   /** Maximum reads per callback, so that other exchanges on the thread are not starved. */
   private static final int MAX_READS_PER_CALLBACK = 4;
 
+  /** Four times the largest head that callers may send. */
+  private static final int MAX_UNPARSED_BYTES = 64 << 10;
+
   private final UpstreamRequest request;
   private final UpstreamListener listener;
   private final IoContext io;
   private final ByteBuffer requestBody;
+  private final ReadLimit readLimit = new ReadLimit(MAX_UNPARSED_BYTES);
   private XnioExecutor.Key connectTimer;
   private ClientConnection connection;
   private StreamSourceChannel source;
@@ -65,7 +69,7 @@
         .connect(
             callback(this::connected, this::connectFailed),
             URI.create("http://" + request.address()),
-            io.thread(),
+            LimitingIoThread.of(io.thread(), readLimit),
             io.buffers(),
             OptionMap.create(Options.TCP_NODELAY, true));
   }
@@ -143,6 +147,7 @@
     if (ended) {
       return;
     }
+    readLimit.recordProgress();
     source = exchange.getResponseChannel();
     source.getReadSetter().set(channel -> read());
     listener.responseStarted(
@@ -165,6 +170,7 @@
         if (count == 0) {
           break;
         }
+        readLimit.recordProgress();
         listener.bodyReceived(buffer.flip());
       }
       if (!ended && !suspended) {
--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -108,14 +108,20 @@
       listener.close();
       held.countDown();
       crashes.incrementAndGet();
-      for (Socket connection : connections) {
-        connection.setSoLinger(true, 0);
-        connection.close();
-      }
+      connections.forEach(CrashingUpstream::reset);
       supervisor.schedule(this::restart, RESTART_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
+  private static void reset(Socket connection) {
+    try {
+      connection.setSoLinger(true, 0);
+      connection.close();
+    } catch (IOException e) {
+      // Closed by the thread that served it.
+    }
+  }
+
   private void acceptUntilClosed(ServerSocket socket) {
     while (!socket.isClosed()) {
       try {
--- a/src/test/java/org/cuminrack/platform/PlatformFixture.java
+++ b/src/test/java/org/cuminrack/platform/PlatformFixture.java
@@ -43,7 +43,8 @@
        "services":[{"name":"shop","health-path":"/health","max-conns":96},
         {"name":"llm","health-path":"/health","max-conns":222,"engine":{"slots":24,
          "kv-capacity-tokens":34000,"stride":4,"backups":true,"moves":true}}],
-       "tenants":[{"name":"org-1","api-keys":["key-1"],"priority":1}]}""";
+       "tenants":[{"name":"org-1","api-keys":["key-1"],"priority":1}]}\
+      """;
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
@@ -142,11 +143,17 @@
   /** Repeats an upstream's heartbeat until it is acknowledged. */
   void announce(
       String id, String service, FakeUpstream upstream, String zone, String state, int seq) {
+    announce(id, service, upstream.address(), zone, state, seq);
+  }
+
+  /** Repeats the heartbeat of an upstream at an address until it is acknowledged. */
+  void announce(String id, String service, String address, String zone, String state, int seq) {
     String report =
         """
         {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":6,"state":"%s",
-         "cold-left-ms":0,"call-seq":%d,"born":1786843519001}"""
-            .formatted(service, upstream.address(), zone, state, seq);
+         "cold-left-ms":0,"call-seq":%d,"born":1786843519001}\
+        """
+            .formatted(service, address, zone, state, seq);
     callUntilAcknowledged("POST", "/instances/" + id + "/heartbeat", report);
   }
 
