Take sends after a misdirected one from the retry budget

Callers saw: nothing; upstreams of a service whose addresses were in use by others got up to three arrivals more for each request, outside every budget. Cause: a 421 was handled as a dispatch that was never sent, but it is an arrival that the upstream rejected. Evidence: with one upstream that answers 421, 40 requests arrived 160 times, where 64 are allowed (40, a slack of 20 and a tenth). Change: the next send after a 421 takes a retry from the budget; without one the request is refused as not run. Plain requests and generations. Measured: PlainRequestPathTest failed before and passes.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -107,6 +107,11 @@
     return sent;
   }
 
+  /** Returns whether another upstream than the intended one rejected the request. */
+  boolean wasMisdirected() {
+    return responseHead != null && responseHead.misdirected();
+  }
+
   int status() {
     return status;
   }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -256,7 +256,7 @@
       if (responseHead.misdirected()) {
         context.counters().add(GatewayCounters.Kind.MISDIRECTED_SENDS);
         context.health().recordFailure(reservation.upstream().id());
-        notSent(NotSentReason.NOT_PERMITTED);
+        onMisdirected();
       } else if (responseHead.notExecuted()) {
         onNotExecuted();
       } else if (status >= SERVER_ERROR && tryAcquireRetry()) {
@@ -266,6 +266,15 @@
       }
     }
 
+    /** Sends the request to another upstream; the one that rejected it counts as a retry. */
+    private void onMisdirected() {
+      if (call.tryAcquireRetry()) {
+        notSent(NotSentReason.NOT_PERMITTED);
+      } else {
+        refuse(GatewayFailure.NOT_SENT, "misdirected");
+      }
+    }
+
     private void onNotExecuted() {
       if (tryAcquireRetry()) {
         retry("not run, status " + status);
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -180,6 +180,8 @@
     unsentDispatches++;
     if (call.isSuspended()) {
       call.fail(GatewayFailure.SUSPENDED, Optional.of(RETRY_AFTER), "");
+    } else if (dispatch.wasMisdirected() && !call.tryAcquireRetry()) {
+      call.fail(GatewayFailure.NOT_SENT, Optional.of(RETRY_AFTER), "misdirected");
     } else if (unsentDispatches >= MAX_UNSENT_DISPATCHES) {
       call.fail(GatewayFailure.NOT_SENT, Optional.of(RETRY_AFTER), "connect");
     } else {
--- a/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
+++ b/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
@@ -87,6 +87,36 @@
     assertThat(failing.requests).hasSize(1);
   }
 
+  /** The fixture's gateway has the default budget: 20 retries and a tenth of the requests. */
+  @Test
+  void shouldTakeRetriesAfterMisdirectedRequestsFromTheBudget() throws Exception {
+    FakeUpstream good = platform.startUpstream();
+    announceAndAwait("i-1", "shop", good, "dc-a", "/read/warm");
+    FakeUpstream other = platform.startUpstream().withScript(PlainRequestPathTest::misdirect);
+    platform.announce("i-1", "shop", good, "dc-a", "draining", 2);
+    platform.announce("i-2", "shop", other, "dc-a", "ready", 1);
+    PlatformFixture.await(
+        "the gateway to send requests to i-2",
+        () -> {
+          platform.call("w-2", "GET", "/read/warm", KEY);
+          return !other.requests.isEmpty();
+        });
+    other.requests.clear();
+
+    for (int i = 0; i < 40; i++) {
+      assertThat(platform.call("m-" + i, "GET", "/read/x", KEY)).startsWith("HTTP/1.1 503 ");
+    }
+
+    assertThat(other.requests.size()).isAtMost(40 + 20 + 4);
+  }
+
+  private static void misdirect(com.sun.net.httpserver.HttpExchange exchange)
+      throws java.io.IOException {
+    exchange.getRequestBody().readAllBytes();
+    exchange.sendResponseHeaders(421, -1);
+    exchange.close();
+  }
+
   @Test
   void shouldRejectAnUnknownKeyAndAnUnknownPath() throws Exception {
     assertThat(platform.call("a-1", "GET", "/read/x", "Authorization: Bearer none"))
