Share the retry slack by the most gateways seen

Cause: a gateway fixed its share of a service's slack by the gateways that it knew at the service's first request. After a loss of all, control hears of the gateways one by one, and one that served first kept the whole slack for good. Evidence: RetryBudgetsTest, a gateway that was the only one listed at its first request made 30 retries where its share is 5. Change: the share follows the most gateways that were listed so far, and what is saved up beyond it is lost. Measured: the test failed before and passes.

--- a/src/main/java/org/cuminrack/gateway/RetryBudgets.java
+++ b/src/main/java/org/cuminrack/gateway/RetryBudgets.java
@@ -7,9 +7,8 @@
 
 /**
  * This gateway's share of each service's retry budget. Each gateway gets an equal share of the
- * slack, by the number of gateways at the service's first request, and earns the rest from its own
- * requests, so that all gateways together stay within the limit without coordination. Thread-safe:
- * one lock.
+ * slack and earns the rest from its own requests, so that all gateways together stay within the
+ * limit without coordination. Thread-safe: one lock.
  */
 final class RetryBudgets {
   /**
@@ -21,6 +20,7 @@
   private final GatewaySettings settings;
   private final IntSupplier gatewayCount;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private int mostGateways = 1;
 
   RetryBudgets(GatewaySettings settings, IntSupplier gatewayCount) {
     this.settings = settings;
@@ -38,12 +38,14 @@
   }
 
   private RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(
-        service,
-        key -> {
-          double slack =
-              USABLE_BUDGET_SHARE * settings.retrySlack() / Math.max(1, gatewayCount.getAsInt());
-          return new RetryBudget(settings.retryShare() * USABLE_BUDGET_SHARE, slack, slack);
-        });
+    // Right after a start of control, a gateway hears of the others one by one.
+    mostGateways = Math.max(mostGateways, gatewayCount.getAsInt());
+    double slack = USABLE_BUDGET_SHARE * settings.retrySlack() / mostGateways;
+    RetryBudget budget =
+        budgets.computeIfAbsent(
+            service,
+            key -> new RetryBudget(settings.retryShare() * USABLE_BUDGET_SHARE, slack, slack));
+    budget.limitTo(slack);
+    return budget;
   }
 }
--- a/src/main/java/org/cuminrack/pool/RetryBudget.java
+++ b/src/main/java/org/cuminrack/pool/RetryBudget.java
@@ -10,7 +10,7 @@
   private static final double INITIAL_TOKENS = 5;
 
   private final double share;
-  private final double maxTokens;
+  private double maxTokens;
   private double tokens;
 
   RetryBudget() {
@@ -30,6 +30,12 @@
     this.tokens = initialTokens;
   }
 
+  /** Changes the maximum number of retries saved up; retries beyond it are lost. */
+  public void limitTo(double newMaxTokens) {
+    maxTokens = newMaxTokens;
+    tokens = Math.min(tokens, maxTokens);
+  }
+
   /** Counts an attempt and returns whether it is allowed. First attempts are always allowed. */
   public boolean tryAcquire(int attempt) {
     if (attempt <= 1) {
