Reset connections that a crashed test upstream still accepts

Seen: four tests of crashing engines failed beside load, 33 of 600 repetitions on; in 77 of 79 traced failures ScriptedUpstream answered the probe 404 on a connection that its accept call returned after crash() had closed the socket, so no crash was reported. Cause: crash() resets the connections registered so far, and a thread that is just accepting registers its connection afterwards. Change: a connection registers under the lock of crash() and is reset if the upstream has crashed. The checks, bounds and fixtures stay.

--- a/src/test/java/org/cuminrack/relay/ScriptedUpstream.java
+++ b/src/test/java/org/cuminrack/relay/ScriptedUpstream.java
@@ -96,7 +96,10 @@
 
   private void serve(Socket socket) {
     try (ScriptedConnection connection = new ScriptedConnection(socket)) {
-      connections.add(connection);
+      if (!register(connection)) {
+        connection.reset();
+        return;
+      }
       String line = connection.readRequest();
       if (line.isEmpty()) {
         return;
@@ -108,6 +111,12 @@
     }
   }
 
+  /** Returns false if the upstream has crashed since the connection was accepted. */
+  private synchronized boolean register(ScriptedConnection connection) {
+    connections.add(connection);
+    return !server.isClosed();
+  }
+
   private Script script(String line) {
     return scripts.entrySet().stream()
         .filter(entry -> line.startsWith(entry.getKey()))
