Let a flush of the log wait for records that are being written

Cause: flush returned when the queue was empty, but the writer takes records from the queue before it writes them. Change: flush waits until as many records are written as were queued.

--- a/src/main/java/org/cuminrack/log/BoundedHandler.java
+++ b/src/main/java/org/cuminrack/log/BoundedHandler.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Handler;
@@ -23,7 +22,12 @@
   private final BlockingQueue<LogRecord> queue;
   private final AtomicLong dropped = new AtomicLong();
   private final PrintStream out;
-  private volatile CountDownLatch drained = new CountDownLatch(0);
+  private final AtomicLong queued = new AtomicLong();
+
+  /** Guards the number of records written, and is notified when it grows. */
+  private final Object writtenLock = new Object();
+
+  private long written;
 
   BoundedHandler(PrintStream out) {
     this(out, QUEUE_CAPACITY);
@@ -40,7 +44,12 @@
 
   @Override
   public void publish(LogRecord record) {
-    if (isLoggable(record) && !queue.offer(record)) {
+    if (!isLoggable(record)) {
+      return;
+    }
+    if (queue.offer(record)) {
+      queued.incrementAndGet();
+    } else {
       dropped.incrementAndGet();
     }
   }
@@ -52,10 +61,8 @@
         batch.add(queue.take());
         queue.drainTo(batch);
         writeBatch(batch);
+        recordWritten(batch.size());
         batch.clear();
-        if (queue.isEmpty()) {
-          drained.countDown();
-        }
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -74,16 +81,31 @@
     out.flush();
   }
 
-  /** Waits until the queue is drained, with a timeout in case the output is stalled. */
+  private void recordWritten(int count) {
+    synchronized (writtenLock) {
+      written += count;
+      writtenLock.notifyAll();
+    }
+  }
+
+  /**
+   * Waits until all records published so far are written, with a timeout in case the output is
+   * stalled.
+   */
   @Override
   public void flush() {
-    CountDownLatch latch = new CountDownLatch(1);
-    drained = latch;
-    if (queue.isEmpty()) {
-      return;
-    }
+    long target = queued.get();
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_TIMEOUT_MILLIS);
     try {
-      latch.await(FLUSH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      synchronized (writtenLock) {
+        while (written < target) {
+          long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+          if (leftMillis <= 0) {
+            return;
+          }
+          writtenLock.wait(leftMillis);
+        }
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
