--- a/src/main/java/org/cuminrack/cli/Rehearsal.java
+++ b/src/main/java/org/cuminrack/cli/Rehearsal.java
@@ -56,8 +56,8 @@
     List<ManagedService> started = new ArrayList<>();
     try {
       HttpClient client = start(started, new HttpClient());
-      HttpServer shop = start(started, newUpstream());
-      HttpServer engine = start(started, newUpstream());
+      HttpServer shop = start(started, newUpstream(Port.SHOP));
+      HttpServer engine = start(started, newUpstream(Port.ENGINE));
       for (String host : hosts) {
         start(
             started,
@@ -91,9 +91,9 @@
     return IntStream.rangeClosed(1, CONTROL_PROCESSES).mapToObj(each -> network + each).toList();
   }
 
-  private HttpServer newUpstream() {
+  private HttpServer newUpstream(Port purpose) {
     return new HttpServer(
-        InetSocketAddress.createUnresolved(hosts.get(0), 0),
+        InetSocketAddress.createUnresolved(hosts.get(0), port(purpose)),
         new RehearsalUpstream(),
         MAX_BODY_BYTES);
   }
@@ -199,7 +199,8 @@
         data_folder: "%4$s"
         control_address: "%1$s:%5$d"
         directory_address: "%1$s:%6$d"
-        %7$s"""
+        %7$s\
+        """
             .formatted(
                 host,
                 port(Port.CONTROL_WIRE),
@@ -227,7 +228,8 @@
         ready_address: "%s"
         control_wire_port: %d
         stop_timeout_millis: 100
-        %s"""
+        %s\
+        """
             .formatted(
                 hostAndPort(Port.GATEWAY_WIRE),
                 hostAndPort(Port.GATEWAY_HTTP),
@@ -248,6 +250,8 @@
     GATEWAY_WIRE,
     GATEWAY_HTTP,
     CALLERS,
-    READY
+    READY,
+    SHOP,
+    ENGINE
   }
 }
