Answer watch calls once for many changes of suspects

Callers saw: nothing yet; found by working out the cost of the suspects. Cause: each crash report answered every gateway's watch call at every control VM. Five upstreams that end at once at 77 gateways are up to 385 reports, and as many answers to each gateway. Change: answers follow 50 ms after a change of suspects. The sharing of announcements leaves FleetControl, which had grown too long. Measured: the process tests of crashing requests pass; the number of answers was not measured.

--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -4,15 +4,15 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cuminrack.control.ControlState;
@@ -50,8 +50,11 @@
    */
   private static final Duration SHARE_INTERVAL = Duration.ofMillis(500);
 
-  /** Shorter than the 1 s that upstreams wait for the acknowledgement of an announcement. */
-  private static final Duration SHARE_TIMEOUT = Duration.ofMillis(700);
+  /**
+   * Delay of responses after a change of suspects. Many upstreams may end at once, each reported by
+   * every gateway, and each response goes to every gateway.
+   */
+  private static final Duration SUSPECTS_DELAY = Duration.ofMillis(50);
 
   private final UpstreamTable upstreams = new UpstreamTable();
   private final GatewayTable gateways = new GatewayTable();
@@ -61,13 +64,11 @@
 
   private final WatchResponses responses;
   private final PendingWatches watches;
-  private final WireClient wire;
+  private final AnnouncementSharing sharing;
   private final BooleanSupplier stateIsCurrent;
-  private final Supplier<Set<String>> voterAddresses;
-  private final String ownAddress;
   private final Clock clock;
+  private final AtomicBoolean responseDue = new AtomicBoolean();
   private ScheduledExecutorService worker;
-  private long lastSharedChange;
 
   /**
    * Creates a service.
@@ -88,13 +89,11 @@
         new WatchResponses(
             bootId, state, stateIsCurrent, upstreams, gateways, voterAddresses, clock);
     this.watches = new PendingWatches(responses::build);
-    this.wire = wire;
+    this.sharing = new AnnouncementSharing(wire, voterAddresses, ownAddress, clock);
     this.stateIsCurrent = stateIsCurrent;
-    this.voterAddresses = voterAddresses;
-    this.ownAddress = ownAddress;
     this.clock = clock;
     state.onRoutingChange(watches::respondToAll);
-    state.onSuspectChange(watches::respondToAll);
+    state.onSuspectChange(this::respondSoon);
   }
 
   /** Registers this service's methods with a server; call before the server starts. */
@@ -152,43 +151,7 @@
     }
     logRoutingChange(announced, "announcement");
     watches.respondToAll();
-    return shareAndAwaitOneOther(announced);
-  }
-
-  private CompletableFuture<Boolean> shareAndAwaitOneOther(UpstreamRecord announced) {
-    Set<String> otherVoters = otherVoters();
-    if (otherVoters.isEmpty()) {
-      return CompletableFuture.completedFuture(true);
-    }
-    CompletableFuture<Boolean> shared = new CompletableFuture<>();
-    byte[] payload = shareCall(List.of(announced));
-    List<CompletableFuture<?>> calls = new ArrayList<>();
-    for (String address : otherVoters) {
-      calls.add(
-          wire.call(address, Method.SHARE_UPSTREAMS, payload, SHARE_TIMEOUT)
-              .thenAccept(
-                  outcome -> {
-                    if (outcome.isRight()) {
-                      shared.complete(true);
-                    }
-                  }));
-    }
-    CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
-        .whenComplete((done, failure) -> shared.complete(false));
-    return shared;
-  }
-
-  private Set<String> otherVoters() {
-    Set<String> otherVoters = new TreeSet<>(voterAddresses.get());
-    otherVoters.remove(ownAddress);
-    return otherVoters;
-  }
-
-  private byte[] shareCall(List<UpstreamRecord> records) {
-    long nowNanos = clock.nanoTime();
-    ShareCall.Builder call = ShareCall.newBuilder();
-    records.forEach(upstream -> call.addUpstreams(FleetCodec.data(upstream, nowNanos)));
-    return call.build().toByteArray();
+    return sharing.shareAndAwaitOneOther(announced);
   }
 
   private CompletableFuture<byte[]> mergeShared(byte[] payload) {
@@ -226,25 +189,13 @@
 
   private void shareAndRemoveSilent() {
     try {
-      shareChanged();
+      sharing.shareChanged(upstreams);
       upstreams.removeSilent(clock.nanoTime());
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.named("fleet-share-failed"));
     }
   }
 
-  private void shareChanged() {
-    long change = upstreams.lastChange();
-    List<UpstreamRecord> changed = upstreams.changedAfter(lastSharedChange);
-    lastSharedChange = change;
-    if (changed.isEmpty()) {
-      return;
-    }
-    byte[] payload = shareCall(changed);
-    otherVoters()
-        .forEach(address -> wire.call(address, Method.SHARE_UPSTREAMS, payload, SHARE_TIMEOUT));
-  }
-
   CompletableFuture<byte[]> watch(byte[] payload) {
     WatchCall call;
     try {
@@ -266,9 +217,33 @@
     if (isForOtherBoot || responses.hasNewStateFor(call)) {
       return CompletableFuture.completedFuture(responses.build(call));
     }
+    if (responses.hasNewerSuspects(call)) {
+      respondSoon();
+    }
     return awaitChange(call);
   }
 
+  /** Responds to all pending calls after a short delay, so that one response has many changes. */
+  private void respondSoon() {
+    ScheduledExecutorService timer;
+    synchronized (this) {
+      timer = worker;
+    }
+    if (timer == null || !responseDue.compareAndSet(false, true)) {
+      return;
+    }
+    try {
+      timer.schedule(this::respondNow, SUSPECTS_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      // The service was stopped concurrently; no gateway waits for a response any more.
+    }
+  }
+
+  private void respondNow() {
+    responseDue.set(false);
+    watches.respondToAll();
+  }
+
   private CompletableFuture<byte[]> awaitChange(WatchCall call) {
     ScheduledExecutorService timer;
     synchronized (this) {
--- a/src/main/java/org/cuminrack/fleet/WatchResponses.java
+++ b/src/main/java/org/cuminrack/fleet/WatchResponses.java
@@ -45,21 +45,21 @@
   }
 
   /**
-   * Returns whether this VM's state is current and the gateway does not know its routing or its
-   * suspects yet, or does not know that it is current. A gateway waits for a quorum of control VMs
-   * to report a current state before it serves.
+   * Returns whether this VM's state is current and the gateway does not know its routing yet, or
+   * does not know that it is current. A gateway waits for a quorum of control VMs to report a
+   * current state before it serves.
    */
   boolean hasNewStateFor(WatchCall call) {
-    return stateIsCurrent.getAsBoolean()
-        && (hasNewerRouting(call) || hasNewerSuspects(call) || !call.getKnownCurrent());
+    return stateIsCurrent.getAsBoolean() && (hasNewerRouting(call) || !call.getKnownCurrent());
   }
 
   private boolean hasNewerRouting(WatchCall call) {
     return state.routing().getRevision() > call.getRoutingRevision();
   }
 
-  private boolean hasNewerSuspects(WatchCall call) {
-    return state.suspectsRevision() > call.getSuspectsRevision();
+  /** Returns whether this VM's state is current and suspects changed after the call's revision. */
+  boolean hasNewerSuspects(WatchCall call) {
+    return stateIsCurrent.getAsBoolean() && state.suspectsRevision() > call.getSuspectsRevision();
   }
 
   /** Returns everything that changed after what the call names. */
