Count a caller that reads too slowly once

Cause: the check runs at an interval, and a response that was aborted stays blocked, so each further run counted and cancelled again until another event removed the timer. Change: the check removes its timer when it ends the response.

--- a/src/main/java/org/cuminrack/relay/GenerationExchange.java
+++ b/src/main/java/org/cuminrack/relay/GenerationExchange.java
@@ -145,6 +145,7 @@
   private void checkSlowCaller() {
     Duration limit = context.bounds().unreadDataTimeout();
     if (response.stream().isBlockedFor(limit)) {
+      progressTimer.remove();
       context.counters().add(RelayCounters.SLOW_CALLERS);
       if (!ended) {
         engineStream.cancel();
