--- a/src/main/java/org/cuminrack/cli/Rehearsal.java
+++ b/src/main/java/org/cuminrack/cli/Rehearsal.java
@@ -199,8 +199,7 @@
         data_folder: "%4$s"
         control_address: "%1$s:%5$d"
         directory_address: "%1$s:%6$d"
-        %7$s\
-        """
+        %7$s"""
             .formatted(
                 host,
                 port(Port.CONTROL_WIRE),
@@ -228,8 +227,7 @@
         ready_address: "%s"
         control_wire_port: %d
         stop_timeout_millis: 100
-        %s\
-        """
+        %s"""
             .formatted(
                 hostAndPort(Port.GATEWAY_WIRE),
                 hostAndPort(Port.GATEWAY_HTTP),
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -93,7 +93,9 @@
     return addresses.stream()
         .collect(
             Collectors.toMap(
-                address -> address.substring(0, address.lastIndexOf(':')), address -> address));
+                address -> address.substring(0, address.lastIndexOf(':')),
+                address -> address,
+                (first, second) -> first));
   }
 
   /** Returns, by control VM address, whether the last call was answered, for the dump. */
--- a/src/main/java/org/cuminrack/fleet/SuspectTable.java
+++ b/src/main/java/org/cuminrack/fleet/SuspectTable.java
@@ -46,8 +46,8 @@
 
   /** Applies an update of control, unless a newer one was applied. */
   synchronized void apply(SuspectUpdate update) {
-    boolean joins = update.getWhole() || update.getBaseRevision() <= revision;
-    if (update.getRevision() <= revision || !joins) {
+    boolean followsOn = update.getWhole() || update.getBaseRevision() <= revision;
+    if (update.getRevision() <= revision || !followsOn) {
       return;
     }
     revision = update.getRevision();
--- a/src/main/java/org/cuminrack/gateway/CrashSuspects.java
+++ b/src/main/java/org/cuminrack/gateway/CrashSuspects.java
@@ -19,10 +19,10 @@
 /**
  * Recognises requests that crash the upstreams that run them, by content, over all gateways.
  *
- * <p>Each crash of an upstream counts against the requests that ran on it. A request is suspended
- * after {@link #MAX_CRASHES} crashes, each of which it was sent into after the one before was
- * known, with no completed run of equal content in between. A completed run clears the suspicion.
- * Control keeps the counts and permits a suspended request to run again after a while.
+ * <p>Each crash of an upstream counts against the requests that ran on it, unless a request was
+ * sent before the crash that was counted last was known. A completed run of equal content clears
+ * the count. After {@link #MAX_CRASHES} counted crashes the request is suspended. Control keeps the
+ * counts and permits a suspended request to run again after a while.
  *
  * <p>Thread-safe.
  */
--- a/src/test/java/org/cuminrack/fleet/SuspectTableTest.java
+++ b/src/test/java/org/cuminrack/fleet/SuspectTableTest.java
@@ -34,7 +34,7 @@
   }
 
   @Test
-  void shouldIgnoreAnUpdateThatDoesNotJoin() {
+  void shouldIgnoreAnUpdateAfterAGap() {
     table.apply(update(9, 10, 3));
 
     assertThat(table.crashes(REQUEST)).isEqualTo(0);
--- a/src/test/java/org/cuminrack/platform/GatewayCluster.java
+++ b/src/test/java/org/cuminrack/platform/GatewayCluster.java
@@ -29,8 +29,7 @@
   private static final String HEARTBEAT =
       """
       {"service":"%s","address":"%s","zone":"dc-a","version":"v1","slots":6,"state":"ready",
-       "cold-left-ms":0,"call-seq":%d,"born":%d}\
-      """;
+       "cold-left-ms":0,"call-seq":%d,"born":%d}""";
 
   private final Path folder;
   private final HttpClient http =
@@ -226,8 +225,7 @@
         directory_address: "%1$s:%6$d"
         heartbeat_millis: 60
         election_timeout_millis: 300
-        %7$s\
-        """
+        %7$s"""
             .formatted(
                 host,
                 controlWirePort,
@@ -253,8 +251,7 @@
         ready_address: "127.0.0.1:%d"
         control_wire_port: %d
         retry_slack: 1000
-        %s\
-        """
+        %s"""
             .formatted(
                 name,
                 FreePorts.port(),
--- a/src/test/java/org/cuminrack/platform/PlatformFixture.java
+++ b/src/test/java/org/cuminrack/platform/PlatformFixture.java
@@ -43,8 +43,7 @@
        "services":[{"name":"shop","health-path":"/health","max-conns":96},
         {"name":"llm","health-path":"/health","max-conns":222,"engine":{"slots":24,
          "kv-capacity-tokens":34000,"stride":4,"backups":true,"moves":true}}],
-       "tenants":[{"name":"org-1","api-keys":["key-1"],"priority":1}]}\
-      """;
+       "tenants":[{"name":"org-1","api-keys":["key-1"],"priority":1}]}""";
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
@@ -151,8 +150,7 @@
     String report =
         """
         {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":6,"state":"%s",
-         "cold-left-ms":0,"call-seq":%d,"born":1786843519001}\
-        """
+         "cold-left-ms":0,"call-seq":%d,"born":1786843519001}"""
             .formatted(service, address, zone, state, seq);
     callUntilAcknowledged("POST", "/instances/" + id + "/heartbeat", report);
   }
