Move a call's suspicion and bounded bodies into types of their own

GatewayCall and PlainRelay had grown by the suspects and the read limits; three places collected a body up to a limit. CallSuspicion and BoundedBody hold these now; no behaviour changes.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -21,7 +21,7 @@
   private final Optional<ResumePoint> resumedFrom;
   private final Listener listener;
   private final EventSplitter splitter;
-  private final ByteString.Output refusalBody = ByteString.newOutput();
+  private final BoundedBody refusalBody;
   private UpstreamExchange exchange;
   private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
   private ResponseHead responseHead;
@@ -43,6 +43,7 @@
     this.backup = backup;
     this.resumedFrom = resumedFrom;
     this.listener = listener;
+    this.refusalBody = new BoundedBody(context.bounds().maxResponseBytes());
     this.splitter = new EventSplitter(MAX_EVENT_BYTES, listener::event);
   }
 
@@ -156,7 +157,7 @@
   public boolean maySend() {
     sent = call.maySendTo(reservation.upstream());
     if (sent) {
-      suspectDispatch = Optional.of(call.registerDispatch(reservation.upstream()));
+      suspectDispatch = Optional.of(call.suspicion().registerDispatch(reservation.upstream()));
     }
     return sent;
   }
@@ -191,13 +192,9 @@
   @Override
   public void bodyReceived(ByteBuffer bytes) {
     if (!isStream()) {
-      if (refusalBody.size() + bytes.remaining() > context.bounds().maxResponseBytes()) {
+      if (!refusalBody.append(bytes)) {
         lost("the answer is larger than allowed");
-        return;
       }
-      byte[] chunk = new byte[bytes.remaining()];
-      bytes.get(chunk);
-      refusalBody.write(chunk, 0, chunk.length);
       return;
     }
     Optional<String> error = splitter.feed(bytes);
@@ -261,7 +258,7 @@
     Runnable notifyListener = () -> listener.lost(this, detail);
     // The listener needs the result of the check only if it decides whether the request is
     // suspended; otherwise a resumed stream need not wait for it.
-    boolean waits = lostDispatch.isPresent() && call.isOneCrashFromSuspension();
+    boolean waits = lostDispatch.isPresent() && call.suspicion().isOneCrashFromSuspension();
     lostDispatch.ifPresent(dispatch -> dispatch.lost(call.io(), waits ? notifyListener : () -> {}));
     if (!waits) {
       notifyListener.run();
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
-import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerExchanges;
@@ -38,13 +37,10 @@
   private final RequestHead head;
   private final Optional<KeyHolder> keyHolder;
   private final ByteString body;
-  private final Fingerprint fingerprint;
+  private final CallSuspicion suspicion;
   private final IoContext io;
   private final long arrivedNanos;
-  private final int crashesAtArrival;
   private int sendCount;
-  private int lostDispatches;
-  private boolean onTrial;
   private String upstreamId = "none";
   private long firstEventMillis = -1;
   private boolean ended;
@@ -65,21 +61,12 @@
     this.head = head;
     this.keyHolder = keyHolder;
     this.body = body;
-    this.fingerprint = fingerprint(exchange, keyHolder, body);
-    this.crashesAtArrival = context.suspects().crashes(fingerprint);
+    this.suspicion =
+        CallSuspicion.of(context.suspects(), exchange, pathAndQuery(exchange), keyHolder, body);
     this.io = IoContext.of(exchange, context.bounds());
     this.arrivedNanos = arrivedNanos;
   }
 
-  /** Identifies the request when its caller sends it again under another attempt id. */
-  private static Fingerprint fingerprint(
-      HttpServerExchange exchange, Optional<KeyHolder> keyHolder, ByteString body) {
-    return Fingerprint.of(
-        keyHolder.map(KeyHolder::organisation).orElse(""),
-        exchange.getRequestMethod() + " " + exchange.getHostAndPort() + pathAndQuery(exchange),
-        body.toByteArray());
-  }
-
   HttpServerExchange exchange() {
     return exchange;
   }
@@ -157,49 +144,24 @@
    * trial of it is due; then the call fails.
    */
   void startUnlessSuspended(Runnable start) {
-    context
-        .suspects()
-        .admit(
-            fingerprint,
-            io::execute,
-            trial -> {
-              onTrial = trial;
-              if (!ended) {
-                start.run();
-              }
-            },
-            wait -> fail(GatewayFailure.SUSPENDED, Optional.of(wait), suspensionDetail()));
-  }
-
-  private String suspensionDetail() {
-    return "crashes " + context.suspects().crashes(fingerprint);
-  }
-
-  /** Returns whether the request was suspended and is not on trial. */
-  boolean isSuspended() {
-    return !onTrial && context.suspects().isSuspended(fingerprint);
-  }
-
-  /**
-   * Returns whether one more crash would suspend the request, if each dispatch that was lost was
-   * one.
-   */
-  boolean isOneCrashFromSuspension() {
-    return knownCrashes() >= CrashSuspects.MAX_CRASHES - 1;
+    suspicion.admit(
+        io::execute,
+        () -> {
+          if (!ended) {
+            start.run();
+          }
+        },
+        wait ->
+            fail(GatewayFailure.SUSPENDED, Optional.of(wait), "crashes " + suspicion.crashes()));
   }
 
-  private int knownCrashes() {
-    return Math.max(context.suspects().crashes(fingerprint), crashesAtArrival + lostDispatches);
+  CallSuspicion suspicion() {
+    return suspicion;
   }
 
   /** Returns whether the request may be sent to an upstream now. */
   boolean maySendTo(UpstreamRecord upstream) {
-    return context.selector().isStillAvailable(upstream) && !isSuspended();
-  }
-
-  /** Registers the request as running on an upstream. */
-  SuspectDispatch registerDispatch(UpstreamRecord upstream) {
-    return context.suspects().dispatch(upstream, fingerprint, knownCrashes());
+    return context.selector().isStillAvailable(upstream) && !suspicion.isSuspended();
   }
 
   /** Takes one retry from the service's budget; counts it as denied if the budget is exhausted. */
@@ -259,12 +221,12 @@
 
   /** Records that a dispatch was lost after it may have reached its upstream. */
   void recordLost(UpstreamRecord upstream, String detail) {
-    lostDispatches++;
+    suspicion.recordLost();
     logger.atInfo().log(
         "%s",
         LogEvent.named("upstream-lost")
             .with("request", head.attemptId())
-            .with("content", fingerprint.shortHex())
+            .with("content", suspicion.content())
             .with("upstream", upstream.id())
             .with("born_millis", upstream.startedMillis())
             .with("sends", sendCount)
@@ -331,7 +293,7 @@
         "%s",
         LogEvent.named("request-ended")
             .with("request", head.attemptId())
-            .with("content", fingerprint.shortHex())
+            .with("content", suspicion.content())
             .with("route", route.name())
             .with("service", service.name())
             .with("routing_revision", context.view().routingRevision())
--- a/src/main/java/org/cuminrack/gateway/MemoryMove.java
+++ b/src/main/java/org/cuminrack/gateway/MemoryMove.java
@@ -1,6 +1,5 @@
 package org.cuminrack.gateway;
 
-import com.google.protobuf.ByteString;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -119,7 +118,7 @@
 
   /** One call to copy the KV cache. */
   private final class CopyCall implements UpstreamListener {
-    private final ByteString.Output body = ByteString.newOutput();
+    private final BoundedBody body = new BoundedBody(io.bounds().maxResponseBytes());
     private int status;
 
     @Override
@@ -134,13 +133,9 @@
 
     @Override
     public void bodyReceived(ByteBuffer bytes) {
-      if (body.size() + bytes.remaining() > io.bounds().maxResponseBytes()) {
+      if (!body.append(bytes)) {
         fail("the answer is larger than allowed");
-        return;
       }
-      byte[] chunk = new byte[bytes.remaining()];
-      bytes.get(chunk);
-      body.write(chunk, 0, chunk.length);
     }
 
     @Override
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -1,7 +1,6 @@
 package org.cuminrack.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.ByteString;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -154,7 +153,7 @@
   /** One dispatch of the request to one upstream. */
   private final class Dispatch implements UpstreamListener {
     private final Reservation reservation;
-    private final ByteString.Output body = ByteString.newOutput();
+    private final BoundedBody body = new BoundedBody(context.bounds().maxResponseBytes());
     private UpstreamExchange exchange;
     private XnioExecutor.Key retryTimer = () -> false;
     private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
@@ -193,7 +192,7 @@
     public boolean maySend() {
       sent = call.maySendTo(reservation.upstream());
       if (sent) {
-        suspectDispatch = Optional.of(call.registerDispatch(reservation.upstream()));
+        suspectDispatch = Optional.of(call.suspicion().registerDispatch(reservation.upstream()));
       }
       return sent;
     }
@@ -206,7 +205,7 @@
         context.health().recordFailure(reservation.upstream().id());
       }
       unsentDispatches++;
-      if (call.isSuspended()) {
+      if (call.suspicion().isSuspended()) {
         refuse(GatewayFailure.SUSPENDED, "");
       } else if (unsentDispatches >= MAX_UNSENT_DISPATCHES) {
         refuse(GatewayFailure.NOT_SENT, "connect");
@@ -238,13 +237,9 @@
 
     @Override
     public void bodyReceived(ByteBuffer bytes) {
-      if (body.size() + bytes.remaining() > context.bounds().maxResponseBytes()) {
+      if (!body.append(bytes)) {
         lost("the answer is larger than allowed");
-        return;
       }
-      byte[] copy = new byte[bytes.remaining()];
-      bytes.get(copy);
-      body.write(copy, 0, copy.length);
     }
 
     @Override
@@ -305,7 +300,7 @@
       suspectDispatch.ifPresent(dispatch -> dispatch.lost(call.io(), () -> {}));
       close();
       context.health().recordFailure(reservation.upstream().id());
-      if (!call.isSuspended() && tryAcquireRetry()) {
+      if (!call.suspicion().isSuspended() && tryAcquireRetry()) {
         retry(detail);
       } else {
         call.fail(GatewayFailure.UPSTREAM_LOST, Optional.empty(), detail);
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -178,7 +178,7 @@
     }
     admission.exclude(dispatch.reservation().upstream().id());
     unsentDispatches++;
-    if (call.isSuspended()) {
+    if (call.suspicion().isSuspended()) {
       call.fail(GatewayFailure.SUSPENDED, Optional.of(RETRY_AFTER), "");
     } else if (dispatch.wasMisdirected() && !call.tryAcquireRetry()) {
       call.fail(GatewayFailure.NOT_SENT, Optional.of(RETRY_AFTER), "misdirected");
@@ -238,7 +238,7 @@
   private boolean canResume(EngineDispatch dispatch) {
     return progress.eventCount() > 0
         && resumes < MAX_RESUMES
-        && !call.isSuspended()
+        && !call.suspicion().isSuspended()
         && !call.remaining().isNegative()
         && dispatch.hasUsableBackup();
   }
