Log the prompt parts of lost dispatches

The lines of a lost dispatch named the content only, so that generations which share a part of their prompt could not be told from unrelated ones. Adds prompt_parts to upstream-lost. The parts are read as ids without their token counts, from all lines of the header, whether token counts are stated or not; before, they were part of the stated size and used by nothing.

--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -30,6 +30,8 @@
    */
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(30);
 
+  private static final int MAX_LOGGED_PARTS = 32;
+
   private final GatewayContext context;
   private final HttpServerExchange exchange;
   private final HttpRoute route;
@@ -227,6 +229,7 @@
         LogEvent.named("upstream-lost")
             .with("request", head.attemptId())
             .with("content", suspicion.content())
+            .with("prompt_parts", head.promptParts().stream().limit(MAX_LOGGED_PARTS).toList())
             .with("upstream", upstream.id())
             .with("born_millis", upstream.startedMillis())
             .with("sends", sendCount)
--- a/src/main/java/org/cuminrack/gateway/RequestHead.java
+++ b/src/main/java/org/cuminrack/gateway/RequestHead.java
@@ -1,6 +1,7 @@
 package org.cuminrack.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -10,9 +11,16 @@
  * @param timeout how long the caller waits
  * @param apiKey the API key, which identifies the organisation
  * @param demand the stated size of a generation; empty if none is stated
+ * @param promptParts ids of the prompt's parts, in order; requests share all of them but the last
  */
 public record RequestHead(
     String attemptId,
     Optional<Duration> timeout,
     Optional<String> apiKey,
-    Optional<GenerationDemand> demand) {}
+    Optional<GenerationDemand> demand,
+    List<String> promptParts) {
+
+  public RequestHead {
+    promptParts = List.copyOf(promptParts);
+  }
+}
--- a/src/main/java/org/cuminrack/platform/PlatformHeaders.java
+++ b/src/main/java/org/cuminrack/platform/PlatformHeaders.java
@@ -1,12 +1,14 @@
 package org.cuminrack.platform;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -69,7 +71,8 @@
                 attemptId,
                 deadlineMillis.get().map(Duration::ofMillis),
                 apiKey(headers),
-                generationDemand));
+                generationDemand,
+                promptParts(headers)));
   }
 
   private static Optional<String> apiKey(HeaderMap headers) {
@@ -106,8 +109,7 @@
               new GenerationDemand(
                   Integer.parseInt(parts[0].strip()),
                   Integer.parseInt(parts[1].strip()),
-                  lengthHint(headers),
-                  promptParts(headers))));
+                  lengthHint(headers))));
     } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
       return Either.left("Token-Counts: expected two whole numbers, found '" + counts + "'");
     }
@@ -124,11 +126,17 @@
         : OptionalInt.of((int) Math.min(Integer.MAX_VALUE, hint.get().get()));
   }
 
+  /** Returns the ids of the prompt's parts without their token counts, in lower case. */
   private static List<String> promptParts(HeaderMap headers) {
-    String prefix = headers.getFirst(PROMPT_PREFIX);
-    return prefix == null || prefix.isBlank()
-        ? List.of()
-        : Arrays.stream(prefix.split(",")).map(String::strip).toList();
+    HeaderValues values = headers.get(PROMPT_PREFIX);
+    if (values == null) {
+      return List.of();
+    }
+    return values.stream()
+        .flatMap(value -> Arrays.stream(value.split(",")))
+        .map(part -> part.split(":", 2)[0].strip().toLowerCase(Locale.ROOT))
+        .filter(id -> !id.isEmpty())
+        .toList();
   }
 
   @Override
--- a/src/test/java/org/cuminrack/gateway/StopAdmissionTest.java
+++ b/src/test/java/org/cuminrack/gateway/StopAdmissionTest.java
@@ -54,8 +54,7 @@
   }
 
   private static Optional<GenerationDemand> demand(int maxOutputTokens) {
-    return Optional.of(
-        new GenerationDemand(2_000, maxOutputTokens, OptionalInt.empty(), List.of()));
+    return Optional.of(new GenerationDemand(2_000, maxOutputTokens, OptionalInt.empty()));
   }
 
   private static HttpRoute route(RequestKind kind, Duration timeout, Duration target) {
--- a/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
+++ b/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
@@ -33,7 +33,17 @@
     assertThat(head.apiKey()).hasValue("secret");
     assertThat(head.demand().get().promptTokens()).isEqualTo(1460);
     assertThat(head.demand().get().maxOutputTokens()).isEqualTo(80);
-    assertThat(head.demand().get().promptParts()).containsExactly("5c1e:800", "91bd:410");
+    assertThat(head.promptParts()).containsExactly("5c1e", "91bd").inOrder();
+  }
+
+  @Test
+  void shouldReadPromptPartsHoweverTheyAreWritten() {
+    HeaderMap sent = map("Attempt-Id", "1", "Prompt-Prefix", " 5C1E:800 ,,91bd");
+    sent.add(new HttpString("Prompt-Prefix"), "e440:x");
+
+    assertThat(headers.readRequest(sent).get().promptParts())
+        .containsExactly("5c1e", "91bd", "e440")
+        .inOrder();
   }
 
   @Test
