Show that gateways keep sending prompts with a part that crashes engines

Callers' generations that share one part of their prompt, and otherwise differ, crash every engine that runs them.

--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -11,7 +11,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -24,11 +23,14 @@
 
 /**
  * An upstream on loopback that crashes when it begins to run a request with {@code crash} in its
- * path: it resets all its connections and refuses new ones until its supervisor restarts it. A
- * request with {@code held} in its path runs until {@link #releaseHeld} or a crash while the
- * upstream holds requests.
+ * path or with the part {@link #CRASHING_PART} in its prompt: it resets all its connections and
+ * refuses new ones until its supervisor restarts it. A request with {@code held} in its path runs
+ * until {@link #releaseHeld} or a crash while the upstream holds requests.
  */
 final class CrashingUpstream implements AutoCloseable {
+  /** The id of the part of a prompt that crashes the upstream. */
+  static final String CRASHING_PART = "bad0";
+
   private static final int EVENTS = 3;
   private static final int RESTART_DELAY_MILLIS = 500;
 
@@ -46,6 +48,9 @@
   /** The paths of all requests received, over all starts. */
   final List<String> paths = new CopyOnWriteArrayList<>();
 
+  /** The prompts of all requests received, over all starts; empty if a request has none. */
+  final List<String> prompts = new CopyOnWriteArrayList<>();
+
   CrashingUpstream(String name, int port) {
     this.name = name;
     this.port = port;
@@ -137,13 +142,14 @@
 
   private void serve(Socket connection) {
     try (connection) {
-      Map.Entry<String, String> request = readRequest(connection.getInputStream());
-      paths.add(request.getKey());
-      if (request.getKey().contains("crash")) {
+      Request request = readRequest(connection.getInputStream());
+      paths.add(request.path());
+      prompts.add(request.prompt());
+      if (request.path().contains("crash") || request.prompt().contains(CRASHING_PART)) {
         crash();
         return;
       }
-      if (request.getKey().contains("held")) {
+      if (request.path().contains("held")) {
         holding.incrementAndGet();
         try {
           held.await();
@@ -151,7 +157,7 @@
           holding.decrementAndGet();
         }
       }
-      respond(connection.getOutputStream(), request.getKey(), request.getValue());
+      respond(connection.getOutputStream(), request.path(), request.id());
     } catch (IOException e) {
       // The connection was reset by a crash, or closed by its client.
     } catch (InterruptedException e) {
@@ -161,8 +167,11 @@
     }
   }
 
-  /** Returns path and attempt id of a request without a body. */
-  private static Map.Entry<String, String> readRequest(InputStream in) throws IOException {
+  /** The head of a request, as far as this upstream uses it. */
+  private record Request(String path, String id, String prompt) {}
+
+  /** Reads a request without a body. */
+  private static Request readRequest(InputStream in) throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
       int next = in.read();
@@ -172,15 +181,21 @@
       head.write(next);
     }
     List<String> lines = head.toString(StandardCharsets.US_ASCII).lines().toList();
-    String id =
-        lines.stream()
-            .filter(line -> line.startsWith("Attempt-Id: "))
-            .map(line -> line.substring("Attempt-Id: ".length()))
-            .findFirst()
-            .orElse("");
     String requestLine = lines.get(0);
     int pathStart = requestLine.indexOf(' ') + 1;
-    return Map.entry(requestLine.substring(pathStart, requestLine.lastIndexOf(' ')), id);
+    return new Request(
+        requestLine.substring(pathStart, requestLine.lastIndexOf(' ')),
+        header(lines, "Attempt-Id"),
+        header(lines, "Prompt-Prefix"));
+  }
+
+  private static String header(List<String> lines, String name) {
+    String start = name + ": ";
+    return lines.stream()
+        .filter(line -> line.startsWith(start))
+        .map(line -> line.substring(start.length()))
+        .findFirst()
+        .orElse("");
   }
 
   private static void respond(OutputStream out, String path, String id) throws IOException {
--- a/src/test/java/org/cuminrack/platform/GatewayCluster.java
+++ b/src/test/java/org/cuminrack/platform/GatewayCluster.java
@@ -156,6 +156,16 @@
 
   /** Sends a caller's request and returns the raw response; empty if the connection was lost. */
   String call(String gateway, String id, String method, String path) throws IOException {
+    return call(gateway, id, method, path, "");
+  }
+
+  /** Sends a caller's generation with the parts of its prompt; see {@link #call}. */
+  String callWithPrompt(String gateway, String id, String path, String prompt) throws IOException {
+    return call(gateway, id, "POST", path, "Prompt-Prefix: " + prompt + "\n");
+  }
+
+  private String call(String gateway, String id, String method, String path, String headers)
+      throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPorts.get(gateway))) {
       socket.setSoTimeout((int) TIMEOUT.toMillis());
       String head =
@@ -167,10 +177,11 @@
           Attempt-Id: %s
           Deadline-Ms: 5000
           Token-Counts: 900,400
-          %s
+          %s%s
 
           """;
-      String request = head.formatted(method, path, id, PlatformFixture.KEY).replace("\n", "\r\n");
+      String request =
+          head.formatted(method, path, id, headers, PlatformFixture.KEY).replace("\n", "\r\n");
       socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
