Recognise parts of prompts that crash engines

Callers saw engine after engine end under generations that share one part of their prompt and nothing else; each also broke off the other generations of its engine.

Cause: what a crash can be blamed on was a whole content. A promise about a part was kept by state about contents, each of which is new.

The first output clears them. Parts that come together are suspended together, so that a sound prompt that shares a rare part with the culprit still runs and clears it. A trial is one of all suspects of its request.

--- a/src/main/java/org/cuminrack/control/ChangeReader.java
+++ b/src/main/java/org/cuminrack/control/ChangeReader.java
@@ -54,6 +54,7 @@
     return SuspectData.newBuilder()
         .setFingerprint(fingerprint)
         .setCrashes(tables.suspects.crashes(fingerprint))
+        .addAllCompanions(tables.suspects.companions(fingerprint))
         .build();
   }
 }
--- a/src/main/java/org/cuminrack/control/ControlState.java
+++ b/src/main/java/org/cuminrack/control/ControlState.java
@@ -85,7 +85,7 @@
       case FINISH -> tables.ledger.finish(command.getFinish(), timeMillis);
       case CRASH -> crash(index, command.getCrash());
       case CLEAR_SUSPECT -> clearSuspect(index, command.getClearSuspect().getFingerprint());
-      case TRIAL -> tables.suspects.tryAgain(command.getTrial().getFingerprint(), timeMillis);
+      case TRIAL -> tables.suspects.tryAgain(command.getTrial(), timeMillis);
       case PUT_ROUTING -> tables.routing.put(index, command.getPutRouting());
       case SET_EVACUATION -> setEvacuation(index, command.getSetEvacuation());
       default -> revisionResult(index);
@@ -164,9 +164,7 @@
   }
 
   private RevisionResult clearSuspect(long index, String fingerprint) {
-    if (tables.suspects.clear(fingerprint)) {
-      suspectsChanged(index, List.of(fingerprint));
-    }
+    suspectsChanged(index, tables.suspects.clear(fingerprint));
     return revisionResult(index);
   }
 
--- a/src/main/java/org/cuminrack/control/SuspectState.java
+++ b/src/main/java/org/cuminrack/control/SuspectState.java
@@ -7,20 +7,26 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.cuminrack.generated.control.CrashData;
 import org.cuminrack.generated.control.CrashRequest;
 import org.cuminrack.generated.control.SuspicionData;
+import org.cuminrack.generated.control.TrialRequest;
 import org.cuminrack.generated.control.TrialResult;
 
 /**
- * Requests that were running on an upstream when it crashed, with the crashes (upstream and boot
- * id) counted against each. Not thread-safe.
+ * Requests and parts of prompts that were running on an upstream when it crashed, with the crashes
+ * (upstream and boot id) counted against each. A part also has its companions: the other parts that
+ * were in the prompt each time, any of which may be the cause. Not thread-safe.
  */
 final class SuspectState {
-  /** The most suspect requests at one time; the oldest suspicion is evicted. */
+  /** The most suspects at one time; the oldest suspicion is evicted. */
   static final int MAX_SUSPECTS = 10_000;
 
-  /** The most crashes counted against one request. */
+  /** The most crashes counted against one suspect. */
   static final int MAX_CRASHES = 8;
 
   /** How long a suspicion lasts after its last crash. */
@@ -34,8 +40,8 @@
   private final Map<String, SuspicionData> suspicions = new LinkedHashMap<>();
 
   /**
-   * Counts a crash against each request, unless more crashes are counted than were known when the
-   * request was sent; returns the fingerprints of all changed suspicions.
+   * Counts a crash against each suspect, unless more crashes are counted than were known when it
+   * was sent; returns the fingerprints of all changed suspicions.
    */
   List<String> report(CrashRequest request, long timeMillis) {
     CrashData crash =
@@ -48,7 +54,12 @@
       String fingerprint = request.getFingerprints(i);
       boolean mayShareACause =
           i < request.getKnownCrashesCount() && request.getKnownCrashes(i) < crashes(fingerprint);
-      if (!mayShareACause && addCrash(fingerprint, crash, timeMillis)) {
+      Set<String> companions =
+          i < request.getCompanionsCount()
+              ? Set.copyOf(request.getCompanions(i).getFingerprintsList())
+              : Set.of();
+      boolean counted = !mayShareACause && addCrash(fingerprint, crash, companions, timeMillis);
+      if (retainCompanions(fingerprint, companions) || counted) {
         changed.add(fingerprint);
       }
     }
@@ -59,33 +70,58 @@
   }
 
   /**
-   * Permits a suspect to run once more if its last crash or trial is long enough ago. Each trial
-   * makes the wait for the next one longer; after the last one, the suspicion has to expire.
+   * Permits a request to run once more if the last crash or trial of each of its suspects is long
+   * enough ago. Each trial makes the wait for the next one longer; after the last one, the
+   * suspicion has to expire.
    */
-  TrialResult tryAgain(String fingerprint, long timeMillis) {
-    SuspicionData suspicion = suspicions.get(fingerprint);
-    if (suspicion == null) {
-      return TrialResult.newBuilder().setGranted(true).build();
+  TrialResult tryAgain(TrialRequest request, long timeMillis) {
+    List<SuspicionData> suspects =
+        Stream.concat(Stream.of(request.getFingerprint()), request.getOthersList().stream())
+            .distinct()
+            .map(suspicions::get)
+            .filter(Objects::nonNull)
+            .toList();
+    long waitMillis =
+        suspects.stream().mapToLong(each -> trialDueMillis(each) - timeMillis).max().orElse(0);
+    if (waitMillis > 0) {
+      return TrialResult.newBuilder().setWaitMillis(waitMillis).build();
+    }
+    for (SuspicionData suspicion : suspects) {
+      putLast(
+          suspicion.toBuilder()
+              .setTrials(suspicion.getTrials() + 1)
+              .setSinceMillis(timeMillis)
+              .build());
     }
+    return TrialResult.newBuilder().setGranted(true).build();
+  }
+
+  private static long trialDueMillis(SuspicionData suspicion) {
     Duration delay =
         suspicion.getTrials() < TRIAL_DELAYS.size()
             ? TRIAL_DELAYS.get(suspicion.getTrials())
             : RETENTION;
-    long waitMillis = suspicion.getSinceMillis() + delay.toMillis() - timeMillis;
-    if (waitMillis > 0) {
-      return TrialResult.newBuilder().setWaitMillis(waitMillis).build();
-    }
-    putLast(
-        suspicion.toBuilder()
-            .setTrials(suspicion.getTrials() + 1)
-            .setSinceMillis(timeMillis)
-            .build());
-    return TrialResult.newBuilder().setGranted(true).build();
+    return suspicion.getSinceMillis() + delay.toMillis();
   }
 
-  /** Clears the suspicion of a request; returns false if there was none. */
-  boolean clear(String fingerprint) {
-    return suspicions.remove(fingerprint) != null;
+  /**
+   * Clears a suspicion; returns the fingerprints of all changed ones, since what is cleared is no
+   * companion of other parts any more.
+   */
+  List<String> clear(String fingerprint) {
+    List<String> changed = new ArrayList<>();
+    if (suspicions.remove(fingerprint) != null) {
+      changed.add(fingerprint);
+    }
+    suspicions.replaceAll(
+        (key, suspicion) -> {
+          if (!suspicion.getCompanionsList().contains(fingerprint)) {
+            return suspicion;
+          }
+          changed.add(key);
+          return withCompanions(suspicion, each -> !each.equals(fingerprint));
+        });
+    return changed;
   }
 
   /** Removes expired suspicions and returns their fingerprints. */
@@ -102,12 +138,18 @@
     return oldest.hasNext() && oldest.next().getSinceMillis() + RETENTION.toMillis() <= timeMillis;
   }
 
-  /** Returns the number of crashes counted against a request. */
+  /** Returns the number of crashes counted against a suspect. */
   int crashes(String fingerprint) {
     SuspicionData suspicion = suspicions.get(fingerprint);
     return suspicion == null ? 0 : suspicion.getCrashesCount();
   }
 
+  /** Returns the companions of a suspect; empty if it has none or is no suspect. */
+  List<String> companions(String fingerprint) {
+    SuspicionData suspicion = suspicions.get(fingerprint);
+    return suspicion == null ? List.of() : suspicion.getCompanionsList();
+  }
+
   /** Returns all suspicions, oldest first. */
   Collection<SuspicionData> all() {
     return suspicions.values();
@@ -119,11 +161,12 @@
     restored.forEach(suspicion -> suspicions.put(suspicion.getFingerprint(), suspicion));
   }
 
-  private boolean addCrash(String fingerprint, CrashData crash, long timeMillis) {
+  private boolean addCrash(
+      String fingerprint, CrashData crash, Set<String> companions, long timeMillis) {
     SuspicionData existing = suspicions.get(fingerprint);
     SuspicionData.Builder suspicion =
         existing == null
-            ? SuspicionData.newBuilder().setFingerprint(fingerprint)
+            ? SuspicionData.newBuilder().setFingerprint(fingerprint).addAllCompanions(companions)
             : existing.toBuilder();
     boolean alreadyCounted = suspicion.getCrashesList().contains(crash);
     if (alreadyCounted || suspicion.getCrashesCount() >= MAX_CRASHES) {
@@ -133,6 +176,25 @@
     return true;
   }
 
+  /**
+   * Keeps the companions that were beside a suspect this time too; returns whether any were not.
+   */
+  private boolean retainCompanions(String fingerprint, Set<String> companions) {
+    SuspicionData suspicion = suspicions.get(fingerprint);
+    if (suspicion == null || companions.containsAll(suspicion.getCompanionsList())) {
+      return false;
+    }
+    suspicions.put(fingerprint, withCompanions(suspicion, companions::contains));
+    return true;
+  }
+
+  private static SuspicionData withCompanions(SuspicionData suspicion, Predicate<String> retained) {
+    return suspicion.toBuilder()
+        .clearCompanions()
+        .addAllCompanions(suspicion.getCompanionsList().stream().filter(retained).toList())
+        .build();
+  }
+
   private void putLast(SuspicionData suspicion) {
     suspicions.remove(suspicion.getFingerprint());
     suspicions.put(suspicion.getFingerprint(), suspicion);
--- a/src/main/java/org/cuminrack/fleet/SuspectTable.java
+++ b/src/main/java/org/cuminrack/fleet/SuspectTable.java
@@ -3,30 +3,56 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.generated.control.SuspectData;
 import org.cuminrack.generated.control.SuspectUpdate;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.member.CrashEvidence;
 
 /**
- * A gateway's view of the suspects: requests that were running on an upstream when it crashed, with
- * the crashes counted against each. Control's count replaces what this gateway has observed itself.
- * Thread-safe: one lock.
+ * A gateway's view of the suspects: requests and parts of prompts that were running on an upstream
+ * when it crashed, with the crashes counted against each. Control's count replaces what this
+ * gateway has observed itself. Thread-safe: one lock.
  */
 public final class SuspectTable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final Map<String, Integer> crashes = new HashMap<>();
+  private static final Suspect NONE = new Suspect(0, Set.of());
+
+  private final Map<Fingerprint, Suspect> suspects = new HashMap<>();
   private long revision;
 
-  /** Returns the crashes counted against a request. */
+  /** The crashes counted against a suspect, and the parts that were beside it each time. */
+  private record Suspect(int crashes, Set<Fingerprint> companions) {
+    Suspect without(Fingerprint companion) {
+      return companions.contains(companion)
+          ? new Suspect(
+              crashes,
+              companions.stream()
+                  .filter(each -> !each.equals(companion))
+                  .collect(Collectors.toSet()))
+          : this;
+    }
+  }
+
+  /** Returns the crashes counted against a suspect. */
   public synchronized int crashes(Fingerprint fingerprint) {
-    return crashes.getOrDefault(fingerprint.hex(), 0);
+    return suspects.getOrDefault(fingerprint, NONE).crashes();
+  }
+
+  /**
+   * Returns the other parts that were in the prompt each time an upstream crashed under a part;
+   * empty for the content of a request.
+   */
+  public synchronized Set<Fingerprint> companions(Fingerprint fingerprint) {
+    return suspects.getOrDefault(fingerprint, NONE).companions();
   }
 
   /** Returns the number of suspects. */
   public synchronized int size() {
-    return crashes.size();
+    return suspects.size();
   }
 
   /** Returns the revision of the newest update applied; 0 before the first. */
@@ -35,13 +61,23 @@
   }
 
   /** Records a crash that this gateway observed, until control has counted it. */
-  public synchronized void recordCrash(Fingerprint fingerprint, int knownCrashes) {
-    crashes.merge(fingerprint.hex(), knownCrashes + 1, Math::max);
+  public synchronized void recordCrash(Fingerprint fingerprint, CrashEvidence evidence) {
+    Suspect observed = new Suspect(evidence.knownCrashes() + 1, evidence.companions());
+    suspects.merge(
+        fingerprint,
+        observed,
+        (before, now) ->
+            new Suspect(
+                Math.max(before.crashes(), now.crashes()),
+                before.companions().stream()
+                    .filter(now.companions()::contains)
+                    .collect(Collectors.toSet())));
   }
 
-  /** Records that a request was completed, so that it is no suspect. */
+  /** Records that a suspect was processed without a crash. */
   public synchronized void clear(Fingerprint fingerprint) {
-    crashes.remove(fingerprint.hex());
+    suspects.remove(fingerprint);
+    suspects.replaceAll((key, suspect) -> suspect.without(fingerprint));
   }
 
   /** Applies an update of control, unless a newer one was applied. */
@@ -52,13 +88,16 @@
     }
     revision = update.getRevision();
     if (update.getWhole()) {
-      crashes.clear();
+      suspects.clear();
     }
     for (SuspectData suspect : update.getSuspectsList()) {
+      Fingerprint fingerprint = new Fingerprint(suspect.getFingerprint());
       if (suspect.getCrashes() == 0) {
-        crashes.remove(suspect.getFingerprint());
+        suspects.remove(fingerprint);
       } else {
-        crashes.put(suspect.getFingerprint(), suspect.getCrashes());
+        Set<Fingerprint> companions =
+            suspect.getCompanionsList().stream().map(Fingerprint::new).collect(Collectors.toSet());
+        suspects.put(fingerprint, new Suspect(suspect.getCrashes(), companions));
       }
     }
     logger.atInfo().log(
@@ -66,6 +105,6 @@
         LogEvent.named("suspects-updated")
             .with("revision", revision)
             .with("changed", update.getSuspectsCount())
-            .with("suspects", crashes.size()));
+            .with("suspects", suspects.size()));
   }
 }
--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -3,45 +3,57 @@
 import com.google.protobuf.ByteString;
 import io.undertow.server.HttpServerExchange;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.routing.KeyHolder;
 
-/** Whether one call's request is suspected of crashing upstreams. Confined to one I/O thread. */
+/**
+ * Whether one call's request, or a part of its prompt, is suspected of crashing upstreams. Confined
+ * to one I/O thread.
+ */
 final class CallSuspicion {
   private final CrashSuspects suspects;
-  private final Fingerprint fingerprint;
-  private final int crashesAtArrival;
+  private final RequestKeys keys;
+  private final Map<Fingerprint, Integer> crashesAtArrival = new HashMap<>();
   private int lostDispatches;
   private boolean onTrial;
 
-  private CallSuspicion(CrashSuspects suspects, Fingerprint fingerprint) {
+  private CallSuspicion(CrashSuspects suspects, RequestKeys keys) {
     this.suspects = suspects;
-    this.fingerprint = fingerprint;
-    this.crashesAtArrival = suspects.crashes(fingerprint);
+    this.keys = keys;
+    keys.all().forEach(key -> crashesAtArrival.put(key, suspects.crashes(key)));
   }
 
-  /** Identifies the request by what stays the same when its caller sends it again. */
+  /**
+   * Identifies the request by what stays the same when its caller sends it again, and by the parts
+   * of its prompt that other requests share.
+   */
   static CallSuspicion of(
       CrashSuspects suspects,
       HttpServerExchange exchange,
       String pathAndQuery,
       Optional<KeyHolder> keyHolder,
+      String service,
+      List<String> promptParts,
       ByteString body) {
-    return new CallSuspicion(
-        suspects,
+    Fingerprint content =
         Fingerprint.of(
             keyHolder.map(KeyHolder::organisation).orElse(""),
             exchange.getRequestMethod() + " " + exchange.getHostAndPort() + pathAndQuery,
-            body.toByteArray()));
+            body.toByteArray());
+    return new CallSuspicion(suspects, RequestKeys.of(content, service, promptParts));
   }
 
-  /** Returns the short form of the request's fingerprint, for the log. */
+  /** Returns the short form of the content's fingerprint, for the log. */
   String content() {
-    return fingerprint.shortHex();
+    return keys.content().shortHex();
   }
 
   /**
@@ -51,7 +63,7 @@
    */
   void admit(Executor executor, Runnable onPermitted, Consumer<Duration> onSuspended) {
     suspects.admit(
-        fingerprint,
+        keys,
         executor,
         trial -> {
           onTrial = trial;
@@ -60,22 +72,24 @@
         onSuspended);
   }
 
-  /** Returns the crashes counted against the request. */
-  int crashes() {
-    return suspects.crashes(fingerprint);
+  /** Returns why the request is suspended, for the log. */
+  String describe() {
+    return suspects.suspendedKeys(keys).stream()
+        .map(key -> keys.describe(key) + " crashes " + suspects.crashes(key))
+        .collect(Collectors.joining(", "));
   }
 
   /** Returns whether the request is suspended and not on trial. */
   boolean isSuspended() {
-    return !onTrial && suspects.isSuspended(fingerprint);
+    return !onTrial && suspects.isSuspended(keys);
   }
 
   /**
-   * Returns whether one more crash would suspend the request, if each dispatch that was lost was
+   * Returns whether one more crash could suspend the request, if each dispatch that was lost was
    * one.
    */
   boolean isOneCrashFromSuspension() {
-    return knownCrashes() >= CrashSuspects.MAX_CRASHES - 1;
+    return keys.all().stream().anyMatch(key -> knownCrashes(key) >= CrashSuspects.MAX_CRASHES - 1);
   }
 
   /** Records that a dispatch was lost; its upstream may have crashed. */
@@ -83,12 +97,17 @@
     lostDispatches++;
   }
 
-  /** Registers the request as running on an upstream. */
+  /** Registers the request as running on an upstream that has its prompt to process. */
   SuspectDispatch registerDispatch(UpstreamRecord upstream) {
-    return suspects.dispatch(upstream, fingerprint, knownCrashes());
+    return suspects.dispatch(upstream, keys, this::knownCrashes);
+  }
+
+  /** Registers the request as running on an upstream that has a copy of its processed prompt. */
+  SuspectDispatch registerResumedDispatch(UpstreamRecord upstream) {
+    return suspects.dispatch(upstream, keys.withoutPromptParts(), this::knownCrashes);
   }
 
-  private int knownCrashes() {
-    return Math.max(crashes(), crashesAtArrival + lostDispatches);
+  private int knownCrashes(Fingerprint key) {
+    return Math.max(suspects.crashes(key), crashesAtArrival.get(key) + lostDispatches);
   }
 }
--- a/src/main/java/org/cuminrack/gateway/CrashSuspects.java
+++ b/src/main/java/org/cuminrack/gateway/CrashSuspects.java
@@ -2,43 +2,54 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.fleet.SuspectTable;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.member.CrashEvidence;
 import org.cuminrack.member.CrashReports;
 import org.cuminrack.relay.RunningRequests;
 import org.cuminrack.relay.UpstreamProcess;
 import org.cuminrack.time.Clock;
 
 /**
- * Recognises requests that crash the upstreams that run them, by content, over all gateways.
+ * Recognises what crashes the upstreams that run it, over all gateways: a request, by content, or a
+ * part of a prompt that many requests share.
  *
- * <p>Each crash of an upstream counts against the requests that ran on it, unless a request was
- * sent before the crash that was counted last was known. A completed run of equal content clears
- * the count. After {@link #MAX_CRASHES} counted crashes the request is suspended. Control keeps the
- * counts and permits a suspended request to run again after a while.
+ * <p>Each crash of an upstream counts against the requests that ran on it and against the parts of
+ * those prompts that it had not processed yet, unless they were sent before the crash that was
+ * counted last was known. A completed run clears the count of its content, the first output that of
+ * the prompt's parts. After {@link #MAX_CRASHES} counted crashes a content is suspended. So is a
+ * part, but only in prompts with all the parts that were beside it each time, since one of those
+ * may be the cause; a prompt without them shows which one it is. After {@link
+ * #MAX_CRASHES_WITH_COMPANIONS} a part is suspended in any prompt. Control keeps the counts and
+ * permits a suspended request to run again after a while.
  *
  * <p>Thread-safe.
  */
 public final class CrashSuspects {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Crashes after which a request is suspended. */
+  /** Crashes after which a suspect is suspended. */
   static final int MAX_CRASHES = 3;
 
+  /** Crashes after which a part is suspended in any prompt. */
+  static final int MAX_CRASHES_WITH_COMPANIONS = 6;
+
   /** Wait before a gateway asks control for a trial, and after a trial that was granted. */
   private static final Duration TRIAL_WAIT = Duration.ofSeconds(10);
 
   /** Wait after control did not answer a request for a trial. */
   private static final Duration TRIAL_WAIT_WITHOUT_CONTROL = Duration.ofSeconds(1);
 
-  /** The most suspended requests whose next trial is remembered. */
+  /** The most suspects whose next trial is remembered. */
   private static final int MAX_WAITS = 1_000;
 
   private final SuspectTable suspects;
@@ -46,7 +57,9 @@
   private final CrashReports reports;
   private final SuspectTrials trials;
   private final Clock clock;
-  private final Map<Fingerprint, Long> nextTrialNanos = new ConcurrentHashMap<>();
+
+  // Guarded by this.
+  private final Map<Fingerprint, Long> nextTrialNanos = new HashMap<>();
 
   public CrashSuspects(
       SuspectTable suspects,
@@ -61,13 +74,24 @@
     this.clock = clock;
   }
 
-  /** Returns the crashes counted against a request. */
-  int crashes(Fingerprint fingerprint) {
-    return suspects.crashes(fingerprint);
+  /** Returns the crashes counted against a content or a part of prompts. */
+  int crashes(Fingerprint key) {
+    return suspects.crashes(key);
+  }
+
+  boolean isSuspended(RequestKeys keys) {
+    return keys.all().stream().anyMatch(key -> isSuspended(key, keys));
+  }
+
+  /** Returns the keys for which a request is suspended. */
+  List<Fingerprint> suspendedKeys(RequestKeys keys) {
+    return keys.all().stream().filter(key -> isSuspended(key, keys)).toList();
   }
 
-  boolean isSuspended(Fingerprint fingerprint) {
-    return crashes(fingerprint) >= MAX_CRASHES;
+  private boolean isSuspended(Fingerprint key, RequestKeys keys) {
+    int crashes = crashes(key);
+    return crashes >= MAX_CRASHES_WITH_COMPANIONS
+        || (crashes >= MAX_CRASHES && keys.companionsOf(key).containsAll(suspects.companions(key)));
   }
 
   /**
@@ -80,56 +104,61 @@
    * @param onSuspended receives the time until the next trial
    */
   void admit(
-      Fingerprint fingerprint,
+      RequestKeys keys,
       Executor executor,
       Consumer<Boolean> onPermitted,
       Consumer<Duration> onSuspended) {
-    if (!isSuspended(fingerprint)) {
+    List<Fingerprint> suspended = suspendedKeys(keys);
+    if (suspended.isEmpty()) {
       onPermitted.accept(false);
       return;
     }
-    Optional<Duration> wait = waitOrClaimTrial(fingerprint);
+    Optional<Duration> wait = waitOrClaimTrial(suspended);
     if (wait.isPresent()) {
       onSuspended.accept(wait.get());
       return;
     }
     trials
-        .request(fingerprint)
+        .request(suspended)
         .thenAccept(
             outcome ->
-                executor.execute(() -> finish(fingerprint, outcome, onPermitted, onSuspended)));
+                executor.execute(() -> finish(keys, suspended, outcome, onPermitted, onSuspended)));
   }
 
   /**
-   * Returns the time until this gateway may ask for a trial; empty if it may ask now, which defers
-   * the next one.
+   * Returns the time until this gateway may ask for a trial of all the keys; empty if it may ask
+   * now, which defers the next one.
    */
-  private Optional<Duration> waitOrClaimTrial(Fingerprint fingerprint) {
+  private synchronized Optional<Duration> waitOrClaimTrial(List<Fingerprint> suspended) {
     long nowNanos = clock.nanoTime();
+    long nextNanos = nowNanos + TRIAL_WAIT.toNanos();
     if (nextTrialNanos.size() >= MAX_WAITS) {
-      nextTrialNanos.keySet().removeIf(each -> !isSuspended(each));
+      nextTrialNanos.keySet().removeIf(each -> crashes(each) < MAX_CRASHES);
     }
-    Long due = nextTrialNanos.putIfAbsent(fingerprint, nowNanos + TRIAL_WAIT.toNanos());
-    if (due == null) {
-      return Optional.of(TRIAL_WAIT);
+    long waitNanos = 0;
+    for (Fingerprint key : suspended) {
+      Long dueNanos = nextTrialNanos.putIfAbsent(key, nextNanos);
+      waitNanos = Math.max(waitNanos, (dueNanos == null ? nextNanos : dueNanos) - nowNanos);
     }
-    if (due - nowNanos > 0) {
-      return Optional.of(Duration.ofNanos(due - nowNanos));
+    if (waitNanos > 0) {
+      return Optional.of(Duration.ofNanos(waitNanos));
     }
-    boolean claimed = nextTrialNanos.replace(fingerprint, due, nowNanos + TRIAL_WAIT.toNanos());
-    return claimed ? Optional.empty() : Optional.of(TRIAL_WAIT);
+    suspended.forEach(key -> nextTrialNanos.put(key, nextNanos));
+    return Optional.empty();
   }
 
   private void finish(
-      Fingerprint fingerprint,
+      RequestKeys keys,
+      List<Fingerprint> suspended,
       SuspectTrials.Outcome outcome,
       Consumer<Boolean> onPermitted,
       Consumer<Duration> onSuspended) {
     logger.atInfo().log(
         "%s",
         LogEvent.named("suspect-trial")
-            .with("content", fingerprint.shortHex())
-            .with("crashes", crashes(fingerprint))
+            .with("content", keys.content().shortHex())
+            .with("suspects", suspended.stream().map(keys::describe).toList())
+            .with("crashes", suspended.stream().map(this::crashes).toList())
             .with("outcome", outcome));
     if (outcome instanceof SuspectTrials.Granted) {
       onPermitted.accept(true);
@@ -139,37 +168,53 @@
         outcome instanceof SuspectTrials.Denied denied
             ? denied.retryAfter()
             : TRIAL_WAIT_WITHOUT_CONTROL;
-    nextTrialNanos.put(fingerprint, clock.nanoTime() + wait.toNanos());
+    deferTrial(suspended, wait);
     onSuspended.accept(wait);
   }
 
+  private synchronized void deferTrial(List<Fingerprint> suspended, Duration wait) {
+    long nextNanos = clock.nanoTime() + wait.toNanos();
+    suspended.forEach(key -> nextTrialNanos.put(key, nextNanos));
+  }
+
   /**
    * Registers a request that is being sent to an upstream.
    *
-   * @param knownCrashes the crashes known to be counted against the request
+   * @param knownCrashes returns the crashes known to be counted against a key
    */
-  SuspectDispatch dispatch(UpstreamRecord upstream, Fingerprint fingerprint, int knownCrashes) {
+  SuspectDispatch dispatch(
+      UpstreamRecord upstream, RequestKeys keys, ToIntFunction<Fingerprint> knownCrashes) {
     UpstreamProcess target =
         new UpstreamProcess(
             upstream.id(), upstream.address(), Long.toString(upstream.startedMillis()));
-    running.add(target, fingerprint, knownCrashes);
-    return new SuspectDispatch(this, target, fingerprint, knownCrashes);
+    Map<Fingerprint, CrashEvidence> evidence = new HashMap<>();
+    for (Fingerprint key : keys.all()) {
+      evidence.put(key, new CrashEvidence(knownCrashes.applyAsInt(key), keys.companionsOf(key)));
+    }
+    evidence.forEach((key, each) -> running.add(target, key, each));
+    return new SuspectDispatch(this, target, keys, evidence);
   }
 
   void crashed(SuspectDispatch dispatch) {
-    suspects.recordCrash(dispatch.fingerprint(), dispatch.knownCrashes());
-    running.reportCrash(dispatch.target(), dispatch.fingerprint());
+    dispatch.evidence().forEach(suspects::recordCrash);
+    running.reportCrash(dispatch.target(), dispatch.keys().content());
   }
 
-  void completed(SuspectDispatch dispatch) {
-    if (crashes(dispatch.fingerprint()) > 0) {
-      suspects.clear(dispatch.fingerprint());
-      nextTrialNanos.remove(dispatch.fingerprint());
-      reports.clear(dispatch.fingerprint());
+  /** Clears the crashes counted against a key, which an upstream has processed without a crash. */
+  void exonerate(Fingerprint key) {
+    if (crashes(key) > 0) {
+      suspects.clear(key);
+      forgetTrial(key);
+      reports.clear(key);
     }
   }
 
-  void ended(SuspectDispatch dispatch) {
-    running.remove(dispatch.target(), dispatch.fingerprint());
+  private synchronized void forgetTrial(Fingerprint key) {
+    nextTrialNanos.remove(key);
+  }
+
+  /** Removes a key from what runs on an upstream. */
+  void ended(UpstreamProcess target, Fingerprint key) {
+    running.remove(target, key);
   }
 }
--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -4,6 +4,7 @@
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.relay.NotSentReason;
 import org.cuminrack.relay.UpstreamExchange;
 import org.cuminrack.relay.UpstreamListener;
@@ -44,7 +45,7 @@
     this.resumedFrom = resumedFrom;
     this.listener = listener;
     this.refusalBody = new BoundedBody(context.bounds().maxResponseBytes());
-    this.splitter = new EventSplitter(MAX_EVENT_BYTES, listener::event);
+    this.splitter = new EventSplitter(MAX_EVENT_BYTES, this::eventReceived);
   }
 
   /** Receives the events of a dispatch; each of the last four methods ends it. */
@@ -157,7 +158,12 @@
   public boolean maySend() {
     sent = call.maySendTo(reservation.upstream());
     if (sent) {
-      suspectDispatch = Optional.of(call.suspicion().registerDispatch(reservation.upstream()));
+      UpstreamRecord upstream = reservation.upstream();
+      suspectDispatch =
+          Optional.of(
+              isResumed()
+                  ? call.suspicion().registerResumedDispatch(upstream)
+                  : call.suspicion().registerDispatch(upstream));
     }
     return sent;
   }
@@ -185,6 +191,11 @@
     }
   }
 
+  private void eventReceived(String id, byte[] bytes) {
+    suspectDispatch.ifPresent(SuspectDispatch::outputReceived);
+    listener.event(id, bytes);
+  }
+
   private boolean isStream() {
     return status >= STATUS_OK && status < STATUS_REDIRECT;
   }
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -30,8 +30,6 @@
    */
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(30);
 
-  private static final int MAX_LOGGED_PARTS = 32;
-
   private final GatewayContext context;
   private final HttpServerExchange exchange;
   private final HttpRoute route;
@@ -64,7 +62,14 @@
     this.keyHolder = keyHolder;
     this.body = body;
     this.suspicion =
-        CallSuspicion.of(context.suspects(), exchange, pathAndQuery(exchange), keyHolder, body);
+        CallSuspicion.of(
+            context.suspects(),
+            exchange,
+            pathAndQuery(exchange),
+            keyHolder,
+            service.name(),
+            head.promptParts(),
+            body);
     this.io = IoContext.of(exchange, context.bounds());
     this.arrivedNanos = arrivedNanos;
   }
@@ -153,8 +158,7 @@
             start.run();
           }
         },
-        wait ->
-            fail(GatewayFailure.SUSPENDED, Optional.of(wait), "crashes " + suspicion.crashes()));
+        wait -> fail(GatewayFailure.SUSPENDED, Optional.of(wait), suspicion.describe()));
   }
 
   CallSuspicion suspicion() {
@@ -229,7 +233,7 @@
         LogEvent.named("upstream-lost")
             .with("request", head.attemptId())
             .with("content", suspicion.content())
-            .with("prompt_parts", head.promptParts().stream().limit(MAX_LOGGED_PARTS).toList())
+            .with("prompt_parts", head.promptParts().stream().limit(RequestKeys.MAX_PARTS).toList())
             .with("upstream", upstream.id())
             .with("born_millis", upstream.startedMillis())
             .with("sends", sendCount)
--- a/src/main/java/org/cuminrack/gateway/ReplicatedSuspectTrials.java
+++ b/src/main/java/org/cuminrack/gateway/ReplicatedSuspectTrials.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.generated.control.TrialRequest;
@@ -23,8 +24,12 @@
   }
 
   @Override
-  public CompletableFuture<Outcome> request(Fingerprint fingerprint) {
-    TrialRequest request = TrialRequest.newBuilder().setFingerprint(fingerprint.hex()).build();
+  public CompletableFuture<Outcome> request(List<Fingerprint> suspects) {
+    TrialRequest request =
+        TrialRequest.newBuilder()
+            .setFingerprint(suspects.get(0).hex())
+            .addAllOthers(suspects.stream().skip(1).map(Fingerprint::hex).toList())
+            .build();
     return calls
         .call(Method.TRY_SUSPECT, request.toByteArray(), TIMEOUT)
         .thenApply(ReplicatedSuspectTrials::outcome);
--- a/src/main/java/org/cuminrack/gateway/SuspectDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/SuspectDispatch.java
@@ -1,60 +1,79 @@
 package org.cuminrack.gateway;
 
+import java.util.Map;
 import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.member.CrashEvidence;
 import org.cuminrack.relay.ConnectProbe;
 import org.cuminrack.relay.IoContext;
 import org.cuminrack.relay.UpstreamProcess;
 
 /**
- * A request that runs on an upstream, as evidence for or against the request. The first of {@link
- * #completed}, {@link #lost} and {@link #abandoned} decides; later calls have no effect. Confined
- * to one I/O thread.
+ * A request that runs on an upstream, as evidence for or against its content and the parts of its
+ * prompt. The first of {@link #completed}, {@link #lost} and {@link #abandoned} decides; later
+ * calls have no effect. Confined to one I/O thread.
  */
 final class SuspectDispatch {
   private final CrashSuspects suspects;
   private final UpstreamProcess target;
-  private final Fingerprint fingerprint;
-  private final int knownCrashes;
+  private final RequestKeys keys;
+  private final Map<Fingerprint, CrashEvidence> evidence;
+  private boolean promptProcessed;
   private boolean decided;
 
   SuspectDispatch(
-      CrashSuspects suspects, UpstreamProcess target, Fingerprint fingerprint, int knownCrashes) {
+      CrashSuspects suspects,
+      UpstreamProcess target,
+      RequestKeys keys,
+      Map<Fingerprint, CrashEvidence> evidence) {
     this.suspects = suspects;
     this.target = target;
-    this.fingerprint = fingerprint;
-    this.knownCrashes = knownCrashes;
+    this.keys = keys;
+    this.evidence = Map.copyOf(evidence);
   }
 
   UpstreamProcess target() {
     return target;
   }
 
-  Fingerprint fingerprint() {
-    return fingerprint;
+  RequestKeys keys() {
+    return keys;
   }
 
-  int knownCrashes() {
-    return knownCrashes;
+  /** Returns what a crash of the upstream now counts against. */
+  Map<Fingerprint, CrashEvidence> evidence() {
+    return promptProcessed ? Map.of(keys.content(), evidence.get(keys.content())) : evidence;
+  }
+
+  /**
+   * The upstream has sent output, so it has processed the whole prompt: no part of it is a suspect.
+   */
+  void outputReceived() {
+    if (!decided && !promptProcessed) {
+      keys.promptParts().forEach(part -> suspects.ended(target, part));
+      keys.promptParts().forEach(suspects::exonerate);
+      promptProcessed = true;
+    }
   }
 
   /** The upstream ran the request and answered it: the request is no suspect. */
   void completed() {
+    outputReceived();
     if (decide()) {
-      suspects.ended(this);
-      suspects.completed(this);
+      suspects.ended(target, keys.content());
+      suspects.exonerate(keys.content());
     }
   }
 
   /** The request was not run, or nothing is known of its end. */
   void abandoned() {
     if (decide()) {
-      suspects.ended(this);
+      end();
     }
   }
 
   /**
    * The connection was lost. Checks whether the upstream has crashed; if so, the crash counts
-   * against all requests that ran on it.
+   * against everything that ran on it.
    *
    * @param onChecked called on the I/O thread once the crash, if any, is counted
    */
@@ -70,11 +89,15 @@
           if (processEnded) {
             suspects.crashed(this);
           }
-          suspects.ended(this);
+          end();
           onChecked.run();
         });
   }
 
+  private void end() {
+    evidence().keySet().forEach(key -> suspects.ended(target, key));
+  }
+
   private boolean decide() {
     boolean first = !decided;
     decided = true;
--- a/src/main/java/org/cuminrack/gateway/SuspectTrials.java
+++ b/src/main/java/org/cuminrack/gateway/SuspectTrials.java
@@ -1,14 +1,18 @@
 package org.cuminrack.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.cuminrack.admission.Fingerprint;
 
 /** Asks control whether a suspended request may run once more. */
 public interface SuspectTrials {
 
-  /** Requests a trial; the future always completes normally. */
-  CompletableFuture<Outcome> request(Fingerprint fingerprint);
+  /**
+   * Requests a trial of a request that is suspended for all the given suspects; the future always
+   * completes normally.
+   */
+  CompletableFuture<Outcome> request(List<Fingerprint> suspects);
 
   /** Control's answer. */
   sealed interface Outcome {}
--- a/src/main/java/org/cuminrack/member/ReplicatedCrashReports.java
+++ b/src/main/java/org/cuminrack/member/ReplicatedCrashReports.java
@@ -9,6 +9,7 @@
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.generated.control.ClearSuspectRequest;
 import org.cuminrack.generated.control.CrashRequest;
+import org.cuminrack.generated.control.FingerprintList;
 import org.cuminrack.generated.control.InForceReply;
 import org.cuminrack.generated.control.InForceRequest;
 import org.cuminrack.generated.control.RevisionResult;
@@ -31,13 +32,19 @@
 
   @Override
   public CompletableFuture<Boolean> reportCrash(
-      String upstream, String bootId, Map<Fingerprint, Integer> running, Duration timeout) {
+      String upstream, String bootId, Map<Fingerprint, CrashEvidence> running, Duration timeout) {
     long deadlineNanos = clock.nanoTime() + timeout.toNanos();
     CrashRequest.Builder request =
         CrashRequest.newBuilder().setUpstream(upstream).setBootId(bootId);
     running.forEach(
-        (fingerprint, knownCrashes) ->
-            request.addFingerprints(fingerprint.hex()).addKnownCrashes(knownCrashes));
+        (fingerprint, evidence) ->
+            request
+                .addFingerprints(fingerprint.hex())
+                .addKnownCrashes(evidence.knownCrashes())
+                .addCompanions(
+                    FingerprintList.newBuilder()
+                        .addAllFingerprints(
+                            evidence.companions().stream().map(Fingerprint::hex).toList())));
     return calls
         .call(Method.REPORT_CRASH, request.build().toByteArray(), timeout)
         .thenCompose(outcome -> awaitInForce(outcome, deadlineNanos));
--- a/src/main/java/org/cuminrack/relay/MeasurementStubs.java
+++ b/src/main/java/org/cuminrack/relay/MeasurementStubs.java
@@ -20,6 +20,7 @@
 import org.cuminrack.config.ServiceKind;
 import org.cuminrack.config.VersionedObject;
 import org.cuminrack.member.ClusterView;
+import org.cuminrack.member.CrashEvidence;
 import org.cuminrack.member.CrashReports;
 import org.cuminrack.member.Membership;
 
@@ -95,7 +96,7 @@
 
   @Override
   public CompletableFuture<Boolean> reportCrash(
-      String upstream, String bootId, Map<Fingerprint, Integer> running, Duration timeout) {
+      String upstream, String bootId, Map<Fingerprint, CrashEvidence> running, Duration timeout) {
     return CompletableFuture.completedFuture(true);
   }
 
--- a/src/main/java/org/cuminrack/relay/RunningRequests.java
+++ b/src/main/java/org/cuminrack/relay/RunningRequests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentMap;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.member.CrashEvidence;
 import org.cuminrack.member.CrashReports;
 
 /**
@@ -41,36 +42,29 @@
     }
   }
 
-  /**
-   * How often requests of equal content run on a process, and the fewest crashes that were known
-   * when one of them was sent.
-   */
-  private record RunningCount(int count, int knownCrashes) {
+  /** How often requests of equal content run on a process, or prompts with the same part. */
+  private record RunningCount(int count, CrashEvidence evidence) {
     RunningCount plus(RunningCount other) {
-      return new RunningCount(count + other.count, Math.min(knownCrashes, other.knownCrashes));
+      return new RunningCount(count + other.count, evidence.plus(other.evidence));
     }
 
     RunningCount minusOne() {
-      return count == 1 ? null : new RunningCount(count - 1, knownCrashes);
+      return count == 1 ? null : new RunningCount(count - 1, evidence);
     }
   }
 
   /** Registers a request that runs on the process; each crash will count against it. */
   void add(UpstreamProcess target, Fingerprint fingerprint) {
-    add(target, fingerprint, CrashReports.COUNT_ALWAYS);
+    add(target, fingerprint, CrashEvidence.ofRequest(CrashReports.COUNT_ALWAYS));
   }
 
-  /**
-   * Registers a request that runs on the process.
-   *
-   * @param knownCrashes the crashes known to be counted against the request now
-   */
-  public void add(UpstreamProcess target, Fingerprint fingerprint, int knownCrashes) {
+  /** Registers a request, or a part of its prompt, that runs on the process. */
+  public void add(UpstreamProcess target, Fingerprint fingerprint, CrashEvidence evidence) {
     processes.compute(
         target,
         (key, existing) -> {
           ProcessRequests process = existing == null ? new ProcessRequests() : existing;
-          process.running.merge(fingerprint, new RunningCount(1, knownCrashes), RunningCount::plus);
+          process.running.merge(fingerprint, new RunningCount(1, evidence), RunningCount::plus);
           return process;
         });
   }
@@ -110,7 +104,7 @@
    */
   public CompletableFuture<Boolean> reportCrash(UpstreamProcess target, Fingerprint observer) {
     CompletableFuture<Boolean> report = new CompletableFuture<>();
-    Map<Fingerprint, Integer> suspects = new HashMap<>();
+    Map<Fingerprint, CrashEvidence> suspects = new HashMap<>();
     ProcessRequests process =
         processes.compute(
             target, (key, existing) -> beginReport(existing, observer, suspects, report));
@@ -123,13 +117,12 @@
   private static ProcessRequests beginReport(
       ProcessRequests existing,
       Fingerprint observer,
-      Map<Fingerprint, Integer> suspects,
+      Map<Fingerprint, CrashEvidence> suspects,
       CompletableFuture<Boolean> report) {
     ProcessRequests process = existing == null ? new ProcessRequests() : existing;
     if (!process.covers(observer)) {
-      process.running.forEach(
-          (fingerprint, count) -> suspects.put(fingerprint, count.knownCrashes()));
-      suspects.putIfAbsent(observer, CrashReports.COUNT_ALWAYS);
+      process.running.forEach((fingerprint, count) -> suspects.put(fingerprint, count.evidence()));
+      suspects.putIfAbsent(observer, CrashEvidence.ofRequest(CrashReports.COUNT_ALWAYS));
       process.reportedRequests = Set.copyOf(suspects.keySet());
       process.report = report;
     }
@@ -138,7 +131,7 @@
 
   private void sendReport(
       UpstreamProcess target,
-      Map<Fingerprint, Integer> suspects,
+      Map<Fingerprint, CrashEvidence> suspects,
       CompletableFuture<Boolean> report) {
     logger.atWarning().log(
         "%s",
--- a/src/test/java/org/cuminrack/control/SuspectStateTest.java
+++ b/src/test/java/org/cuminrack/control/SuspectStateTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.List;
 import org.cuminrack.generated.control.CrashRequest;
+import org.cuminrack.generated.control.FingerprintList;
+import org.cuminrack.generated.control.TrialRequest;
 import org.cuminrack.generated.control.TrialResult;
 import org.junit.jupiter.api.Test;
 
@@ -85,7 +87,83 @@
     SuspectState restored = new SuspectState();
     restored.restore(List.copyOf(state.all()));
 
-    assertThat(restored.tryAgain(REQUEST, 20_000).getWaitMillis()).isEqualTo(50_000);
+    assertThat(restored.tryAgain(trial(REQUEST), 20_000).getWaitMillis()).isEqualTo(50_000);
+  }
+
+  @Test
+  void shouldKeepTheCompanionsThatWereBesideAPartEachTime() {
+    crashPart("engine-1", 0, "aa", "bb", "cc");
+    crashPart("engine-2", 1, "bb", "cc");
+    crashPart("engine-3", 1, "cc", "dd");
+
+    assertThat(state.crashes(REQUEST)).isEqualTo(2);
+    assertThat(state.companions(REQUEST)).containsExactly("cc");
+  }
+
+  @Test
+  void shouldJoinTheReportsOfTwoGatewaysOnOneCrash() {
+    crashPart("engine-1", 0, "aa", "bb");
+    crashPart("engine-1", 0, "bb", "cc");
+
+    assertThat(state.crashes(REQUEST)).isEqualTo(1);
+    assertThat(state.companions(REQUEST)).containsExactly("bb");
+  }
+
+  @Test
+  void shouldRemoveAClearedPartFromTheCompanionsOfOthers() {
+    crashPart("engine-1", 0, "aa", "bb");
+
+    assertThat(state.clear("aa")).containsExactly(REQUEST);
+    assertThat(state.companions(REQUEST)).containsExactly("bb");
+    assertThat(state.clear("aa")).isEmpty();
+  }
+
+  @Test
+  void shouldTellWhichSuspicionsAReportChanged() {
+    CrashRequest second = partReport("engine-2", 0, "bb").build();
+    crashPart("engine-1", 0, "aa", "bb");
+
+    assertThat(state.report(second, 0)).containsExactly(REQUEST);
+    assertThat(state.report(second, 0)).isEmpty();
+  }
+
+  @Test
+  void shouldGrantATrialOnlyIfItIsDueForEachSuspect() {
+    crash("engine-1", 0, 0);
+    state.report(
+        CrashRequest.newBuilder().setUpstream("e").setBootId("1").addFingerprints("aa").build(),
+        Duration.ofSeconds(4).toMillis());
+    TrialRequest both = trial(REQUEST).toBuilder().addOthers("aa").build();
+
+    assertThat(state.tryAgain(both, 10_000).getWaitMillis()).isEqualTo(4_000);
+    assertThat(state.tryAgain(both, 14_000).getGranted()).isTrue();
+    assertThat(state.tryAgain(trial("aa"), 14_000).getWaitMillis()).isEqualTo(60_000);
+    assertThat(state.tryAgain(trial(REQUEST), 14_000).getWaitMillis()).isEqualTo(60_000);
+  }
+
+  @Test
+  void shouldKeepCompanionsInASnapshot() {
+    crashPart("engine-1", 0, "aa");
+
+    SuspectState restored = new SuspectState();
+    restored.restore(List.copyOf(state.all()));
+
+    assertThat(restored.companions(REQUEST)).containsExactly("aa");
+  }
+
+  private void crashPart(String upstream, int knownCrashes, String... companions) {
+    state.report(partReport(upstream, knownCrashes, companions).build(), 0);
+  }
+
+  private static CrashRequest.Builder partReport(
+      String upstream, int knownCrashes, String... companions) {
+    return report(upstream)
+        .addKnownCrashes(knownCrashes)
+        .addCompanions(FingerprintList.newBuilder().addAllFingerprints(List.of(companions)));
+  }
+
+  private static TrialRequest trial(String fingerprint) {
+    return TrialRequest.newBuilder().setFingerprint(fingerprint).build();
   }
 
   private void crash(String upstream, int knownCrashes, long timeMillis) {
@@ -97,6 +175,6 @@
   }
 
   private TrialResult tryAt(long seconds) {
-    return state.tryAgain(REQUEST, Duration.ofSeconds(seconds).toMillis());
+    return state.tryAgain(trial(REQUEST), Duration.ofSeconds(seconds).toMillis());
   }
 }
--- a/src/test/java/org/cuminrack/fleet/SuspectTableTest.java
+++ b/src/test/java/org/cuminrack/fleet/SuspectTableTest.java
@@ -3,9 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.generated.control.SuspectData;
 import org.cuminrack.generated.control.SuspectUpdate;
+import org.cuminrack.member.CrashEvidence;
 import org.junit.jupiter.api.Test;
 
 class SuspectTableTest {
@@ -16,7 +18,7 @@
 
   @Test
   void shouldTakeControlsCountInPlaceOfItsOwn() {
-    table.recordCrash(REQUEST, 4);
+    table.recordCrash(REQUEST, CrashEvidence.ofRequest(4));
 
     table.apply(update(0, 7, 2));
 
@@ -58,6 +60,45 @@
     assertThat(table.size()).isEqualTo(0);
   }
 
+  @Test
+  void shouldKeepTheCompanionsOfAllCrashesThatItObserved() {
+    Fingerprint first = new Fingerprint("aa");
+    Fingerprint second = new Fingerprint("bb");
+    table.recordCrash(REQUEST, new CrashEvidence(0, Set.of(first, second)));
+    table.recordCrash(REQUEST, new CrashEvidence(1, Set.of(second)));
+
+    assertThat(table.companions(REQUEST)).containsExactly(second);
+    assertThat(table.crashes(REQUEST)).isEqualTo(2);
+  }
+
+  @Test
+  void shouldRemoveAClearedSuspectFromTheCompanionsOfOthers() {
+    Fingerprint companion = new Fingerprint("aa");
+    table.recordCrash(REQUEST, new CrashEvidence(0, Set.of(companion)));
+
+    table.clear(companion);
+
+    assertThat(table.companions(REQUEST)).isEmpty();
+    assertThat(table.crashes(REQUEST)).isEqualTo(1);
+  }
+
+  @Test
+  void shouldTakeControlsCompanionsInPlaceOfItsOwn() {
+    table.recordCrash(REQUEST, new CrashEvidence(0, Set.of(new Fingerprint("aa"))));
+
+    table.apply(
+        SuspectUpdate.newBuilder()
+            .setRevision(7)
+            .addSuspects(
+                SuspectData.newBuilder()
+                    .setFingerprint(REQUEST.hex())
+                    .setCrashes(2)
+                    .addCompanions("bb"))
+            .build());
+
+    assertThat(table.companions(REQUEST)).containsExactly(new Fingerprint("bb"));
+  }
+
   private static SuspectUpdate update(long baseRevision, long revision, int crashes) {
     return SuspectUpdate.newBuilder()
         .setBaseRevision(baseRevision)
--- a/src/test/java/org/cuminrack/member/ReplicatedCrashReportsTest.java
+++ b/src/test/java/org/cuminrack/member/ReplicatedCrashReportsTest.java
@@ -89,6 +89,9 @@
 
   private CompletableFuture<Boolean> report(String upstream, String bootId) {
     return reports.reportCrash(
-        upstream, bootId, Map.of(POISON, CrashReports.COUNT_ALWAYS), TIMEOUT);
+        upstream,
+        bootId,
+        Map.of(POISON, CrashEvidence.ofRequest(CrashReports.COUNT_ALWAYS)),
+        TIMEOUT);
   }
 }
--- a/src/test/java/org/cuminrack/relay/FakeCrashReports.java
+++ b/src/test/java/org/cuminrack/relay/FakeCrashReports.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.member.CrashEvidence;
 import org.cuminrack.member.CrashReports;
 
 /** Stores crash reports in memory. */
@@ -21,7 +22,7 @@
 
   @Override
   public CompletableFuture<Boolean> reportCrash(
-      String upstream, String bootId, Map<Fingerprint, Integer> running, Duration timeout) {
+      String upstream, String bootId, Map<Fingerprint, CrashEvidence> running, Duration timeout) {
     reportCount.incrementAndGet();
     if (!reachable) {
       return CompletableFuture.completedFuture(false);
