Break off unframed responses whose upstream has crashed

Callers could get half an answer that looked whole: an upstream's answer with neither a length nor chunks ends with its connection, and the kernel ends the connections of a crashed process in order. The crash was also taken for a complete run, so that it counted against nothing and cleared what was counted.

Change: such an answer counts as complete only if its upstream still listens, or had announced that it leaves. Streams that end inside an event were broken off before; that has a test on the whole path now.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -218,16 +218,25 @@
 
   @Override
   public void completed() {
-    if (!isStream()) {
+    if (responseHead.notExecuted()) {
       onRefused();
-    } else if (splitter.isInsideEvent()) {
+    } else if (isStream() && splitter.isInsideEvent()) {
       lost("the stream ended inside an event");
     } else {
-      context.health().recordSuccess(reservation.upstream().id());
-      suspectDispatch.ifPresent(SuspectDispatch::completed);
-      close();
-      listener.streamEnded(this);
+      Runnable onComplete = isStream() ? this::onStreamEnded : this::onRefused;
+      ResponseEnd.check(
+          context, call, reservation.upstream(), status, headers, onComplete, this::lost);
+    }
+  }
+
+  private void onStreamEnded() {
+    if (closed) {
+      return;
     }
+    context.health().recordSuccess(reservation.upstream().id());
+    suspectDispatch.ifPresent(SuspectDispatch::completed);
+    close();
+    listener.streamEnded(this);
   }
 
   private void onRefused() {
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -244,6 +244,16 @@
 
     @Override
     public void completed() {
+      if (responseHead.notExecuted()) {
+        handleResponse();
+        return;
+      }
+      retryTimer.remove();
+      ResponseEnd.check(
+          context, call, reservation.upstream(), status, headers, this::handleResponse, this::lost);
+    }
+
+    private void handleResponse() {
       if (!responseHead.notExecuted()) {
         suspectDispatch.ifPresent(SuspectDispatch::completed);
       }
--- /dev/null
+++ b/src/main/java/org/cuminrack/gateway/ResponseEnd.java
@@ -0,0 +1,47 @@
+package org.cuminrack.gateway;
+
+import io.undertow.util.HeaderMap;
+import java.util.function.Consumer;
+import org.cuminrack.fleet.UpstreamRecord;
+import org.cuminrack.relay.ConnectProbe;
+import org.cuminrack.relay.ResponseFraming;
+
+/** Decides whether a response whose connection has ended is complete. */
+final class ResponseEnd {
+  private ResponseEnd() {}
+
+  /**
+   * Checks a response. One that only its connection delimits is complete if its upstream still
+   * listens, or was about to leave; otherwise the upstream may have crashed in the middle of it.
+   *
+   * @param onComplete called at once if the response has a detectable end, otherwise once the
+   *     upstream is checked, unless the call has ended by then
+   * @param onBroken receives what is wrong with the response, instead of {@code onComplete}
+   */
+  static void check(
+      GatewayContext context,
+      GatewayCall call,
+      UpstreamRecord upstream,
+      int status,
+      HeaderMap headers,
+      Runnable onComplete,
+      Consumer<String> onBroken) {
+    if (ResponseFraming.hasDetectableEnd(call.exchange().getRequestMethod(), status, headers)) {
+      onComplete.run();
+      return;
+    }
+    ConnectProbe.start(
+        upstream.address(),
+        call.io(),
+        processEnded -> {
+          if (call.hasEnded()) {
+            return;
+          }
+          if (processEnded && !context.selector().isLeaving(upstream)) {
+            onBroken.accept("the upstream ended with its answer, which has no length");
+          } else {
+            onComplete.run();
+          }
+        });
+  }
+}
--- a/src/main/java/org/cuminrack/relay/PlainExchange.java
+++ b/src/main/java/org/cuminrack/relay/PlainExchange.java
@@ -2,16 +2,10 @@
 
 import com.google.protobuf.ByteString;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
-import io.undertow.util.Methods;
 import java.nio.ByteBuffer;
 
 /** Sends a plain call to one upstream and buffers the complete response. */
 final class PlainExchange implements UpstreamListener {
-  private static final int STATUS_NO_CONTENT = 204;
-  private static final int STATUS_NOT_MODIFIED = 304;
-
   private final UpstreamRequest request;
   private final Dispatch dispatch;
   private final int maxResponseBytes;
@@ -78,24 +72,11 @@
     String expected = request.headers().getFirst(RelayHeaders.REQUEST_ID);
     if (!expected.equals(responseHeaders.getFirst(RelayHeaders.REQUEST_ID))) {
       fail(PlainFailure.WRONG_REQUEST_ID);
-    } else if (!hasDetectableEnd()) {
+    } else if (!ResponseFraming.hasDetectableEnd(request.method(), status, headers)) {
       fail(PlainFailure.BROKEN);
     }
   }
 
-  /**
-   * Returns whether the end of the response can be distinguished from a lost connection. A response
-   * that is delimited only by the end of its connection may have been truncated.
-   */
-  private boolean hasDetectableEnd() {
-    HttpString method = request.method();
-    return method.equals(Methods.HEAD)
-        || status == STATUS_NO_CONTENT
-        || status == STATUS_NOT_MODIFIED
-        || headers.contains(Headers.CONTENT_LENGTH)
-        || headers.contains(Headers.TRANSFER_ENCODING);
-  }
-
   @Override
   public void bodyReceived(ByteBuffer bytes) {
     if (body.size() + bytes.remaining() > maxResponseBytes) {
--- a/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
+++ b/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
@@ -61,6 +61,21 @@
     assertThat(callFirstGateway("POST", "/plan/other")).startsWith("HTTP/1.1 200 ");
   }
 
+  @Test
+  void shouldStopSendingAnOrderThatEndsUpstreamsInTheMiddleOfAnUnframedResponse() throws Exception {
+    sendThroughAllGateways("POST", "/order/unframed-midway-end-crash", SENDS);
+
+    assertDispatchesAreBounded("shop");
+  }
+
+  @Test
+  void shouldStopSendingAGenerationThatEndsEnginesInTheMiddleOfAnUnframedResponse()
+      throws Exception {
+    sendThroughAllGateways("POST", "/plan/unframed-midway-end-crash", SENDS);
+
+    assertDispatchesAreBounded("llm");
+  }
+
   @Test
   void shouldNotForgetACrashingRequestWhenControlAndAGatewayAreKilled() throws Exception {
     sendThroughAllGateways("POST", "/order/crash", 6);
--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -26,6 +26,10 @@
  * path or with the part {@link #CRASHING_PART} in its prompt: it resets all its connections and
  * refuses new ones until its supervisor restarts it. A request with {@code held} in its path runs
  * until {@link #releaseHeld} or a crash while the upstream holds requests.
+ *
+ * <p>The answer to a request with {@code unframed} in its path has neither a length nor chunks and
+ * ends with its connection: with {@code inside} inside an event, with {@code midway} in the middle
+ * and, with {@code end} in the path, together with the upstream.
  */
 final class CrashingUpstream implements AutoCloseable {
   /** The id of the part of a prompt that crashes the upstream. */
@@ -145,6 +149,10 @@
       Request request = readRequest(connection.getInputStream());
       paths.add(request.path());
       prompts.add(request.prompt());
+      if (request.path().contains("unframed")) {
+        respondUnframed(connection, request.path(), request.id());
+        return;
+      }
       if (request.path().contains("crash") || request.prompt().contains(CRASHING_PART)) {
         crash();
         return;
@@ -198,6 +206,28 @@
         .orElse("");
   }
 
+  /** Ends the connection in order, without a reset, whether the upstream ends with it or not. */
+  private void respondUnframed(Socket connection, String path, String id)
+      throws IOException, InterruptedException {
+    if (path.contains("held")) {
+      holding.incrementAndGet();
+      held.await();
+      holding.decrementAndGet();
+    }
+    String body = path.startsWith("/plan/") ? "id: 1\ndata: t\n\n" : "part one, ";
+    if (path.contains("inside")) {
+      body += "id: 2\ndata: t";
+    } else if (!path.contains("midway")) {
+      body += path.startsWith("/plan/") ? "id: 2\ndata: t\n\n" : "part two";
+    }
+    String head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: seal\r\n\r\n";
+    connection.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+    if (path.contains("end")) {
+      connections.remove(connection);
+      crash();
+    }
+  }
+
   private static void respond(OutputStream out, String path, String id) throws IOException {
     StringBuilder body = new StringBuilder();
     if (path.startsWith("/plan/")) {
--- /dev/null
+++ b/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
@@ -0,0 +1,111 @@
+package org.cuminrack.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import org.cuminrack.system.FreePorts;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Upstreams answer with neither a length nor chunks: the end of the connection ends the answer. */
+class UnframedResponseTest {
+  private static final String LAST_CHUNK = "0\r\n\r\n";
+
+  @TempDir Path folder;
+  private PlatformFixture platform;
+  private CrashingUpstream shop;
+  private CrashingUpstream engine;
+
+  @BeforeEach
+  void start() throws Exception {
+    platform = PlatformFixture.start(folder);
+    shop = new CrashingUpstream("s", FreePorts.port());
+    engine = new CrashingUpstream("e", FreePorts.port());
+    announce("ready", 1);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    shop.close();
+    engine.close();
+    platform.close();
+  }
+
+  @Test
+  void shouldForwardAPlainResponse() throws Exception {
+    assertThat(call("POST", "/order/unframed")).endsWith("part one, part two");
+  }
+
+  @Test
+  void shouldForwardAStream() throws Exception {
+    String response = call("POST", "/plan/unframed");
+
+    assertThat(response).contains("id: 2\ndata: t\n\n");
+  }
+
+  @Test
+  void shouldNotForwardAPlainResponseThatEndedWithItsUpstream() throws Exception {
+    assertThat(call("POST", "/order/unframed-midway-end")).startsWith("HTTP/1.1 502 ");
+  }
+
+  @Test
+  void shouldBreakOffAStreamThatEndedWithItsEngineBetweenTwoEvents() throws Exception {
+    String response = call("POST", "/plan/unframed-midway-end");
+
+    assertThat(response).contains("id: 1\ndata: t\n\n");
+    assertThat(response).doesNotContain(LAST_CHUNK);
+  }
+
+  @Test
+  void shouldBreakOffAStreamThatEndsInsideAnEvent() throws Exception {
+    String response = call("POST", "/plan/unframed-inside");
+
+    assertThat(response).contains("id: 1\ndata: t\n\n");
+    assertThat(response).doesNotContain("id: 2");
+    assertThat(response).doesNotContain(LAST_CHUNK);
+  }
+
+  @Test
+  void shouldForwardTheLastResponseOfAnUpstreamThatLeaves() throws Exception {
+    shop.hold();
+    CompletableFuture<String> response =
+        CompletableFuture.supplyAsync(() -> callUnchecked("POST", "/order/unframed-held-end"));
+    PlatformFixture.await("the order to run", shop::holdsARequest);
+    announce("draining", 2);
+    PlatformFixture.await(
+        "the gateway to know that the upstream leaves", () -> platform.dump().contains("DRAINING"));
+
+    shop.releaseHeld();
+
+    assertThat(response.join()).endsWith("part one, part two");
+  }
+
+  private void announce(String state, int sequence) {
+    platform.announce("s-1", "shop", shop.address(), "dc-a", state, sequence);
+    platform.announce("e-1", "llm", engine.address(), "dc-a", state, sequence);
+    PlatformFixture.await(
+        "the gateway to know the upstreams",
+        () -> platform.dump().contains("s-1") && platform.dump().contains("e-1"));
+  }
+
+  private String call(String method, String path) throws Exception {
+    return platform.call(
+        "c-" + path.hashCode(),
+        method,
+        path,
+        PlatformFixture.KEY,
+        "Deadline-Ms: 5000",
+        "Token-Counts: 900,40");
+  }
+
+  private String callUnchecked(String method, String path) {
+    try {
+      return call(method, path);
+    } catch (Exception e) {
+      throw new AssertionError(method + " " + path, e);
+    }
+  }
+}
