Send streams in chunks to callers whose connection closes

A caller that asked for Connection: close, or any caller of a gateway that is stopping, got its stream with neither a length nor chunks. The end of the connection ended it, whether it was whole or broken off, so a stream that was broken off looked complete.

Evidence: UnframedResponseTest.shouldForwardAStream failed, no last chunk after the last event.

--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -138,6 +138,10 @@
     progress.resetTimeSinceLastEvent();
     call.exchange().setStatusCode(status);
     HopByHopHeaders.copyEndToEnd(headers, call.exchange().getResponseHeaders());
+    if (!call.exchange().isHttp10()) {
+      // Otherwise the end of a closing connection would end the stream, whole or broken off.
+      call.exchange().getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+    }
     if (!call.exchange().isPersistent()) {
       call.exchange().getResponseHeaders().put(Headers.CONNECTION, "close");
     }
--- a/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
+++ b/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
@@ -44,6 +44,7 @@
     String response = call("POST", "/plan/unframed");
 
     assertThat(response).contains("id: 2\ndata: t\n\n");
+    assertThat(response).endsWith(LAST_CHUNK);
   }
 
   @Test
