Log the limits that upstreams name in their answers

Whether a gateway gets an upstream's limit, and when, could be told from no log. Reads the header, reports one that is no rate of requests, and logs the limit when it changes or ends. Nothing is decided by it yet.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -184,6 +184,7 @@
     headers = responseHeaders;
     responseHead =
         context.headers().readResponse(responseStatus, responseHeaders, call.head().attemptId());
+    context.rateLimits().recordAnswer(reservation.upstream(), responseHead);
     if (!responseHead.matchesRequest()) {
       lost("the answer belongs to another request");
     } else if (isStream()) {
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -11,6 +11,7 @@
     EngineCalls engineCalls,
     UpstreamSelector selector,
     UpstreamHealth health,
+    RequestRateLimits rateLimits,
     RetryBudgets retries,
     CrashSuspects suspects,
     GenerationQueue queue,
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -70,6 +70,7 @@
                 clock,
                 RandomGenerator.getDefault()),
             health,
+            new RequestRateLimits(),
             new RetryBudgets(settings, () -> view.gateways().size()),
             suspects,
             new GenerationQueue(),
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -230,6 +230,7 @@
       headers = responseHeaders;
       responseHead =
           context.headers().readResponse(responseStatus, responseHeaders, call.head().attemptId());
+      context.rateLimits().recordAnswer(reservation.upstream(), responseHead);
       if (!responseHead.matchesRequest()) {
         lost("the answer belongs to another request");
       }
--- a/src/main/java/org/cuminrack/gateway/ResponseHead.java
+++ b/src/main/java/org/cuminrack/gateway/ResponseHead.java
@@ -1,10 +1,19 @@
 package org.cuminrack.gateway;
 
+import io.vavr.control.Either;
+import java.util.OptionalDouble;
+
 /**
  * Facts read from the head of an upstream's response.
  *
  * @param matchesRequest whether the response belongs to the request that was sent
  * @param notExecuted whether the upstream states that it has not run the request and will not
  * @param misdirected whether the request reached another upstream than the intended one
+ * @param requestsPerSecond the rate of requests that the upstream accepts from all gateways
+ *     together, empty if it names none; an error text if it names one that is invalid
  */
-public record ResponseHead(boolean matchesRequest, boolean notExecuted, boolean misdirected) {}
+public record ResponseHead(
+    boolean matchesRequest,
+    boolean notExecuted,
+    boolean misdirected,
+    Either<String, OptionalDouble> requestsPerSecond) {}
--- a/src/main/java/org/cuminrack/platform/PlatformHeaders.java
+++ b/src/main/java/org/cuminrack/platform/PlatformHeaders.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.cuminrack.gateway.GenerationDemand;
@@ -32,6 +33,7 @@
   private static final HttpString KV_BACKUP = new HttpString("Kv-Backup");
   private static final HttpString KV_FROM = new HttpString("Kv-From");
   private static final HttpString NOT_EXECUTED = new HttpString("Not-Executed");
+  private static final HttpString SERVER_LIMIT = new HttpString("Server-Limit");
 
   /**
    * Headers of callers that are not forwarded: the API key, and headers that only the gateway may
@@ -160,6 +162,27 @@
     boolean notExecuted = headers.contains(NOT_EXECUTED) || status == STATUS_MISDIRECTED_REQUEST;
     // Only a response that states that the request was not executed may lack the id.
     boolean matchesRequest = echoedId == null ? notExecuted : echoedId.equals(attemptId);
-    return new ResponseHead(matchesRequest, notExecuted, status == STATUS_MISDIRECTED_REQUEST);
+    return new ResponseHead(
+        matchesRequest,
+        notExecuted,
+        status == STATUS_MISDIRECTED_REQUEST,
+        requestsPerSecond(headers));
+  }
+
+  private static Either<String, OptionalDouble> requestsPerSecond(HeaderMap headers) {
+    String text = headers.getFirst(SERVER_LIMIT);
+    if (text == null) {
+      return Either.right(OptionalDouble.empty());
+    }
+    try {
+      double rate = Double.parseDouble(text.strip());
+      if (rate >= 0 && Double.isFinite(rate)) {
+        return Either.right(OptionalDouble.of(rate));
+      }
+    } catch (NumberFormatException e) {
+      // Reported below, as a number that is out of range.
+    }
+    return Either.left(
+        SERVER_LIMIT + ": expected requests a second, 0 or more, found '" + text + "'");
   }
 }
--- a/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
+++ b/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
@@ -4,8 +4,11 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.cuminrack.gateway.RequestHead;
 import org.cuminrack.gateway.ResponseHead;
 import org.cuminrack.gateway.ResumePoint;
@@ -123,7 +126,29 @@
                 .notExecuted())
         .isTrue();
     assertThat(headers.readResponse(421, new HeaderMap(), "9c41"))
-        .isEqualTo(new ResponseHead(true, true, true));
+        .isEqualTo(new ResponseHead(true, true, true, Either.right(OptionalDouble.empty())));
+  }
+
+  @Test
+  void shouldReadTheRateOfRequestsThatAnUpstreamAccepts() {
+    assertThat(requestsPerSecond("2.4").get().getAsDouble()).isEqualTo(2.4);
+    assertThat(requestsPerSecond(" 0 ").get().getAsDouble()).isEqualTo(0.0);
+    assertThat(requestsPerSecond("1e99").get().getAsDouble()).isEqualTo(1e99);
+  }
+
+  @Test
+  void shouldReportARateOfRequestsThatIsInvalid() {
+    for (String invalid : List.of("", "-1", "NaN", "Infinity", "1e999", "two")) {
+      assertThat(requestsPerSecond(invalid).getLeft())
+          .isEqualTo(
+              "Server-Limit: expected requests a second, 0 or more, found '" + invalid + "'");
+    }
+  }
+
+  private Either<String, OptionalDouble> requestsPerSecond(String text) {
+    return headers
+        .readResponse(200, map("Attempt-Id", "1", "Server-Limit", text), "1")
+        .requestsPerSecond();
   }
 
   private static HeaderMap map(String... namesAndValues) {
