--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -49,6 +49,12 @@
   private volatile CountDownLatch held = new CountDownLatch(0);
   private volatile ServerSocket listener;
 
+  /** The header lines that each answer carries besides its own. */
+  volatile String extraHeaders = "";
+
+  /** The times at which requests were received, over all starts. */
+  final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
+
   /** The paths of all requests received, over all starts. */
   final List<String> paths = new CopyOnWriteArrayList<>();
 
@@ -147,6 +153,7 @@
   private void serve(Socket connection) {
     try (connection) {
       Request request = readRequest(connection.getInputStream());
+      arrivalNanos.add(System.nanoTime());
       paths.add(request.path());
       prompts.add(request.prompt());
       if (request.path().contains("unframed")) {
@@ -228,7 +235,7 @@
     }
   }
 
-  private static void respond(OutputStream out, String path, String id) throws IOException {
+  private void respond(OutputStream out, String path, String id) throws IOException {
     StringBuilder body = new StringBuilder();
     if (path.startsWith("/plan/")) {
       for (int event = 1; event <= EVENTS; event++) {
@@ -244,9 +251,9 @@
         Attempt-Id: %s
         Server-Seal: seal
         Content-Length: %d
-
+        %s
         """;
-    String response = head.formatted(id, body.length()).replace("\n", "\r\n") + body;
+    String response = head.formatted(id, body.length(), extraHeaders).replace("\n", "\r\n") + body;
     out.write(response.getBytes(StandardCharsets.US_ASCII));
     out.flush();
   }
