Keep the limits that upstreams name over all gateways

Upstreams that said in their answers how many requests a second they take went on to get several times as many, from all gateways together.

Cause: nothing read the limit, and no gateway knew what the others send to an upstream.

Change: gateways tell each other the limits that they observe and what they have sent, with their load messages, and choose an upstream only while the sum within the limit's window is below it; a random draw keeps them from using one free place together. A service whose upstreams are all at their limits refuses at once.

--- a/src/main/java/org/cuminrack/gateway/GatewayFailure.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayFailure.java
@@ -20,6 +20,7 @@
   STOPPING(503, ExecutionStatus.NO, "this gateway is stopping; ask another one"),
   NO_UPSTREAM(503, ExecutionStatus.NO, "no upstream of the service takes requests"),
   OVERLOADED(503, ExecutionStatus.NO, "the wait would be too long"),
+  UPSTREAMS_LIMITED(503, ExecutionStatus.NO, "all upstreams of the service limit their requests"),
   UPSTREAM_REFUSED(503, ExecutionStatus.NO, "the upstream has not run the request"),
   NOT_SENT(503, ExecutionStatus.NO, "no upstream could be reached in time"),
   SUSPENDED(503, ExecutionStatus.NO, "upstreams crashed each time they ran this request"),
--- a/src/main/java/org/cuminrack/gateway/GenerationMoves.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationMoves.java
@@ -73,6 +73,9 @@
 
   private void beginMove(EngineDispatch current, Reservation target) {
     moveAttempts++;
+    // A move with pre-copy asks the engine twice.
+    context.rateLimits().recordSent(current.reservation().upstream());
+    context.rateLimits().recordSent(current.reservation().upstream());
     move =
         Optional.of(
             MemoryMove.beginPreCopy(
@@ -98,6 +101,7 @@
       owner.resumeAt(backup, backupPoint, cause);
       return;
     }
+    context.rateLimits().recordSent(lost.reservation().upstream());
     move =
         Optional.of(
             MemoryMove.beginStopAndCopy(
--- a/src/main/java/org/cuminrack/gateway/LoadSharing.java
+++ b/src/main/java/org/cuminrack/gateway/LoadSharing.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -20,8 +21,8 @@
 import org.cuminrack.wire.WireServer;
 
 /**
- * Sends this gateway's load to the other gateways and receives theirs. The load of a gateway that
- * stops sending expires in the {@link LoadTable}.
+ * Sends this gateway's load, and its requests to upstreams with limits, to the other gateways and
+ * receives theirs. The load of a gateway that stops sending expires in the {@link LoadTable}.
  */
 public final class LoadSharing implements ManagedService {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -42,6 +43,7 @@
 
   private final String vm;
   private final LoadTable loads;
+  private final RequestRateLimits rateLimits;
   private final FleetView view;
   private final WireClient wire;
   private final Runnable onRemoteLoad;
@@ -55,9 +57,15 @@
    * @param onRemoteLoad called after each load message from another gateway
    */
   public LoadSharing(
-      String vm, LoadTable loads, FleetView view, WireClient wire, Runnable onRemoteLoad) {
+      String vm,
+      LoadTable loads,
+      RequestRateLimits rateLimits,
+      FleetView view,
+      WireClient wire,
+      Runnable onRemoteLoad) {
     this.vm = vm;
     this.loads = loads;
+    this.rateLimits = rateLimits;
     this.view = view;
     this.wire = wire;
     this.onRemoteLoad = onRemoteLoad;
@@ -102,8 +110,11 @@
 
   private void share() {
     Map<String, UpstreamLoad> current = loads.ownLoads();
+    List<RateLimitShare> shares = rateLimits.ownShares();
     roundsSinceSent++;
-    if (current.equals(lastSent) && roundsSinceSent < REFRESH_INTERVAL.dividedBy(INTERVAL)) {
+    if (shares.isEmpty()
+        && current.equals(lastSent)
+        && roundsSinceSent < REFRESH_INTERVAL.dividedBy(INTERVAL)) {
       return;
     }
     lastSent = current;
@@ -117,6 +128,7 @@
                     .setRunning(load.requests())
                     .setReservedTokens(load.reservedTokens())
                     .setUnreadPromptTokens(load.pendingPrefillTokens())));
+    shares.forEach(share -> call.addLimits(RateLimitCodec.data(share)));
     byte[] payload = call.build().toByteArray();
     for (GatewayRecord gateway : view.gateways()) {
       if (!gateway.vm().equals(vm)) {
@@ -140,6 +152,8 @@
               load.getRunning(), load.getReservedTokens(), load.getUnreadPromptTokens()));
     }
     loads.replaceRemote(call.getVm(), remoteLoads);
+    rateLimits.replaceRemote(
+        call.getVm(), call.getLimitsList().stream().map(RateLimitCodec::share).toList());
     onRemoteLoad.run();
     return CompletableFuture.completedFuture(EMPTY_REPLY);
   }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -72,6 +72,11 @@
       reservation = context.selector().reservePlain(call.service().name(), Set.of());
     }
     if (reservation.isEmpty()) {
+      Optional<Duration> retryAfter = context.selector().rateLimitRetryAfter(call.service().name());
+      if (retryAfter.isPresent()) {
+        refuse(GatewayFailure.UPSTREAMS_LIMITED, retryAfter.get(), "");
+        return;
+      }
       boolean hasAvailableUpstream = context.selector().hasAvailableUpstream(call.service().name());
       if (mayBecomeAvailable(hasAvailableUpstream) && hasTimeToWait()) {
         call.io().after(UPSTREAMS_POLL_INTERVAL.toMillis(), this::sendUnlessEnded);
@@ -102,10 +107,14 @@
 
   /** Fails the call as not executed, unless an earlier dispatch of the request may have run. */
   private void refuse(GatewayFailure failure, String detail) {
+    refuse(failure, RETRY_AFTER, detail);
+  }
+
+  private void refuse(GatewayFailure failure, Duration retryAfter, String detail) {
     if (responseLost) {
       call.fail(GatewayFailure.UPSTREAM_LOST, Optional.empty(), detail);
     } else {
-      call.fail(failure, Optional.of(RETRY_AFTER), detail);
+      call.fail(failure, Optional.of(retryAfter), detail);
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -250,6 +250,7 @@
   @Override
   public void resumeAt(Reservation reservation, ResumePoint resumePoint, String cause) {
     resumes++;
+    context.rateLimits().recordSent(reservation.upstream());
     call.logResume(reservation.upstream().id(), progress.lastEventId(), cause);
     progress.resetTimeSinceLastEvent();
     ResumePoint point = resumePoint.withLastEventId(progress.lastEventId());
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -1,9 +1,11 @@
 package org.cuminrack.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.UpstreamPhase;
@@ -17,6 +19,7 @@
   private final FleetView view;
   private final LoadTable loads;
   private final UpstreamHealth health;
+  private final RequestRateLimits rateLimits;
   private final Duration announcementTimeout;
   private final Clock clock;
   private final RandomGenerator random;
@@ -31,12 +34,14 @@
       FleetView view,
       LoadTable loads,
       UpstreamHealth health,
+      RequestRateLimits rateLimits,
       Duration announcementTimeout,
       Clock clock,
       RandomGenerator random) {
     this.view = view;
     this.loads = loads;
     this.health = health;
+    this.rateLimits = rateLimits;
     this.announcementTimeout = announcementTimeout;
     this.clock = clock;
     this.random = random;
@@ -45,7 +50,7 @@
 
   /** Reserves a slot for a plain request; empty if all upstreams are full. */
   synchronized Optional<Reservation> reservePlain(String service, Set<String> excludedIds) {
-    return Placement.forPlainRequest(candidates(service, excludedIds))
+    return choose(candidates(service, excludedIds), Placement::forPlainRequest)
         .map(this::recordChoice)
         .map(upstream -> Reservation.forPlainRequest(loads, upstream));
   }
@@ -53,32 +58,57 @@
   /** Reserves memory for a generation; empty if it fits on no engine. */
   synchronized Optional<Reservation> reserveGeneration(
       String service, EngineSpec engine, MemoryNeed need, Set<String> excludedIds) {
-    return Placement.forGeneration(candidates(service, excludedIds), engine, need.expectedTokens())
+    return choose(
+            candidates(service, excludedIds),
+            candidates -> Placement.forGeneration(candidates, engine, need.expectedTokens()))
         .map(this::recordChoice)
         .map(upstream -> Reservation.forGeneration(loads, upstream, need));
   }
 
-  /** Reserves memory for the backup of a generation; empty if it fits on no other engine. */
+  /**
+   * Reserves memory for the backup of a generation; empty if it fits on no other engine. One that
+   * has named a limit is not used, since a resumed generation can't wait for it.
+   */
   synchronized Optional<Reservation> reserveBackup(
       String service, EngineSpec engine, MemoryNeed need, String runningOnId) {
-    return Placement.forBackup(
-            candidates(service, Set.of()), runningOnId, engine, need.expectedTokens())
+    List<Candidate> unlimited =
+        candidates(service, Set.of()).stream()
+            .filter(candidate -> !rateLimits.isLimited(candidate.upstream()))
+            .toList();
+    return Placement.forBackup(unlimited, runningOnId, engine, need.expectedTokens())
         .map(candidate -> Reservation.forMemoryCopy(loads, candidate.upstream(), need));
   }
 
   /** Reserves memory for a generation that is moved off an engine; empty if it fits on no other. */
   synchronized Optional<Reservation> reserveMove(
       String service, EngineSpec engine, MemoryNeed need, UpstreamRecord from) {
-    return Placement.forMove(
+    return choose(
             candidates(service, Set.of(from.id())),
-            from.dataCentre(),
-            engine,
-            need.expectedTokens())
-        .map(this::recordChoice)
+            candidates ->
+                Placement.forMove(candidates, from.dataCentre(), engine, need.expectedTokens()))
+        .map(this::recordWarmUpChoice)
         .map(upstream -> Reservation.forMemoryCopy(loads, upstream, need));
   }
 
+  /** Returns the best candidate that the limit which it has named, if any, permits now. */
+  private Optional<Candidate> choose(
+      List<Candidate> candidates, Function<List<Candidate>, Optional<Candidate>> placement) {
+    List<Candidate> remaining = new ArrayList<>(candidates);
+    while (true) {
+      Optional<Candidate> best = placement.apply(remaining);
+      if (best.isEmpty() || rateLimits.allows(best.get().upstream())) {
+        return best;
+      }
+      remaining.remove(best.get());
+    }
+  }
+
   private UpstreamRecord recordChoice(Candidate candidate) {
+    rateLimits.recordSent(candidate.upstream());
+    return recordWarmUpChoice(candidate);
+  }
+
+  private UpstreamRecord recordWarmUpChoice(Candidate candidate) {
     warmUpRateLimiter.recordRequest(candidate.upstream(), clock.nanoTime());
     return candidate.upstream();
   }
@@ -98,6 +128,15 @@
         .anyMatch(upstream -> isAvailable(upstream) && !isWithinWarmUpRate(upstream, nowNanos));
   }
 
+  /**
+   * Returns after what time a service takes another request if all its available upstreams have
+   * named limits; empty if one of them has none.
+   */
+  Optional<Duration> rateLimitRetryAfter(String service) {
+    return rateLimits.retryAfter(
+        view.upstreams().ofService(service).stream().filter(this::isAvailable).toList());
+  }
+
   /** Returns whether an upstream still accepts new requests and has not restarted. */
   boolean isStillAvailable(UpstreamRecord upstream) {
     return view.upstreams()
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -8,6 +8,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
 import org.cuminrack.fleet.GatewayRecord;
@@ -19,6 +21,7 @@
 import org.cuminrack.gateway.LoadSharing;
 import org.cuminrack.gateway.LoadTable;
 import org.cuminrack.gateway.ReplicatedSuspectTrials;
+import org.cuminrack.gateway.RequestRateLimits;
 import org.cuminrack.http.HttpServer;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
@@ -60,6 +63,7 @@
   private final ServiceStack services = new ServiceStack();
   private final FleetView view = new FleetView(new RoutingDocuments());
   private final LoadTable loads;
+  private final RequestRateLimits rateLimits;
   private final GatewayHandler handler;
   private final FleetWatcher watcher;
   private volatile boolean stopping;
@@ -69,6 +73,7 @@
     this.clock = clock;
     NodeSettings node = settings.node();
     loads = new LoadTable(clock);
+    rateLimits = new RequestRateLimits(this::otherGateways, clock, RandomGenerator.getDefault());
     Metrics metrics = services.add(new Metrics());
     WireClient wire = services.add(new WireClient(node.group()));
     watcher =
@@ -78,6 +83,7 @@
         new GatewayHandler(
             view,
             loads,
+            rateLimits,
             new PlatformHeaders(),
             new PlatformEngineCalls(),
             gatewaySettings(settings),
@@ -85,7 +91,7 @@
             new RequestTimers(metrics),
             clock);
     LoadSharing sharing =
-        new LoadSharing(node.vm(), loads, view, wire, handler::onRemoteLoadChanged);
+        new LoadSharing(node.vm(), loads, rateLimits, view, wire, handler::onRemoteLoadChanged);
     WireServer server = new WireServer(node.wireAddress(), node.group());
     sharing.register(server);
     services.add(server);
@@ -104,6 +110,13 @@
         new HttpServer(settings.callerAddress(), handler, MAX_BODY_BYTES, settings.ioThreads()));
   }
 
+  private Set<String> otherGateways() {
+    return view.gateways().stream()
+        .map(GatewayRecord::vm)
+        .filter(vm -> !vm.equals(settings.node().vm()))
+        .collect(Collectors.toSet());
+  }
+
   private CrashSuspects suspects(ControlCalls control) {
     CrashReports reports = new ReplicatedCrashReports(control, clock);
     RelayBounds bounds = RelayBounds.defaults().withCrashReportTimeout(CRASH_REPORT_TIMEOUT);
@@ -210,6 +223,7 @@
         .with("gateways", view::gateways)
         .with("upstreams", () -> view.upstreams().all())
         .with("own_load", loads::ownLoads)
+        .with("rate_limits", rateLimits::ownShares)
         .with("suspects", () -> view.suspects().size())
         .with("waiting", handler::queuedGenerations);
   }
