Refuse announcements of services that the routing does not name

An announcement of a service that no routing names, at the address of a running upstream and with a later birth, took that upstream out of service: its record was marked as left, which is final, so that its own announcements were stale and its callers got 503 until it started again. One under the upstream's own id did the same by replacing its service.

Evidence: PlainRequestPathTest.shouldKeepAnUpstreamAtWhoseAddressAnUnknownServiceIsAnnounced got 503 where 200 is expected.

Change: such announcements are refused, unless the upstream is known with that service and may be about to leave.

--- a/src/main/java/org/cuminrack/control/RoutingControl.java
+++ b/src/main/java/org/cuminrack/control/RoutingControl.java
@@ -62,6 +62,11 @@
     return proposer.propose(Command.newBuilder().setSetEvacuation(set));
   }
 
+  /** Returns the routing that this VM has applied, which may be behind the latest. */
+  public RoutingData applied() {
+    return state.routing();
+  }
+
   /** Returns the latest routing after a quorum has confirmed this VM's leadership. */
   public CompletableFuture<Either<ProposalFailure, RoutingData>> read() {
     return log.confirmLeadership(READ_TIMEOUT)
--- a/src/main/java/org/cuminrack/platform/ControlEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/ControlEndpoints.java
@@ -34,6 +34,7 @@
   private final RoutingControl routing;
   private final FleetControl fleet;
   private final RoutingDocuments documents = new RoutingDocuments();
+  private final NamedServices services;
   private final int controlPort;
   private final Clock clock;
 
@@ -45,6 +46,7 @@
   public ControlEndpoints(
       RoutingControl routing, FleetControl fleet, int controlPort, Clock clock) {
     this.routing = routing;
+    this.services = new NamedServices(routing::applied);
     this.fleet = fleet;
     this.controlPort = controlPort;
     this.clock = clock;
@@ -86,6 +88,10 @@
         if (report.isLeft()) {
           logInvalid("announcement-unreadable", id, report.getLeft());
           sendError(exchange, StatusCodes.BAD_REQUEST, report.getLeft());
+        } else if (!isOfKnownService(report.get())) {
+          String detail = "service: expected one of the routing, found " + report.get().service();
+          logInvalid("announcement-refused", id, detail);
+          sendError(exchange, StatusCodes.BAD_REQUEST, detail);
         } else {
           acknowledge(exchange, fleet.mergeAnnouncement(report.get()));
         }
@@ -103,6 +109,18 @@
     }
   }
 
+  /**
+   * Returns whether an announcement's service is named, or was when the upstream became known; it
+   * may still be about to leave.
+   */
+  private boolean isOfKnownService(UpstreamRecord announced) {
+    return services.include(announced.service())
+        || fleet
+            .upstream(announced.id())
+            .filter(known -> known.service().equals(announced.service()))
+            .isPresent();
+  }
+
   private void acknowledge(HttpServerExchange exchange, CompletableFuture<Boolean> stored) {
     stored.whenComplete(
         (isStored, failure) ->
--- a/src/main/java/org/cuminrack/routing/RoutingTable.java
+++ b/src/main/java/org/cuminrack/routing/RoutingTable.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** The routes, services, API keys and limits of one version of the routing document. Immutable. */
 public final class RoutingTable {
@@ -51,6 +52,11 @@
     return limits;
   }
 
+  /** Returns the names of all services. */
+  public Set<String> serviceNames() {
+    return services.keySet();
+  }
+
   /** Returns a service by its name. */
   public Optional<ServiceSpec> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
+++ b/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
@@ -6,6 +6,8 @@
 
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -36,6 +38,44 @@
         () -> platform.lookUpGateways().contains("\"" + platform.callerAddress() + "\""));
   }
 
+  @Test
+  void shouldKeepAnUpstreamAtWhoseAddressAnUnknownServiceIsAnnounced() throws Exception {
+    FakeUpstream shop = platform.startUpstream();
+    announceAndAwait("i-1", "shop", shop, "dc-a", "/read/warm");
+
+    List<Integer> statuses = new ArrayList<>();
+    for (String id : List.of("i-1", "i-9")) {
+      statuses.add(
+          platform
+              .callAsOperator(
+                  "POST",
+                  "/instances/" + id + "/heartbeat",
+                  """
+                  {"service":"no-service","address":"%s","zone":"dc-a","version":"v1","slots":6,
+                   "state":"ready","cold-left-ms":0,"call-seq":9,"born":1786843519999}"""
+                      .formatted(shop.address()))
+              .statusCode());
+    }
+
+    platform.announce("i-1", "shop", shop, "dc-a", "ready", 2);
+    assertThat(platform.call("a-1", "GET", "/read/x", KEY)).startsWith("HTTP/1.1 200 ");
+    assertThat(statuses).containsExactly(400, 400);
+  }
+
+  @Test
+  void shouldLetAnUpstreamLeaveWhoseServiceIsNotNamedAnyMore() throws Exception {
+    FakeUpstream shop = platform.startUpstream();
+    announceAndAwait("i-1", "shop", shop, "dc-a", "/read/warm");
+    String withoutShop =
+        """
+        {"version":4,"routes":[],"services":[{"name":"llm","health-path":"/health"}],
+         "tenants":[]}""";
+    platform.callUntilAcknowledged("POST", "/config/replace", withoutShop);
+
+    platform.announce("i-1", "shop", shop, "dc-a", "draining", 2);
+    platform.callUntilAcknowledged("POST", "/instances/i-1/leave", "");
+  }
+
   @Test
   void shouldForwardAPlainResponse() throws Exception {
     FakeUpstream shop = platform.startUpstream();
