Don't count again at a gateway what was cleared after a request was sent

A part or content with two counted crashes that output elsewhere had cleared while a request with it ran was suspended at its gateway at the next crash, until control's count came: the gateway set the count to the crashes known at the send, plus one. Without a leader it stayed so.

Evidence: SuspectTableTest.shouldNotCountAgainWhatWasClearedAfterTheRequestWasSent got 3 where 1 is expected. Change: the gateway counts as control does, one crash more unless more are counted than were known. After: green, with CrashSuspectsTest and SuspectStateTest.

--- a/src/main/java/org/cuminrack/fleet/SuspectTable.java
+++ b/src/main/java/org/cuminrack/fleet/SuspectTable.java
@@ -60,17 +60,19 @@
     return revision;
   }
 
-  /** Records a crash that this gateway observed, until control has counted it. */
+  /**
+   * Records a crash that this gateway observed, until control has counted it; does not count it if
+   * more crashes are counted than were known when the suspect was sent.
+   */
   public synchronized void recordCrash(Fingerprint fingerprint, CrashEvidence evidence) {
-    Suspect observed = new Suspect(evidence.knownCrashes() + 1, evidence.companions());
     suspects.merge(
         fingerprint,
-        observed,
-        (before, now) ->
+        new Suspect(1, evidence.companions()),
+        (before, first) ->
             new Suspect(
-                Math.max(before.crashes(), now.crashes()),
+                before.crashes() + (evidence.knownCrashes() < before.crashes() ? 0 : 1),
                 before.companions().stream()
-                    .filter(now.companions()::contains)
+                    .filter(evidence.companions()::contains)
                     .collect(Collectors.toSet())));
   }
 
