--- a/src/main/java/org/cuminrack/gateway/RateLimit.java
+++ b/src/main/java/org/cuminrack/gateway/RateLimit.java
@@ -9,6 +9,7 @@
   /** Shorter windows leave too few requests to share between gateways. */
   private static final Duration MIN_WINDOW = Duration.ofSeconds(2);
 
+  /** Fewer requests a window would leave low rates unused for long. */
   private static final double MIN_REQUESTS_IN_WINDOW = 3;
 
   private static final Duration MAX_WINDOW = Duration.ofMinutes(1);
@@ -20,13 +21,17 @@
 
   final RecentEvents sent = new RecentEvents();
   final RecentEvents eligible = new RecentEvents();
+
+  /** The time since which this gateway counts its requests. */
   private final long sinceNanos;
+
   private OptionalDouble requestsPerSecond;
   private long statedNanos;
   private boolean observedHere;
 
-  RateLimit(OptionalDouble requestsPerSecond, long statedNanos, boolean observedHere, long now) {
-    this.sinceNanos = now;
+  RateLimit(
+      OptionalDouble requestsPerSecond, long statedNanos, boolean observedHere, long nowNanos) {
+    this.sinceNanos = nowNanos;
     update(requestsPerSecond, statedNanos, observedHere);
   }
 
