--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -1,18 +1,13 @@
 package org.cuminrack.gateway;
 
-import com.google.protobuf.ByteString;
-import io.undertow.server.HttpServerExchange;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.fleet.UpstreamRecord;
-import org.cuminrack.routing.KeyHolder;
 
 /**
  * Whether one call's request, or a part of its prompt, is suspected of crashing upstreams. Confined
@@ -35,20 +30,9 @@
    * Identifies the request by what stays the same when its caller sends it again, and by the parts
    * of its prompt that other requests share.
    */
-  static CallSuspicion of(
-      CrashSuspects suspects,
-      HttpServerExchange exchange,
-      String pathAndQuery,
-      Optional<KeyHolder> keyHolder,
-      String service,
-      List<String> promptParts,
-      ByteString body) {
-    Fingerprint content =
-        Fingerprint.of(
-            keyHolder.map(KeyHolder::organisation).orElse(""),
-            exchange.getRequestMethod() + " " + exchange.getHostAndPort() + pathAndQuery,
-            body.toByteArray());
-    return new CallSuspicion(suspects, RequestKeys.of(content, service, promptParts));
+  static CallSuspicion of(CrashSuspects suspects, RelayedRequest request, String service) {
+    return new CallSuspicion(
+        suspects, RequestKeys.of(request.content(), service, request.head().promptParts()));
   }
 
   /** Returns the short form of the content's fingerprint, for the log. */
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -1,17 +1,13 @@
 package org.cuminrack.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.ByteString;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerExchanges;
-import org.cuminrack.relay.HopByHopHeaders;
 import org.cuminrack.relay.IoContext;
 import org.cuminrack.relay.UpstreamRequest;
 import org.cuminrack.routing.HttpRoute;
@@ -31,12 +27,11 @@
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(30);
 
   private final GatewayContext context;
+  private final RelayedRequest request;
   private final HttpServerExchange exchange;
   private final HttpRoute route;
   private final ServiceSpec service;
   private final RequestHead head;
-  private final Optional<KeyHolder> keyHolder;
-  private final ByteString body;
   private final CallSuspicion suspicion;
   private final IoContext io;
   private final long arrivedNanos;
@@ -47,29 +42,17 @@
 
   GatewayCall(
       GatewayContext context,
-      HttpServerExchange exchange,
+      RelayedRequest request,
       HttpRoute route,
       ServiceSpec service,
-      RequestHead head,
-      Optional<KeyHolder> keyHolder,
-      ByteString body,
       long arrivedNanos) {
     this.context = context;
-    this.exchange = exchange;
+    this.request = request;
+    this.exchange = request.exchange();
     this.route = route;
     this.service = service;
-    this.head = head;
-    this.keyHolder = keyHolder;
-    this.body = body;
-    this.suspicion =
-        CallSuspicion.of(
-            context.suspects(),
-            exchange,
-            pathAndQuery(exchange),
-            keyHolder,
-            service.name(),
-            head.promptParts(),
-            body);
+    this.head = request.head();
+    this.suspicion = CallSuspicion.of(context.suspects(), request, service.name());
     this.io = IoContext.of(exchange, context.bounds());
     this.arrivedNanos = arrivedNanos;
   }
@@ -99,7 +82,8 @@
    * is the most urgent.
    */
   int priority() {
-    OptionalInt ofOrganisation = keyHolder.map(KeyHolder::priority).orElse(OptionalInt.empty());
+    OptionalInt ofOrganisation =
+        request.keyHolder().map(KeyHolder::priority).orElse(OptionalInt.empty());
     return ofOrganisation.orElse(route.priority());
   }
 
@@ -185,27 +169,7 @@
     sendCount++;
     upstreamId = upstream.id();
     context.counters().add(GatewayCounters.Kind.SENDS);
-    HeaderMap headers = new HeaderMap();
-    HopByHopHeaders.copyEndToEnd(exchange.getRequestHeaders(), headers);
-    headers.put(Headers.HOST, exchange.getHostAndPort());
-    context
-        .headers()
-        .writeRequest(
-            headers,
-            new UpstreamRequestHead(
-                remaining(),
-                upstream.id(),
-                keyHolder.map(KeyHolder::organisation),
-                backupAddress,
-                resume));
-    return new UpstreamRequest(
-        upstream.address(), exchange.getRequestMethod(), pathAndQuery(exchange), headers, body);
-  }
-
-  private static String pathAndQuery(HttpServerExchange exchange) {
-    String query = exchange.getQueryString();
-    String path = exchange.getRequestURI();
-    return query.isEmpty() ? path : path + "?" + query;
+    return request.to(upstream, context.headers(), remaining(), backupAddress, resume);
   }
 
   /**
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -227,12 +227,13 @@
     GatewayCall call =
         new GatewayCall(
             context,
-            exchange,
+            new RelayedRequest(
+                exchange,
+                admitted.head(),
+                route.isPublic() ? Optional.empty() : admitted.keyHolder(),
+                body),
             route,
             service,
-            admitted.head(),
-            route.isPublic() ? Optional.empty() : admitted.keyHolder(),
-            body,
             admitted.arrivedNanos());
     if (route.kind().isStreamed() && service.engine().isPresent()) {
       StreamRelay.begin(context, call, service.engine().get());
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -1,25 +1,18 @@
 package org.cuminrack.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import io.undertow.util.HeaderMap;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.DisconnectWatcher;
-import org.cuminrack.relay.HopByHopHeaders;
-import org.cuminrack.relay.NotSentReason;
-import org.cuminrack.relay.UpstreamExchange;
-import org.cuminrack.relay.UpstreamListener;
-import org.xnio.XnioExecutor;
 
 /**
  * Relays a request whose response is not a stream. The response is buffered and forwarded only once
  * it is complete, so that the caller never mistakes a truncated response for a complete one.
  */
-final class PlainRelay {
+final class PlainRelay implements PlainDispatch.Listener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int SERVER_ERROR = 500;
 
@@ -46,7 +39,7 @@
   private final GatewayContext context;
   private final GatewayCall call;
   private final Set<String> triedIds = new HashSet<>();
-  private Dispatch current;
+  private PlainDispatch current;
   private int unsentDispatches;
 
   /** Whether an earlier dispatch ended without a usable response; it may have run. */
@@ -85,8 +78,16 @@
       refuse(hasAvailableUpstream ? GatewayFailure.OVERLOADED : GatewayFailure.NO_UPSTREAM, "");
       return;
     }
-    current = new Dispatch(reservation.get());
-    current.open();
+    triedIds.add(reservation.get().upstream().id());
+    current = new PlainDispatch(context, call, reservation.get(), this);
+    current.open(retryDelay());
+  }
+
+  /** Returns the time after which an unanswered request is retried; empty if it may not be. */
+  private Optional<Duration> retryDelay() {
+    return call.route().kind().isRetryable() && call.route().maxAttempts() > 1
+        ? Optional.of(call.route().targetLatency().multipliedBy(RETRY_DELAY_TARGET_MULTIPLE))
+        : Optional.empty();
   }
 
   private boolean mayBecomeAvailable(boolean hasAvailableUpstream) {
@@ -119,7 +120,7 @@
   }
 
   private void onDeadline() {
-    boolean mayHaveRun = responseLost || (current != null && current.sent);
+    boolean mayHaveRun = responseLost || (current != null && current.isSent());
     closeCurrent();
     if (mayHaveRun) {
       call.fail(GatewayFailure.TIMEOUT, Optional.empty(), "deadline");
@@ -159,172 +160,68 @@
     send();
   }
 
-  /** One dispatch of the request to one upstream. */
-  private final class Dispatch implements UpstreamListener {
-    private final Reservation reservation;
-    private final BoundedBody body = new BoundedBody(context.bounds().maxResponseBytes());
-    private UpstreamExchange exchange;
-    private XnioExecutor.Key retryTimer = () -> false;
-    private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
-    private ResponseHead responseHead;
-    private HeaderMap headers;
-    private int status;
-    private boolean sent;
-
-    Dispatch(Reservation reservation) {
-      this.reservation = reservation;
-    }
-
-    void open() {
-      String id = reservation.upstream().id();
-      triedIds.add(id);
-      exchange =
-          call.io()
-              .open(
-                  call.requestTo(reservation.upstream(), Optional.empty(), Optional.empty()), this);
-      if (call.route().kind().isRetryable() && call.route().maxAttempts() > 1) {
-        Duration wait = call.route().targetLatency().multipliedBy(RETRY_DELAY_TARGET_MULTIPLE);
-        retryTimer = call.io().after(wait.toMillis(), this::retryIfSlow);
-      }
-    }
-
-    void close() {
-      retryTimer.remove();
-      suspectDispatch.ifPresent(SuspectDispatch::abandoned);
-      reservation.release();
-      if (exchange != null) {
-        exchange.close();
-      }
-    }
-
-    @Override
-    public boolean maySend() {
-      sent = call.maySendTo(reservation.upstream());
-      if (sent) {
-        suspectDispatch = Optional.of(call.suspicion().registerDispatch(reservation.upstream()));
-      }
-      return sent;
-    }
-
-    @Override
-    public void notSent(NotSentReason reason) {
-      sent = false;
-      close();
-      if (reason != NotSentReason.NOT_PERMITTED) {
-        context.health().recordFailure(reservation.upstream().id());
-      }
-      unsentDispatches++;
-      if (call.suspicion().isSuspended()) {
-        refuse(GatewayFailure.SUSPENDED, "");
-      } else if (unsentDispatches >= MAX_UNSENT_DISPATCHES) {
-        refuse(GatewayFailure.NOT_SENT, "connect");
-      } else {
-        send();
-      }
-    }
-
-    private void retryIfSlow() {
-      if (current == this && !call.hasEnded() && tryAcquireRetry()) {
-        context.health().recordFailure(reservation.upstream().id());
-        responseLost = true;
-        close();
-        call.recordLost(reservation.upstream(), "no answer in time");
-        retry("no answer in time");
-      }
-    }
-
-    @Override
-    public void responseStarted(int responseStatus, HeaderMap responseHeaders) {
-      status = responseStatus;
-      headers = responseHeaders;
-      responseHead =
-          context.headers().readResponse(responseStatus, responseHeaders, call.head().attemptId());
-      context.rateLimits().recordAnswer(reservation.upstream(), responseHead);
-      if (!responseHead.matchesRequest()) {
-        lost("the answer belongs to another request");
-      }
-    }
-
-    @Override
-    public void bodyReceived(ByteBuffer bytes) {
-      if (!body.append(bytes)) {
-        lost("the answer is larger than allowed");
-      }
-    }
-
-    @Override
-    public void completed() {
-      if (responseHead.notExecuted()) {
-        handleResponse();
-        return;
-      }
-      retryTimer.remove();
-      ResponseEnd.check(
-          context, call, reservation.upstream(), status, headers, this::handleResponse, this::lost);
-    }
-
-    private void handleResponse() {
-      if (!responseHead.notExecuted()) {
-        suspectDispatch.ifPresent(SuspectDispatch::completed);
-      }
-      close();
-      if (responseHead.misdirected()) {
-        context.counters().add(GatewayCounters.Kind.MISDIRECTED_SENDS);
-        context.health().recordFailure(reservation.upstream().id());
-        onMisdirected();
-      } else if (responseHead.notExecuted()) {
-        onNotExecuted();
-      } else if (status >= SERVER_ERROR && tryAcquireRetry()) {
-        retry("status " + status);
-      } else {
-        forwardResponse();
-      }
+  @Override
+  public void notSent() {
+    unsentDispatches++;
+    if (call.suspicion().isSuspended()) {
+      refuse(GatewayFailure.SUSPENDED, "");
+    } else if (unsentDispatches >= MAX_UNSENT_DISPATCHES) {
+      refuse(GatewayFailure.NOT_SENT, "connect");
+    } else {
+      send();
     }
+  }
 
-    /** Sends the request to another upstream; the one that rejected it counts as a retry. */
-    private void onMisdirected() {
-      if (call.tryAcquireRetry()) {
-        notSent(NotSentReason.NOT_PERMITTED);
-      } else {
-        refuse(GatewayFailure.NOT_SENT, "misdirected");
-      }
+  @Override
+  public void slow(PlainDispatch dispatch) {
+    if (current == dispatch && !call.hasEnded() && tryAcquireRetry()) {
+      responseLost = true;
+      dispatch.abandon("no answer in time");
+      retry("no answer in time");
     }
+  }
 
-    private void onNotExecuted() {
-      if (tryAcquireRetry()) {
-        retry("not run, status " + status);
-      } else {
-        refuse(GatewayFailure.UPSTREAM_REFUSED, "status " + status);
+  @Override
+  public void responded(PlainDispatch dispatch, ResponseHead head, int status) {
+    if (head.misdirected()) {
+      onMisdirected(dispatch);
+    } else if (head.notExecuted()) {
+      onNotExecuted(status);
+    } else if (status >= SERVER_ERROR && tryAcquireRetry()) {
+      retry("status " + status);
+    } else {
+      if (status < SERVER_ERROR) {
+        dispatch.recordSuccess();
       }
+      dispatch.forwardResponse();
     }
+  }
 
-    private void forwardResponse() {
-      if (status < SERVER_ERROR) {
-        context.health().recordSuccess(reservation.upstream().id());
-      }
-      if (call.markAnswered(status, "")) {
-        call.exchange().setStatusCode(status);
-        HopByHopHeaders.copyEndToEnd(headers, call.exchange().getResponseHeaders());
-        call.exchange().getResponseSender().send(body.toByteString().asReadOnlyByteBuffer());
-      }
+  /** Sends the request to another upstream; the one that rejected it counts as a retry. */
+  private void onMisdirected(PlainDispatch dispatch) {
+    dispatch.markMisdirected();
+    if (call.tryAcquireRetry()) {
+      notSent();
+    } else {
+      refuse(GatewayFailure.NOT_SENT, "misdirected");
     }
+  }
 
-    @Override
-    public void failed(String detail) {
-      lost(detail);
+  private void onNotExecuted(int status) {
+    if (tryAcquireRetry()) {
+      retry("not run, status " + status);
+    } else {
+      refuse(GatewayFailure.UPSTREAM_REFUSED, "status " + status);
     }
+  }
 
-    private void lost(String detail) {
-      responseLost = true;
-      call.recordLost(reservation.upstream(), detail);
-      suspectDispatch.ifPresent(dispatch -> dispatch.lost(call.io(), () -> {}));
-      close();
-      context.health().recordFailure(reservation.upstream().id());
-      if (!call.suspicion().isSuspended() && tryAcquireRetry()) {
-        retry(detail);
-      } else {
-        call.fail(GatewayFailure.UPSTREAM_LOST, Optional.empty(), detail);
-      }
+  @Override
+  public void lost(String detail) {
+    responseLost = true;
+    if (!call.suspicion().isSuspended() && tryAcquireRetry()) {
+      retry(detail);
+    } else {
+      call.fail(GatewayFailure.UPSTREAM_LOST, Optional.empty(), detail);
     }
   }
 }
--- a/src/test/java/org/cuminrack/platform/GatewayCluster.java
+++ b/src/test/java/org/cuminrack/platform/GatewayCluster.java
@@ -13,7 +13,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,10 +33,7 @@
   private final Path folder;
   private final HttpClient http =
       HttpClient.newBuilder().connectTimeout(TIMEOUT).version(HttpClient.Version.HTTP_1_1).build();
-  private final int controlWirePort = FreePorts.port();
-  private final int controlDumpPort = FreePorts.port();
-  private final int controlPort = FreePorts.port();
-  private final int directoryPort = FreePorts.port();
+  private final GatewayClusterSettings settings;
   private final Map<String, RunningProcess> processes = new LinkedHashMap<>();
   private final Map<String, Integer> callerPorts = new LinkedHashMap<>();
   private final Map<String, Integer> dumpPorts = new LinkedHashMap<>();
@@ -46,6 +42,7 @@
 
   private GatewayCluster(Path folder) {
     this.folder = folder;
+    this.settings = new GatewayClusterSettings(folder, CONTROL_HOSTS);
   }
 
   /** Starts the processes and four upstreams of each service, and waits until all serve. */
@@ -105,7 +102,8 @@
 
   private boolean leads(String host) {
     try {
-      return get(host + ":" + controlDumpPort, "/metrics").contains("cuminrack_quorum_leads 1.0");
+      return get(host + ":" + settings.controlDumpPort(), "/metrics")
+          .contains("cuminrack_quorum_leads 1.0");
     } catch (IOException e) {
       // Not listening.
       return false;
@@ -208,7 +206,7 @@
   private boolean isAcknowledged(String host, String path, String body) {
     HttpRequest request =
         HttpRequest.newBuilder(
-                URI.create("http://" + host + ":" + controlPort + "/cuminrack" + path))
+                URI.create("http://" + host + ":" + settings.controlPort() + "/cuminrack" + path))
             .timeout(TIMEOUT)
             .POST(HttpRequest.BodyPublishers.ofString(body))
             .build();
@@ -224,67 +222,20 @@
   }
 
   private void startControl(String host) throws IOException {
-    String settings =
-        """
-        vm: "%1$s"
-        region: "local"
-        data_centre: "dc-a"
-        wire_address: "%1$s:%2$d"
-        http_address: "%1$s:%3$d"
-        data_folder: "%4$s"
-        control_address: "%1$s:%5$d"
-        directory_address: "%1$s:%6$d"
-        heartbeat_millis: 60
-        election_timeout_millis: 300
-        %7$s"""
-            .formatted(
-                host,
-                controlWirePort,
-                controlDumpPort,
-                folder.resolve("data-" + host),
-                controlPort,
-                directoryPort,
-                seeds());
-    start(host, "control", settings);
+    start(host, "control", settings.control(host));
   }
 
   private void startGateway(String name) throws IOException {
     int callerPort = callerPorts.computeIfAbsent(name, key -> FreePorts.port());
     int dumpPort = dumpPorts.computeIfAbsent(name, key -> FreePorts.port());
-    String settings =
-        """
-        vm: "%s"
-        region: "local"
-        data_centre: "dc-a"
-        wire_address: "127.0.0.1:%d"
-        http_address: "127.0.0.1:%d"
-        caller_address: "127.0.0.1:%d"
-        ready_address: "127.0.0.1:%d"
-        control_wire_port: %d
-        retry_slack: 1000
-        %s"""
-            .formatted(
-                name,
-                FreePorts.port(),
-                dumpPort,
-                callerPort,
-                FreePorts.port(),
-                controlWirePort,
-                seeds());
-    start(name, "gateway", settings);
+    start(name, "gateway", settings.gateway(name, callerPort, dumpPort));
   }
 
-  private void start(String name, String role, String settings) throws IOException {
-    Path file = Files.writeString(folder.resolve(name + ".yaml"), settings);
+  private void start(String name, String role, String text) throws IOException {
+    Path file = Files.writeString(folder.resolve(name + ".yaml"), text);
     processes.put(name, RunningProcess.start(folder, name, role, "--settings", file.toString()));
   }
 
-  private String seeds() {
-    List<String> lines = new ArrayList<>(List.of("control_seeds:"));
-    CONTROL_HOSTS.forEach(host -> lines.add("  - \"" + host + ":" + controlPort + "\""));
-    return String.join("\n", lines) + "\n";
-  }
-
   /** Fails if any process has ended by itself. */
   void assertAllRunning() {
     processes.forEach(
