Reword comments and messages that stop a new reader

Read as an engineer who joined today: a comment that said "otherwise" without saying of what, one that pointed "below", "not heard of" for a gateway that sends no messages, and the paths of the crashing upstream, which could be read in two ways. The detail of a broken-off unframed answer says what it lacks. No behaviour changes; compiled with the formatter and the linter.

--- a/src/main/java/org/cuminrack/gateway/RateLimit.java
+++ b/src/main/java/org/cuminrack/gateway/RateLimit.java
@@ -14,7 +14,7 @@
 
   private static final Duration MAX_WINDOW = Duration.ofMinutes(1);
 
-  /** Requests that go to any upstream, so that an answer can tell that its limit has ended. */
+  /** Requests that go to an upstream whatever its limit, so that an answer can end the limit. */
   private static final double MIN_REQUESTS_PER_SECOND = 0.1;
 
   private static final double NANOS_PER_SECOND = 1e9;
--- a/src/main/java/org/cuminrack/gateway/RecentEvents.java
+++ b/src/main/java/org/cuminrack/gateway/RecentEvents.java
@@ -12,7 +12,10 @@
     timesNanos.addLast(nowNanos);
   }
 
-  /** Returns the events within the window; forgets older ones. */
+  /**
+   * Returns the events within the window; forgets older ones, so that a later call with a longer
+   * window does not count them.
+   */
   int count(Duration window, long nowNanos) {
     while (!timesNanos.isEmpty() && nowNanos - timesNanos.getFirst() > window.toNanos()) {
       timesNanos.removeFirst();
--- a/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
+++ b/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
@@ -22,9 +22,9 @@
  * <p>Gateways tell each other which limits they have observed and how many requests they have sent
  * within the limit's window. An upstream is chosen only while the requests of all gateways within
  * the window are fewer than the limit allows. Since a request of another gateway is known only
- * after its next message, each request is also given to the upstream at random only, with a
- * probability that makes up the limit over all requests: otherwise all gateways would use the same
- * free place at once. Gateways that are not heard of are taken to use an equal share each.
+ * after its next message, several gateways could use the same free place at once. So each request
+ * is sent to the upstream only with a probability, such that all requests together make up the
+ * limit. A gateway that sends no messages is assumed to use an equal share.
  *
  * <p>The answer that was observed last decides, at whichever gateway.
  *
@@ -56,7 +56,7 @@
   private final Map<String, RemoteGateway> remotes = new HashMap<>();
 
   /**
-   * Creates limits.
+   * Creates an instance that knows no limits.
    *
    * @param otherGateways supplies the VMs of all other gateways that are alive
    */
@@ -77,7 +77,7 @@
 
   /**
    * Records what an answer of an upstream says of its limit: an answer that names none ends the one
-   * before. An answer of another upstream says nothing, nor does one that only refuses.
+   * before, unless it only refuses the request. An answer of another upstream has no effect.
    */
   synchronized void recordAnswer(UpstreamRecord upstream, ResponseHead head) {
     if (!head.matchesRequest() || head.misdirected()) {
--- a/src/main/java/org/cuminrack/gateway/ResponseEnd.java
+++ b/src/main/java/org/cuminrack/gateway/ResponseEnd.java
@@ -38,7 +38,8 @@
             return;
           }
           if (processEnded && !context.selector().isLeaving(upstream)) {
-            onBroken.accept("the upstream ended with its answer, which has no length");
+            onBroken.accept(
+                "the upstream ended together with its answer, which has neither a length nor chunks");
           } else {
             onComplete.run();
           }
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -139,7 +139,7 @@
     call.exchange().setStatusCode(status);
     HopByHopHeaders.copyEndToEnd(headers, call.exchange().getResponseHeaders());
     if (!call.exchange().isHttp10()) {
-      // Otherwise the end of a closing connection would end the stream, whole or broken off.
+      // Without chunks, the end of a closing connection looks like the end of the stream.
       call.exchange().getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
     }
     if (!call.exchange().isPersistent()) {
--- a/src/main/java/org/cuminrack/gateway/SuspectDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/SuspectDispatch.java
@@ -39,7 +39,7 @@
     return keys;
   }
 
-  /** Returns what a crash of the upstream now counts against. */
+  /** Returns the keys that a crash of the upstream would count against now. */
   Map<Fingerprint, CrashEvidence> evidence() {
     return promptProcessed ? Map.of(keys.content(), evidence.get(keys.content())) : evidence;
   }
--- a/src/main/java/org/cuminrack/platform/ControlEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/ControlEndpoints.java
@@ -110,8 +110,8 @@
   }
 
   /**
-   * Returns whether an announcement's service is named, or was when the upstream became known; it
-   * may still be about to leave.
+   * Returns whether an announcement's service is named, or the upstream is known with it: its
+   * service may have been removed while it is still about to leave.
    */
   private boolean isOfKnownService(UpstreamRecord announced) {
     return services.include(announced.service())
--- a/src/main/java/org/cuminrack/platform/PlatformHeaders.java
+++ b/src/main/java/org/cuminrack/platform/PlatformHeaders.java
@@ -180,7 +180,7 @@
         return Either.right(OptionalDouble.of(rate));
       }
     } catch (NumberFormatException e) {
-      // Reported below, as a number that is out of range.
+      // The same error as for a number that is out of range, below.
     }
     return Either.left(
         SERVER_LIMIT + ": expected requests a second, 0 or more, found '" + text + "'");
--- a/src/main/java/org/cuminrack/relay/RunningRequests.java
+++ b/src/main/java/org/cuminrack/relay/RunningRequests.java
@@ -13,9 +13,10 @@
 import org.cuminrack.member.CrashReports;
 
 /**
- * Tracks which requests of this process run on each upstream process, so that a crash report can
- * name the requests that may have caused the crash. Thread-safe: the state of a process is changed
- * only under the lock of its map key, which is never held during a report.
+ * Tracks which requests of this process, and which parts of prompts, run on each upstream process,
+ * so that a crash report can name the requests that may have caused the crash. Thread-safe: the
+ * state of a process is changed only under the lock of its map key, which is never held during a
+ * report.
  */
 public final class RunningRequests {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -28,8 +28,8 @@
  * until {@link #releaseHeld} or a crash while the upstream holds requests.
  *
  * <p>The answer to a request with {@code unframed} in its path has neither a length nor chunks and
- * ends with its connection: with {@code inside} inside an event, with {@code midway} in the middle
- * and, with {@code end} in the path, together with the upstream.
+ * ends with its connection. With {@code inside} it ends inside an event, with {@code midway} in the
+ * middle of the answer; with {@code end}, the upstream ends at the same time.
  */
 final class CrashingUpstream implements AutoCloseable {
   /** The id of the part of a prompt that crashes the upstream. */
