Log an invalid limit of an upstream once, until it changes

An upstream that names a limit which is no rate of requests did so in each answer, and each answer wrote a warning: the log's volume grew with the load.

Evidence: RequestRateLimitsTest.shouldLogAnInvalidLimitOnlyWhenItChanges found 4 lines for 4 answers with 2 different limits. Change: the error named last is kept for each upstream, for a thousand at most. After: 2 lines, the class is green.

--- a/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
+++ b/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
@@ -45,6 +45,9 @@
   /** Above 1, so that the limit can be used up in spite of the random choice. */
   private static final double CHOICE_FACTOR = 1.3;
 
+  /** The most upstreams whose last invalid limit is remembered. */
+  private static final int MAX_ERRORS = 1_000;
+
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(100);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
   private static final double MILLIS_PER_SECOND = 1e3;
@@ -53,6 +56,10 @@
   private final Clock clock;
   private final RandomGenerator random;
   private final Map<Incarnation, RateLimit> limits = new HashMap<>();
+
+  /** The errors of the invalid limits that were named last, so that each is logged once. */
+  private final Map<Incarnation, String> errors = new HashMap<>();
+
   private final Map<String, RemoteGateway> remotes = new HashMap<>();
 
   /**
@@ -84,11 +91,7 @@
       return;
     }
     if (head.requestsPerSecond().isLeft()) {
-      logger.atWarning().log(
-          "%s",
-          LogEvent.named("upstream-limit-invalid")
-              .with("upstream", upstream.id())
-              .with("detail", head.requestsPerSecond().getLeft()));
+      recordInvalid(Incarnation.of(upstream), head.requestsPerSecond().getLeft());
       return;
     }
     OptionalDouble named = head.requestsPerSecond().get();
@@ -98,6 +101,19 @@
     }
   }
 
+  private void recordInvalid(Incarnation upstream, String error) {
+    if (errors.size() >= MAX_ERRORS) {
+      errors.clear();
+    }
+    if (!error.equals(errors.put(upstream, error))) {
+      logger.atWarning().log(
+          "%s",
+          LogEvent.named("upstream-limit-invalid")
+              .with("upstream", upstream.id())
+              .with("detail", error));
+    }
+  }
+
   private void update(
       Incarnation upstream,
       OptionalDouble requestsPerSecond,
--- a/src/test/java/org/cuminrack/gateway/RequestRateLimitsTest.java
+++ b/src/test/java/org/cuminrack/gateway/RequestRateLimitsTest.java
@@ -7,8 +7,12 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 class RequestRateLimitsTest {
@@ -179,6 +183,22 @@
     assertThat(gateways.get(0).isLimited(UPSTREAM)).isTrue();
   }
 
+  @Test
+  void shouldLogAnInvalidLimitOnlyWhenItChanges() {
+    List<String> lines = new ArrayList<>();
+    Handler handler = new LineHandler(lines);
+    Logger log = Logger.getLogger(RequestRateLimits.class.getName());
+    log.addHandler(handler);
+    gateways.start(1);
+
+    for (String invalid : List.of("x", "x", "x", "y")) {
+      gateways.get(0).recordAnswer(UPSTREAM, head(false, Either.left("found '" + invalid + "'")));
+    }
+
+    log.removeHandler(handler);
+    assertThat(lines).hasSize(2);
+  }
+
   @Test
   void shouldIgnoreWhatAnswersOfOtherUpstreamsSay() {
     gateways.start(1);
@@ -234,6 +254,26 @@
     assertThat((double) gateways.sentMillis.size()).isAtLeast(requestsPerSecond * seconds * 2 / 3);
   }
 
+  /** Keeps the lines that are logged. */
+  private static final class LineHandler extends Handler {
+    private final List<String> lines;
+
+    LineHandler(List<String> lines) {
+      this.lines = lines;
+    }
+
+    @Override
+    public void publish(LogRecord line) {
+      lines.add(line.getMessage());
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+  }
+
   private static ResponseHead head(
       boolean notExecuted, Either<String, OptionalDouble> requestsPerSecond) {
     return new ResponseHead(true, notExecuted, false, requestsPerSecond);
