Don't take one accepted connection for a sign of life

Callers could get half of an unframed answer as whole, and crashes of upstreams were not counted, if the upstream still accepted a connection as it ended.

Cause: the probe took the first accepted connection for proof that a process listens. The listener of a process that ends can outlive its other connections by a moment.

Change: the probe needs two accepted connections, 20 ms apart; one that is refused shows the crash.

--- a/src/main/java/org/cuminrack/relay/ConnectProbe.java
+++ b/src/main/java/org/cuminrack/relay/ConnectProbe.java
@@ -9,17 +9,20 @@
  * Checks whether a process still listens at an upstream's address by opening a connection, without
  * sending anything.
  *
- * <p>A process that is ending may still accept connections for a moment and then reset them, and a
- * connection may time out because this process was delayed, so the probe retries after both.
+ * <p>A process that is ending may still accept connections for a moment, or accept and reset them,
+ * and a connection may time out because this process was delayed, so the probe retries after each:
+ * only a second accepted connection shows that a process listens.
  */
 public final class ConnectProbe implements UpstreamListener {
   private static final Duration RETRY_DELAY = Duration.ofMillis(20);
+  private static final int MIN_ACCEPTED = 2;
   private static final int MAX_RESETS = 10;
   private static final int MAX_TIMEOUTS = 2;
 
   private final String address;
   private final IoContext io;
   private final Consumer<Boolean> onResult;
+  private int accepted;
   private int resets;
   private int timeouts;
 
@@ -54,7 +57,8 @@
         switch (reason) {
           case RESET -> ++resets < MAX_RESETS;
           case NO_CONNECTION -> ++timeouts < MAX_TIMEOUTS;
-          case REFUSED, NOT_PERMITTED -> false;
+          case NOT_PERMITTED -> ++accepted < MIN_ACCEPTED;
+          case REFUSED -> false;
         };
     if (retry) {
       io.after(RETRY_DELAY.toMillis(), this::open);
--- a/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
+++ b/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
@@ -76,6 +76,13 @@
     assertDispatchesAreBounded("llm");
   }
 
+  @Test
+  void shouldStopSendingAnOrderWhoseUpstreamsStillAcceptAConnectionAsTheyEnd() throws Exception {
+    sendThroughAllGateways("POST", "/order/unframed-midway-linger-crash", SENDS);
+
+    assertDispatchesAreBounded("shop");
+  }
+
   @Test
   void shouldNotForgetACrashingRequestWhenControlAndAGatewayAreKilled() throws Exception {
     sendThroughAllGateways("POST", "/order/crash", 6);
--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -29,7 +29,8 @@
  *
  * <p>The answer to a request with {@code unframed} in its path has neither a length nor chunks and
  * ends with its connection. With {@code inside} it ends inside an event, with {@code midway} in the
- * middle of the answer; with {@code end}, the upstream ends at the same time.
+ * middle of the answer; with {@code end}, the upstream ends at the same time; with {@code linger},
+ * it ends too, but first accepts one more connection, and does not reset it.
  */
 final class CrashingUpstream implements AutoCloseable {
   /** The id of the part of a prompt that crashes the upstream. */
@@ -48,6 +49,7 @@
   private final AtomicInteger holding = new AtomicInteger();
   private volatile CountDownLatch held = new CountDownLatch(0);
   private volatile ServerSocket listener;
+  private volatile boolean lingering;
 
   /** The header lines that each answer carries besides its own. */
   volatile String extraHeaders = "";
@@ -141,6 +143,12 @@
     while (!socket.isClosed()) {
       try {
         Socket connection = socket.accept();
+        if (lingering) {
+          lingering = false;
+          crash();
+          connections.add(connection);
+          return;
+        }
         connections.add(connection);
         threads.execute(() -> serve(connection));
       } catch (IOException e) {
@@ -229,7 +237,9 @@
     }
     String head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: seal\r\n\r\n";
     connection.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
-    if (path.contains("end")) {
+    if (path.contains("linger")) {
+      lingering = true;
+    } else if (path.contains("end")) {
       connections.remove(connection);
       crash();
     }
--- a/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
+++ b/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
@@ -52,6 +52,12 @@
     assertThat(call("POST", "/order/unframed-midway-end")).startsWith("HTTP/1.1 502 ");
   }
 
+  @Test
+  void shouldNotForwardAPlainResponseWhoseUpstreamStillAcceptedAConnectionAsItEnded()
+      throws Exception {
+    assertThat(call("POST", "/order/unframed-midway-linger")).startsWith("HTTP/1.1 502 ");
+  }
+
   @Test
   void shouldBreakOffAStreamThatEndedWithItsEngineBetweenTwoEvents() throws Exception {
     String response = call("POST", "/plan/unframed-midway-end");
