--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -63,6 +63,11 @@
         .collect(Collectors.joining(", "));
   }
 
+  /** Returns whether control has permitted the request to run although it is suspended. */
+  boolean isOnTrial() {
+    return onTrial;
+  }
+
   /** Returns whether the request is suspended and not on trial. */
   boolean isSuspended() {
     return !onTrial && suspects.isSuspended(keys);
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -218,6 +218,7 @@
             .with("upstream", upstream.id())
             .with("born_millis", upstream.startedMillis())
             .with("sends", sendCount)
+            .with("on_trial", suspicion.isOnTrial())
             .with("age_ms", age().toMillis())
             .with("detail", detail));
     context.counters().add(GatewayCounters.Kind.LOST_SENDS);
