Show that requests which crash upstreams are sent on after the third crash

- A trial of a suspended idempotent request crashes two upstreams: its retry is sent too.
- The retry after the third crash is sent before that crash is counted: 4 where 3 are expected.
- Upstreams that a request crashes at once count as one crash.
- On the entries' path the opposite: two engines that crash at once count as two crashes of a request that ran on both, which is then refused as poison for good: 422 where 200 is expected.

CrashingUpstream holds a request before it crashes, so that several run at the same time. FakeCrashReports counts as control does, by the crashes that the reporter knew; no check of the tests that use it is changed.

--- a/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
+++ b/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
@@ -105,10 +107,49 @@
     assertDispatchesAreBounded("shop");
   }
 
+  @Test
+  void shouldNotRetryARequestBeforeItsThirdCrashIsCounted() throws Exception {
+    sendThroughAllGateways("GET", "/read/crash", 2);
+
+    assertThat(crashingDispatches("shop")).isEqualTo(3);
+  }
+
+  @Test
+  void shouldSendARequestOnTrialToOneUpstream() throws Exception {
+    sendThroughAllGateways("GET", "/read/crash", 3);
+    long before = crashingDispatches("shop");
+
+    PlatformFixture.await(
+        "a trial",
+        () -> {
+          callFirstGateway("GET", "/read/crash");
+          return crashingDispatches("shop") > before;
+        });
+    cluster.recover();
+
+    assertThat(crashingDispatches("shop")).isEqualTo(before + 1);
+  }
+
+  @Test
+  void shouldStopSendingARequestThatCrashedSeveralUpstreamsAtOnce() throws Exception {
+    List<CompletableFuture<String>> held = holdOnEveryUpstream(0, "POST", "/order/held-crash");
+    cluster.upstreams("shop").forEach(CrashingUpstream::releaseHeld);
+    held.forEach(CompletableFuture::join);
+    cluster.recover();
+    long before = crashingDispatches("shop");
+
+    for (int wave = 0; wave < 3; wave++) {
+      sendAtOnce(4, "POST", "/order/held-crash");
+    }
+
+    assertThat(crashingDispatches("shop") - before).isAtMost(MAX_LATE_DISPATCHES);
+    cluster.assertAllRunning();
+  }
+
   @Test
   void shouldServeARequestThatRanBesideACrashingOne() throws Exception {
     for (int round = 0; round < 4; round++) {
-      List<CompletableFuture<String>> held = holdOnEveryUpstream(round);
+      List<CompletableFuture<String>> held = holdOnEveryUpstream(round, "GET", "/read/held");
       for (CrashingUpstream shop : cluster.upstreams("shop").subList(0, 2)) {
         shop.crash();
       }
@@ -122,7 +163,7 @@
 
   @Test
   void shouldServeARequestThatRanOnEveryUpstreamWhenAllCrashedAtOnce() throws Exception {
-    List<CompletableFuture<String>> held = holdOnEveryUpstream(0);
+    List<CompletableFuture<String>> held = holdOnEveryUpstream(0, "GET", "/read/held");
     for (CrashingUpstream shop : cluster.upstreams("shop")) {
       shop.crash();
     }
@@ -141,18 +182,48 @@
   }
 
   private void assertDispatchesAreBounded(String service) {
-    List<CrashingUpstream> upstreams = cluster.upstreams(service);
-    long dispatches =
-        upstreams.stream()
-            .flatMap(upstream -> upstream.paths.stream())
-            .filter(path -> path.contains("crash"))
-            .count();
-    assertThat(dispatches).isAtLeast(3L);
-    assertThat(dispatches).isAtMost(3L + MAX_LATE_DISPATCHES);
+    assertThat(crashingDispatches(service)).isAtLeast(3L);
+    assertThat(crashingDispatches(service)).isAtMost(3L + MAX_LATE_DISPATCHES);
+  }
+
+  private long crashingDispatches(String service) {
+    return cluster.upstreams(service).stream()
+        .flatMap(upstream -> upstream.paths.stream())
+        .filter(path -> path.contains("crash"))
+        .count();
+  }
+
+  /** Sends requests of equal content so that all that are sent on run at the same time. */
+  private void sendAtOnce(int count, String method, String path) throws Exception {
+    cluster.upstreams("shop").forEach(CrashingUpstream::hold);
+    ExecutorService callers = Executors.newFixedThreadPool(count);
+    try {
+      List<CompletableFuture<String>> answers = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        String gateway = cluster.gateways().get(i % cluster.gateways().size());
+        String id = "w-" + i;
+        answers.add(
+            CompletableFuture.supplyAsync(() -> callUnchecked(gateway, id, method, path), callers));
+      }
+      PlatformFixture.await(
+          "each request to run or to be answered",
+          () ->
+              heldRequests() + answers.stream().filter(CompletableFuture::isDone).count() >= count);
+      cluster.upstreams("shop").forEach(CrashingUpstream::releaseHeld);
+      answers.forEach(CompletableFuture::join);
+    } finally {
+      callers.shutdownNow();
+    }
+    cluster.recover();
+  }
+
+  private int heldRequests() {
+    return cluster.upstreams("shop").stream().mapToInt(CrashingUpstream::heldRequests).sum();
   }
 
   /** Sends requests of equal content until one runs on every upstream of the shop. */
-  private List<CompletableFuture<String>> holdOnEveryUpstream(int round) {
+  private List<CompletableFuture<String>> holdOnEveryUpstream(
+      int round, String method, String path) {
     List<CompletableFuture<String>> held = new ArrayList<>();
     int[] sent = {0};
     cluster.upstreams("shop").forEach(CrashingUpstream::hold);
@@ -161,15 +232,15 @@
         () -> {
           String gateway = cluster.gateways().get(sent[0] % cluster.gateways().size());
           String id = "h-" + round + "-" + sent[0]++;
-          held.add(CompletableFuture.supplyAsync(() -> callUnchecked(gateway, id, "/read/held")));
+          held.add(CompletableFuture.supplyAsync(() -> callUnchecked(gateway, id, method, path)));
           return cluster.upstreams("shop").stream().allMatch(CrashingUpstream::holdsARequest);
         });
     return held;
   }
 
-  private String callUnchecked(String gateway, String id, String path) {
+  private String callUnchecked(String gateway, String id, String method, String path) {
     try {
-      return cluster.call(gateway, id, "GET", path);
+      return cluster.call(gateway, id, method, path);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -22,10 +22,10 @@
 /**
  * An upstream on loopback that crashes when it begins to run a request with {@code crash} in its
  * path or with the part {@link #CRASHING_PART} in its prompt: it resets all its connections and
- * refuses new ones until its supervisor restarts it. A request with {@code held} in its path runs
- * until {@link #releaseHeld} or a crash while the upstream holds requests; with {@code started},
- * the first event of its stream is sent before. While {@link #turnsAway} is set, it answers each
- * request 503 and runs none.
+ * refuses new ones until its supervisor restarts it. A request with {@code held} in its path runs,
+ * or crashes, only after {@link #releaseHeld} while the upstream holds requests; with {@code
+ * started}, the first event of its stream is sent before. While {@link #turnsAway} is set, it
+ * answers each request 503 and runs none.
  *
  * <p>The answer to a request with {@code unframed} in its path has neither a length nor chunks and
  * ends with its connection. With {@code inside} it ends inside an event, with {@code midway} in the
@@ -118,6 +118,11 @@
     return holding.get() > 0;
   }
 
+  /** Returns the number of requests that wait for {@link #releaseHeld}. */
+  int heldRequests() {
+    return holding.get();
+  }
+
   /** Holds requests with {@code held} in their path from now on. */
   void hold() {
     held = new CountDownLatch(1);
@@ -183,10 +188,6 @@
         respondUnframed(connection, request.path(), request.id());
         return;
       }
-      if (request.path().contains("crash") || request.prompt().contains(CRASHING_PART)) {
-        crash();
-        return;
-      }
       if (request.path().contains("started")) {
         respondInTwoParts(connection.getOutputStream(), request.path(), request.id());
         return;
@@ -194,6 +195,10 @@
       if (request.path().contains("held")) {
         awaitRelease();
       }
+      if (request.path().contains("crash") || request.prompt().contains(CRASHING_PART)) {
+        crash();
+        return;
+      }
       connection
           .getOutputStream()
           .write(response(request.path(), request.id()).getBytes(StandardCharsets.US_ASCII));
--- a/src/test/java/org/cuminrack/relay/FakeCrashReports.java
+++ b/src/test/java/org/cuminrack/relay/FakeCrashReports.java
@@ -13,7 +13,10 @@
 import org.cuminrack.member.CrashEvidence;
 import org.cuminrack.member.CrashReports;
 
-/** Stores crash reports in memory. */
+/**
+ * Stores crash reports in memory. Counts as control does: not if more crashes are counted than were
+ * known.
+ */
 final class FakeCrashReports implements CrashReports {
   private final Map<Fingerprint, Set<String>> crashedProcesses = new ConcurrentHashMap<>();
   final List<Fingerprint> cleared = new CopyOnWriteArrayList<>();
@@ -27,12 +30,17 @@
     if (!reachable) {
       return CompletableFuture.completedFuture(false);
     }
-    for (Fingerprint fingerprint : running.keySet()) {
+    running.forEach(
+        (fingerprint, evidence) -> count(fingerprint, upstream + bootId, evidence.knownCrashes()));
+    return CompletableFuture.completedFuture(true);
+  }
+
+  private synchronized void count(Fingerprint fingerprint, String process, int knownCrashes) {
+    if (knownCrashes >= crashCount(fingerprint)) {
       crashedProcesses
           .computeIfAbsent(fingerprint, key -> ConcurrentHashMap.newKeySet())
-          .add(upstream + bootId);
+          .add(process);
     }
-    return CompletableFuture.completedFuture(true);
   }
 
   @Override
--- a/src/test/java/org/cuminrack/relay/PoisonTest.java
+++ b/src/test/java/org/cuminrack/relay/PoisonTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.cuminrack.admission.Fingerprint;
@@ -61,6 +62,39 @@
     assertThat(thirdEngine.requestLines).isEmpty();
   }
 
+  @Test
+  void shouldNotTakeARequestForPoisonThatRanOnTwoEnginesWhichCrashedAtOnce() throws IOException {
+    scriptAllEngines();
+    CountDownLatch crashed = new CountDownLatch(1);
+    for (ScriptedUpstream engine : List.of(firstEngine, secondEngine)) {
+      engine.on(
+          "POST /v1/completions",
+          connection -> {
+            connection.beginStream("g-" + engine.name(), engine.bootId());
+            connection.await(crashed);
+          });
+    }
+    fixture.admission.setUpstreams(firstEngine);
+    CallerSession first = entry.send(CallerHttpRequest.generation());
+    RelayFixture.await(() -> firstEngine.count("POST") == 1);
+    fixture.admission.setUpstreams(secondEngine);
+    CallerSession second = otherEntry.send(CallerHttpRequest.generation());
+    RelayFixture.await(() -> secondEngine.count("POST") == 1);
+    fixture.admission.setUpstreams();
+
+    firstEngine.crash();
+    secondEngine.crash();
+    crashed.countDown();
+    first.readHead();
+    second.readHead();
+    fixture.admission.setUpstreams(thirdEngine);
+    CallerSession later = entry.send(CallerHttpRequest.generation()).readHead();
+
+    assertThat(fixture.crashReports.reportCount.get()).isEqualTo(2);
+    assertThat(later.status()).isEqualTo(200);
+    assertThat(Tokens.indices(later.readBody())).isEqualTo(Tokens.indicesUpTo(3));
+  }
+
   @Test
   void shouldRetryAndClearAConcurrentRequestAfterACrash() throws IOException {
     scriptAllEngines();
