Count the third crash before a plain request is retried

Callers saw nothing of it; upstreams did: the third crash of an idempotent request was followed by its retry, which crashed a fourth one.

Cause: a generation that one more crash would suspend waits for the check whether its engine has crashed; a plain request was retried while that check ran. The wait is in CallSuspicion.checkLost now, for both.

Evidence: CrashingRequestTest.shouldNotRetryARequestBeforeItsThirdCrashIsCounted failed before: 4 dispatches where 3 are expected.

Result: it passes.

--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.fleet.UpstreamRecord;
+import org.cuminrack.relay.IoContext;
 
 /**
  * Whether one call's request, or a part of its prompt, is suspected of crashing upstreams. Confined
@@ -77,7 +79,7 @@
    * Returns whether one more crash could suspend the request, if each dispatch that was lost was
    * one.
    */
-  boolean isOneCrashFromSuspension() {
+  private boolean isOneCrashFromSuspension() {
     return keys.all().stream().anyMatch(key -> knownCrashes(key) >= CrashSuspects.MAX_CRASHES - 1);
   }
 
@@ -86,6 +88,20 @@
     lostDispatches++;
   }
 
+  /**
+   * Checks whether the upstream of a lost dispatch has crashed, then goes on. Waits for the result
+   * only if it decides whether the request is suspended; otherwise what follows need not wait.
+   *
+   * @param lost the dispatch; empty if nothing was sent
+   */
+  void checkLost(Optional<SuspectDispatch> lost, IoContext io, Runnable next) {
+    boolean waits = lost.isPresent() && isOneCrashFromSuspension();
+    lost.ifPresent(dispatch -> dispatch.lost(io, waits ? next : () -> {}));
+    if (!waits) {
+      next.run();
+    }
+  }
+
   /** Registers the request as running on an upstream that has its prompt to process. */
   SuspectDispatch registerDispatch(UpstreamRecord upstream) {
     return suspects.dispatch(upstream, keys, this::knownCrashes);
--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -276,13 +276,6 @@
     suspectDispatch = Optional.empty();
     closeKeepingBackup();
     call.recordLost(reservation.upstream(), detail);
-    Runnable notifyListener = () -> listener.lost(this, detail);
-    // The listener needs the result of the check only if it decides whether the request is
-    // suspended; otherwise a resumed stream need not wait for it.
-    boolean waits = lostDispatch.isPresent() && call.suspicion().isOneCrashFromSuspension();
-    lostDispatch.ifPresent(dispatch -> dispatch.lost(call.io(), waits ? notifyListener : () -> {}));
-    if (!waits) {
-      notifyListener.run();
-    }
+    call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(this, detail));
   }
 }
--- a/src/main/java/org/cuminrack/gateway/PlainDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/PlainDispatch.java
@@ -172,10 +172,11 @@
   }
 
   private void lost(String detail) {
-    call.recordLost(reservation.upstream(), detail);
-    suspectDispatch.ifPresent(dispatch -> dispatch.lost(call.io(), () -> {}));
+    Optional<SuspectDispatch> lostDispatch = suspectDispatch;
+    suspectDispatch = Optional.empty();
     close();
     recordFailure();
-    listener.lost(detail);
+    call.recordLost(reservation.upstream(), detail);
+    call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(detail));
   }
 }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -219,6 +219,9 @@
 
   @Override
   public void lost(String detail) {
+    if (call.hasEnded()) {
+      return;
+    }
     responseLost = true;
     if (!call.suspicion().isSuspended() && tryAcquireRetry()) {
       retry(detail);
