Send a request on trial to one upstream only

What upstreams saw: a trial of a suspended idempotent request crashed two of them, since its retry was sent too; a stream on trial could be resumed on up to four more engines. Two trials, a minute apart, were four late dispatches where the rule allows three.

Cause: a trial permitted the caller's request, with all of its dispatches.

CrashingRequestTest.shouldSendARequestOnTrialToOneUpstream failed before: 6 dispatches where 5 are expected.

Change: a trial permits one dispatch. A stream on trial may still be moved off an engine that leaves, since that engine has not crashed. A slow request on trial is not abandoned for a retry that it could not have.

--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -21,8 +21,9 @@
   private final Map<Fingerprint, Integer> crashesAtArrival = new HashMap<>();
   private int lostDispatches;
   private boolean onTrial;
+  private boolean sent;
 
-  private CallSuspicion(CrashSuspects suspects, RequestKeys keys) {
+  CallSuspicion(CrashSuspects suspects, RequestKeys keys) {
     this.suspects = suspects;
     this.keys = keys;
     keys.all().forEach(key -> crashesAtArrival.put(key, suspects.crashes(key)));
@@ -70,9 +71,19 @@
     return onTrial;
   }
 
-  /** Returns whether the request is suspended and not on trial. */
+  /** Returns whether the request is suspended; a trial permits it to be sent once. */
   boolean isSuspended() {
-    return !onTrial && suspects.isSuspended(keys);
+    boolean permittedByTrial = onTrial && !sent;
+    return !permittedByTrial && suspects.isSuspended(keys);
+  }
+
+  /**
+   * Returns whether the stream may not go on at another upstream. One that is on trial may be moved
+   * there, but not resumed after a loss.
+   */
+  boolean isSuspendedFromResuming() {
+    boolean permittedByTrial = onTrial && lostDispatches == 0;
+    return !permittedByTrial && suspects.isSuspended(keys);
   }
 
   /**
@@ -104,6 +115,7 @@
 
   /** Registers the request as running on an upstream that has its prompt to process. */
   SuspectDispatch registerDispatch(UpstreamRecord upstream) {
+    sent = true;
     return suspects.dispatch(upstream, keys, this::knownCrashes);
   }
 
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -164,7 +164,8 @@
    * resumed.
    */
   boolean mayResumeOn(UpstreamRecord upstream) {
-    boolean permitted = context.selector().mayResumeOn(upstream) && !suspicion.isSuspended();
+    boolean permitted =
+        context.selector().mayResumeOn(upstream) && !suspicion.isSuspendedFromResuming();
     if (permitted) {
       sendCount++;
       context.notices().recordResumed(upstream);
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -143,6 +143,7 @@
   /** Takes one retry from the budget if the request may be retried; returns whether it may. */
   private boolean tryAcquireRetry() {
     return call.route().kind().isRetryable()
+        && !call.suspicion().isSuspended()
         && call.sendCount() < call.route().maxAttempts()
         && call.remaining().compareTo(call.route().targetLatency().dividedBy(2)) > 0
         && call.tryAcquireRetry();
@@ -223,7 +224,7 @@
       return;
     }
     responseLost = true;
-    if (!call.suspicion().isSuspended() && tryAcquireRetry()) {
+    if (tryAcquireRetry()) {
       retry(detail);
     } else {
       call.fail(GatewayFailure.UPSTREAM_LOST, Optional.empty(), detail);
