Suspend a request after three crashed upstreams, also if they crashed at once

What upstreams saw: copies of a request that run at the same time crash one upstream each, and count as one crash. Three waves of them crashed as many as there were copies, the last wave late if the request takes long to crash an upstream.

Cause: the promise is about upstreams, the state counted crashes that follow each other; that was made so that a request on many upstreams survives the loss of a data centre.

Change: control keeps the crashes that it does not count too, and tells gateways; three crashed upstreams suspend a request. Three trials in all, as before. Parts of prompts still go by counted crashes.

--- a/src/main/java/org/cuminrack/control/ChangeReader.java
+++ b/src/main/java/org/cuminrack/control/ChangeReader.java
@@ -55,6 +55,7 @@
         .setFingerprint(fingerprint)
         .setCrashes(tables.suspects.crashes(fingerprint))
         .addAllCompanions(tables.suspects.companions(fingerprint))
+        .addAllCrashed(tables.suspects.crashed(fingerprint))
         .build();
   }
 }
--- a/src/main/java/org/cuminrack/control/SuspectState.java
+++ b/src/main/java/org/cuminrack/control/SuspectState.java
@@ -19,16 +19,20 @@
 
 /**
  * Requests and parts of prompts that were running on an upstream when it crashed, with the crashes
- * (upstream and boot id) counted against each. A part also has its companions: the other parts that
- * were in the prompt each time, any of which may be the cause. Not thread-safe.
+ * (upstream and boot id) counted against each, and those that may share a cause with a counted one
+ * and are not. A part also has its companions: the other parts that were in the prompt each time,
+ * any of which may be the cause. Not thread-safe.
  */
 final class SuspectState {
   /** The most suspects at one time; the oldest suspicion is evicted. */
   static final int MAX_SUSPECTS = 10_000;
 
-  /** The most crashes counted against one suspect. */
+  /** The most crashes kept of one suspect, counted ones and others each. */
   static final int MAX_CRASHES = 8;
 
+  /** Crashes after which gateways suspend a request, whether they are counted or not. */
+  private static final int SUSPENDING_CRASHES = 3;
+
   /** How long a suspicion lasts after its last crash. */
   static final Duration RETENTION = Duration.ofHours(1);
 
@@ -36,6 +40,13 @@
   private static final List<Duration> TRIAL_DELAYS =
       List.of(Duration.ofSeconds(10), Duration.ofMinutes(1), Duration.ofMinutes(6));
 
+  /**
+   * The same for a request that is suspended although its crashes count as one: the upstreams may
+   * have crashed at once for a cause of their own.
+   */
+  private static final List<Duration> UNPROVEN_TRIAL_DELAYS =
+      List.of(Duration.ZERO, Duration.ofSeconds(10), Duration.ofMinutes(1));
+
   // Ordered by the time of the last crash or trial, the oldest first.
   private final Map<String, SuspicionData> suspicions = new LinkedHashMap<>();
 
@@ -58,8 +69,11 @@
           i < request.getCompanionsCount()
               ? Set.copyOf(request.getCompanions(i).getFingerprintsList())
               : Set.of();
-      boolean counted = !mayShareACause && addCrash(fingerprint, crash, companions, timeMillis);
-      if (retainCompanions(fingerprint, companions) || counted) {
+      boolean added =
+          mayShareACause
+              ? addUncountedCrash(fingerprint, crash)
+              : addCrash(fingerprint, crash, companions, timeMillis);
+      if (retainCompanions(fingerprint, companions) || added) {
         changed.add(fingerprint);
       }
     }
@@ -97,13 +111,21 @@
   }
 
   private static long trialDueMillis(SuspicionData suspicion) {
+    boolean unproven =
+        suspicion.getCrashesCount() == 1 && crashed(suspicion).size() >= SUSPENDING_CRASHES;
+    List<Duration> delays = unproven ? UNPROVEN_TRIAL_DELAYS : TRIAL_DELAYS;
     Duration delay =
-        suspicion.getTrials() < TRIAL_DELAYS.size()
-            ? TRIAL_DELAYS.get(suspicion.getTrials())
-            : RETENTION;
+        suspicion.getTrials() < delays.size() ? delays.get(suspicion.getTrials()) : RETENTION;
     return suspicion.getSinceMillis() + delay.toMillis();
   }
 
+  private static List<CrashData> crashed(SuspicionData suspicion) {
+    return Stream.concat(
+            suspicion.getCrashesList().stream(), suspicion.getUncountedCrashesList().stream())
+        .distinct()
+        .toList();
+  }
+
   /**
    * Clears a suspicion; returns the fingerprints of all changed ones, since what is cleared is no
    * companion of other parts any more.
@@ -144,6 +166,12 @@
     return suspicion == null ? 0 : suspicion.getCrashesCount();
   }
 
+  /** Returns all crashes under a suspect, the counted ones first. */
+  List<CrashData> crashed(String fingerprint) {
+    SuspicionData suspicion = suspicions.get(fingerprint);
+    return suspicion == null ? List.of() : crashed(suspicion);
+  }
+
   /** Returns the companions of a suspect; empty if it has none or is no suspect. */
   List<String> companions(String fingerprint) {
     SuspicionData suspicion = suspicions.get(fingerprint);
@@ -176,6 +204,16 @@
     return true;
   }
 
+  /** Records a crash of a suspect that has others; returns whether it was new. */
+  private boolean addUncountedCrash(String fingerprint, CrashData crash) {
+    SuspicionData suspicion = suspicions.get(fingerprint);
+    if (crashed(suspicion).contains(crash) || suspicion.getUncountedCrashesCount() >= MAX_CRASHES) {
+      return false;
+    }
+    suspicions.put(fingerprint, suspicion.toBuilder().addUncountedCrashes(crash).build());
+    return true;
+  }
+
   /**
    * Keeps the companions that were beside a suspect this time too; returns whether any were not.
    */
--- a/src/main/java/org/cuminrack/fleet/SuspectTable.java
+++ b/src/main/java/org/cuminrack/fleet/SuspectTable.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.generated.control.SuspectData;
 import org.cuminrack.generated.control.SuspectUpdate;
@@ -19,22 +20,36 @@
 public final class SuspectTable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private static final Suspect NONE = new Suspect(0, Set.of());
+  private static final Suspect NONE = new Suspect(0, Set.of(), Set.of());
 
   private final Map<Fingerprint, Suspect> suspects = new HashMap<>();
   private long revision;
 
-  /** The crashes counted against a suspect, and the parts that were beside it each time. */
-  private record Suspect(int crashes, Set<Fingerprint> companions) {
+  /**
+   * What is known of a suspect.
+   *
+   * @param crashes the crashes counted against it
+   * @param companions the parts that were beside it each time
+   * @param crashed all upstreams that crashed while it was running
+   */
+  private record Suspect(int crashes, Set<Fingerprint> companions, Set<CrashedProcess> crashed) {
     Suspect without(Fingerprint companion) {
       return companions.contains(companion)
           ? new Suspect(
               crashes,
               companions.stream()
                   .filter(each -> !each.equals(companion))
-                  .collect(Collectors.toSet()))
+                  .collect(Collectors.toSet()),
+              crashed)
           : this;
     }
+
+    Suspect withCrash(CrashedProcess process, CrashEvidence evidence) {
+      return new Suspect(
+          crashes + (evidence.knownCrashes() < crashes ? 0 : 1),
+          companions.stream().filter(evidence.companions()::contains).collect(Collectors.toSet()),
+          Stream.concat(crashed.stream(), Stream.of(process)).collect(Collectors.toSet()));
+    }
   }
 
   /** Returns the crashes counted against a suspect. */
@@ -42,6 +57,15 @@
     return suspects.getOrDefault(fingerprint, NONE).crashes();
   }
 
+  /**
+   * Returns how many upstreams crashed while a suspect was running, whether their crashes were
+   * counted or not.
+   */
+  public synchronized int crashedUpstreams(Fingerprint fingerprint) {
+    Suspect suspect = suspects.getOrDefault(fingerprint, NONE);
+    return Math.max(suspect.crashes(), suspect.crashed().size());
+  }
+
   /**
    * Returns the other parts that were in the prompt each time an upstream crashed under a part;
    * empty for the content of a request.
@@ -64,16 +88,12 @@
    * Records a crash that this gateway observed, until control has counted it; does not count it if
    * more crashes are counted than were known when the suspect was sent.
    */
-  public synchronized void recordCrash(Fingerprint fingerprint, CrashEvidence evidence) {
+  public synchronized void recordCrash(
+      Fingerprint fingerprint, CrashedProcess process, CrashEvidence evidence) {
     suspects.merge(
         fingerprint,
-        new Suspect(1, evidence.companions()),
-        (before, first) ->
-            new Suspect(
-                before.crashes() + (evidence.knownCrashes() < before.crashes() ? 0 : 1),
-                before.companions().stream()
-                    .filter(evidence.companions()::contains)
-                    .collect(Collectors.toSet())));
+        new Suspect(1, evidence.companions(), Set.of(process)),
+        (before, first) -> before.withCrash(process, evidence));
   }
 
   /** Records that a suspect was processed without a crash. */
@@ -99,7 +119,11 @@
       } else {
         Set<Fingerprint> companions =
             suspect.getCompanionsList().stream().map(Fingerprint::new).collect(Collectors.toSet());
-        suspects.put(fingerprint, new Suspect(suspect.getCrashes(), companions));
+        Set<CrashedProcess> crashed =
+            suspect.getCrashedList().stream()
+                .map(each -> new CrashedProcess(each.getUpstream(), each.getBootId()))
+                .collect(Collectors.toSet());
+        suspects.put(fingerprint, new Suspect(suspect.getCrashes(), companions, crashed));
       }
     }
     logger.atInfo().log(
--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -19,6 +19,7 @@
   private final CrashSuspects suspects;
   private final RequestKeys keys;
   private final Map<Fingerprint, Integer> crashesAtArrival = new HashMap<>();
+  private final int upstreamsCrashedAtArrival;
   private int lostDispatches;
   private boolean onTrial;
   private boolean sent;
@@ -27,6 +28,7 @@
     this.suspects = suspects;
     this.keys = keys;
     keys.all().forEach(key -> crashesAtArrival.put(key, suspects.crashes(key)));
+    this.upstreamsCrashedAtArrival = suspects.crashedUpstreams(keys.content());
   }
 
   /**
@@ -59,10 +61,24 @@
         onSuspended);
   }
 
+  /**
+   * Returns whether the request is suspended only for crashes that overlapped, so that a trial may
+   * clear it soon.
+   */
+  boolean isUnproven() {
+    return suspects.isUnproven(keys);
+  }
+
   /** Returns why the request is suspended, for the log. */
   String describe() {
     return suspects.suspendedKeys(keys).stream()
-        .map(key -> keys.describe(key) + " crashes " + suspects.crashes(key))
+        .map(
+            key ->
+                keys.describe(key)
+                    + " crashes "
+                    + suspects.crashes(key)
+                    + " upstreams "
+                    + suspects.crashedUpstreams(key))
         .collect(Collectors.joining(", "));
   }
 
@@ -91,7 +107,11 @@
    * one.
    */
   private boolean isOneCrashFromSuspension() {
-    return keys.all().stream().anyMatch(key -> knownCrashes(key) >= CrashSuspects.MAX_CRASHES - 1);
+    int knownUpstreams =
+        Math.max(
+            suspects.crashedUpstreams(keys.content()), upstreamsCrashedAtArrival + lostDispatches);
+    return knownUpstreams >= CrashSuspects.MAX_CRASHES - 1
+        || keys.all().stream().anyMatch(key -> knownCrashes(key) >= CrashSuspects.MAX_CRASHES - 1);
   }
 
   /** Records that a dispatch was lost; its upstream may have crashed. */
--- a/src/main/java/org/cuminrack/gateway/CrashSuspects.java
+++ b/src/main/java/org/cuminrack/gateway/CrashSuspects.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.fleet.CrashedProcess;
 import org.cuminrack.fleet.SuspectTable;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
@@ -46,6 +47,9 @@
   /** Wait before a gateway asks control for a trial, and after a trial that was granted. */
   private static final Duration TRIAL_WAIT = Duration.ofSeconds(10);
 
+  /** The longest wait for the next request for a trial of a request that is unproven. */
+  private static final Duration UNPROVEN_TRIAL_WAIT = Duration.ofSeconds(1);
+
   /** Wait after control did not answer a request for a trial. */
   private static final Duration TRIAL_WAIT_WITHOUT_CONTROL = Duration.ofSeconds(1);
 
@@ -79,6 +83,14 @@
     return suspects.crashes(key);
   }
 
+  /**
+   * Returns how many upstreams crashed under a content or a part of prompts, whether their crashes
+   * were counted or not.
+   */
+  int crashedUpstreams(Fingerprint key) {
+    return suspects.crashedUpstreams(key);
+  }
+
   boolean isSuspended(RequestKeys keys) {
     return keys.all().stream().anyMatch(key -> isSuspended(key, keys));
   }
@@ -91,7 +103,20 @@
   private boolean isSuspended(Fingerprint key, RequestKeys keys) {
     int crashes = crashes(key);
     return crashes >= MAX_CRASHES_WITH_COMPANIONS
-        || (crashes >= MAX_CRASHES && keys.companionsOf(key).containsAll(suspects.companions(key)));
+        || (crashes >= MAX_CRASHES && keys.companionsOf(key).containsAll(suspects.companions(key)))
+        || (key.equals(keys.content()) && crashedUpstreams(key) >= MAX_CRASHES);
+  }
+
+  /**
+   * Returns whether a request is suspended for crashes that overlapped: they count as one, since
+   * the upstreams may have crashed for a cause of their own. A trial can clear it soon.
+   */
+  boolean isUnproven(RequestKeys keys) {
+    return isUnproven(suspendedKeys(keys));
+  }
+
+  private boolean isUnproven(List<Fingerprint> suspended) {
+    return suspended.stream().allMatch(key -> crashes(key) <= 1);
   }
 
   /**
@@ -131,14 +156,17 @@
    */
   private synchronized Optional<Duration> waitOrClaimTrial(List<Fingerprint> suspended) {
     long nowNanos = clock.nanoTime();
-    long nextNanos = nowNanos + TRIAL_WAIT.toNanos();
+    boolean unproven = isUnproven(suspended);
+    long nextNanos = nowNanos + (unproven ? UNPROVEN_TRIAL_WAIT : TRIAL_WAIT).toNanos();
     if (nextTrialNanos.size() >= MAX_WAITS) {
-      nextTrialNanos.keySet().removeIf(each -> crashes(each) < MAX_CRASHES);
+      nextTrialNanos.keySet().removeIf(each -> crashedUpstreams(each) < MAX_CRASHES);
     }
+    // Control grants the first trial of an unproven request at once.
+    long firstNanos = unproven ? nowNanos : nextNanos;
     long waitNanos = 0;
     for (Fingerprint key : suspended) {
-      Long dueNanos = nextTrialNanos.putIfAbsent(key, nextNanos);
-      waitNanos = Math.max(waitNanos, (dueNanos == null ? nextNanos : dueNanos) - nowNanos);
+      Long dueNanos = nextTrialNanos.putIfAbsent(key, firstNanos);
+      waitNanos = Math.max(waitNanos, (dueNanos == null ? firstNanos : dueNanos) - nowNanos);
     }
     if (waitNanos > 0) {
       return Optional.of(Duration.ofNanos(waitNanos));
@@ -166,12 +194,18 @@
     }
     Duration wait =
         outcome instanceof SuspectTrials.Denied denied
-            ? denied.retryAfter()
+            ? retryAfter(suspended, denied)
             : TRIAL_WAIT_WITHOUT_CONTROL;
     deferTrial(suspended, wait);
     onSuspended.accept(wait);
   }
 
+  private Duration retryAfter(List<Fingerprint> suspended, SuspectTrials.Denied denied) {
+    boolean mayBeClearedSoon =
+        isUnproven(suspended) && denied.retryAfter().compareTo(UNPROVEN_TRIAL_WAIT) > 0;
+    return mayBeClearedSoon ? UNPROVEN_TRIAL_WAIT : denied.retryAfter();
+  }
+
   private synchronized void deferTrial(List<Fingerprint> suspended, Duration wait) {
     long nextNanos = clock.nanoTime() + wait.toNanos();
     suspended.forEach(key -> nextTrialNanos.put(key, nextNanos));
@@ -196,7 +230,9 @@
   }
 
   void crashed(SuspectDispatch dispatch) {
-    dispatch.evidence().forEach(suspects::recordCrash);
+    CrashedProcess process =
+        new CrashedProcess(dispatch.target().upstream(), dispatch.target().bootId());
+    dispatch.evidence().forEach((key, each) -> suspects.recordCrash(key, process, each));
     running.reportCrash(dispatch.target(), dispatch.keys().content());
   }
 
--- a/src/test/java/org/cuminrack/control/SuspectStateTest.java
+++ b/src/test/java/org/cuminrack/control/SuspectStateTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.cuminrack.generated.control.CrashData;
 import org.cuminrack.generated.control.CrashRequest;
 import org.cuminrack.generated.control.FingerprintList;
 import org.cuminrack.generated.control.TrialRequest;
@@ -90,6 +91,48 @@
     assertThat(restored.tryAgain(trial(REQUEST), 20_000).getWaitMillis()).isEqualTo(50_000);
   }
 
+  @Test
+  void shouldKnowAllUpstreamsThatCrashedAtOnce() {
+    crashAtOnce("engine-1", "engine-2", "engine-3");
+    crashAtOnce("engine-3");
+
+    assertThat(state.crashed(REQUEST).stream().map(CrashData::getUpstream))
+        .containsExactly("engine-1", "engine-2", "engine-3");
+  }
+
+  @Test
+  void shouldGrantATrialAtOnceIfUpstreamsCrashedAtOnce() {
+    crashAtOnce("engine-1", "engine-2", "engine-3");
+
+    assertThat(tryAt(0).getGranted()).isTrue();
+    assertThat(tryAt(0).getWaitMillis()).isEqualTo(Duration.ofSeconds(10).toMillis());
+  }
+
+  @Test
+  void shouldGrantAtMostThreeTrialsOfARequestThatCrashedUpstreamsAtOnce() {
+    crashAtOnce("engine-1", "engine-2", "engine-3");
+
+    int granted = 0;
+    for (int seconds = 0; seconds < SuspectState.RETENTION.toSeconds(); seconds++) {
+      if (tryAt(seconds).getGranted()) {
+        granted++;
+        crash("trial-" + granted, state.crashes(REQUEST), Duration.ofSeconds(seconds).toMillis());
+      }
+    }
+
+    assertThat(granted).isEqualTo(3);
+  }
+
+  @Test
+  void shouldKeepTheUpstreamsThatCrashedAtOnceInASnapshot() {
+    crashAtOnce("engine-1", "engine-2", "engine-3");
+
+    SuspectState restored = new SuspectState();
+    restored.restore(List.copyOf(state.all()));
+
+    assertThat(restored.crashed(REQUEST)).hasSize(3);
+  }
+
   @Test
   void shouldKeepTheCompanionsThatWereBesideAPartEachTime() {
     crashPart("engine-1", 0, "aa", "bb", "cc");
@@ -151,6 +194,12 @@
     assertThat(restored.companions(REQUEST)).containsExactly("aa");
   }
 
+  private void crashAtOnce(String... upstreams) {
+    for (String upstream : upstreams) {
+      crash(upstream, 0, 0);
+    }
+  }
+
   private void crashPart(String upstream, int knownCrashes, String... companions) {
     state.report(partReport(upstream, knownCrashes, companions).build(), 0);
   }
--- a/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
+++ b/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.cuminrack.admission.Fingerprint;
+import org.cuminrack.fleet.CrashedProcess;
 import org.cuminrack.fleet.SuspectTable;
 import org.cuminrack.fleet.UpstreamPhase;
 import org.cuminrack.fleet.UpstreamRecord;
@@ -20,8 +21,7 @@
 class CallSuspicionTest {
   private static final Fingerprint REQUEST = Fingerprint.of("org", "POST /plan", new byte[0]);
   private static final UpstreamRecord UPSTREAM =
-      new UpstreamRecord(
-          "i-1", "llm", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.READY, 100, 1, 0, 0);
+      new UpstreamRecord("i-1", "llm", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.READY, 100, 1, 0, 0);
 
   private final ManualClock clock = new ManualClock();
   private final SuspectTable table = new SuspectTable();
@@ -66,7 +66,8 @@
 
   private CallSuspicion suspendedCallOnTrial() {
     for (int known = 0; known < CrashSuspects.MAX_CRASHES; known++) {
-      table.recordCrash(REQUEST, CrashEvidence.ofRequest(known));
+      table.recordCrash(
+          REQUEST, new CrashedProcess("i-" + known, "100"), CrashEvidence.ofRequest(known));
     }
     new CallSuspicion(suspects, keys).admit(Runnable::run, () -> {}, wait -> {});
     clock.advance(Duration.ofSeconds(10));
@@ -79,10 +80,7 @@
   private static final class IgnoredReports implements CrashReports {
     @Override
     public CompletableFuture<Boolean> reportCrash(
-        String upstream,
-        String bootId,
-        Map<Fingerprint, CrashEvidence> running,
-        Duration timeout) {
+        String upstream, String bootId, Map<Fingerprint, CrashEvidence> running, Duration timeout) {
       return CompletableFuture.completedFuture(true);
     }
 
