Count engines that crash at once as one crash on the entries' path

Callers saw 422 poison, final and for an hour, for a sound request that ran on two engines which crashed at the same moment.

Cause: entries reported each crash as one that counts in any case.

Evidence: PoisonTest.shouldNotTakeARequestForPoisonThatRanOnTwoEnginesWhichCrashedAtOnce failed before: 422 where 200 is expected.

Change: a request without an exclusive ticket had no crash when it was admitted, so its crash counts only if none is counted by then. With an exclusive ticket it runs alone, and each crash counts. Of copies that start before the first crash is known, each may cost an engine as before, and one more runs alone.

Result: the test passes. A resumed generation still counts in any case.

--- a/src/main/java/org/cuminrack/relay/Dispatch.java
+++ b/src/main/java/org/cuminrack/relay/Dispatch.java
@@ -4,6 +4,8 @@
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.admission.Ticket;
 import org.cuminrack.admission.TicketOutcome;
+import org.cuminrack.member.CrashEvidence;
+import org.cuminrack.member.CrashReports;
 
 /**
  * One attempt to run a request under an admission ticket: checks whether the request may still be
@@ -23,7 +25,16 @@
     this.ticket = ticket;
     this.fingerprint = fingerprint;
     this.startNanos = context.clock().nanoTime();
-    context.runningRequests().add(target(), fingerprint);
+    context.runningRequests().add(target(), fingerprint, evidence(ticket));
+  }
+
+  /**
+   * A request without an exclusive ticket had no crash when it was admitted, and may run on other
+   * upstreams that crash at the same time; those count as one crash. One with an exclusive ticket
+   * runs nowhere else.
+   */
+  private static CrashEvidence evidence(Ticket ticket) {
+    return CrashEvidence.ofRequest(ticket.exclusive() ? CrashReports.COUNT_ALWAYS : 0);
   }
 
   UpstreamProcess target() {
