Give back trials of suspended requests that were not run

Callers of an innocent request could be refused for up to an hour: a trial counted as used when it was granted, also if the request was then not sent (no place, caller gone), and after three the suspicion has to expire.

Cause: the state of trials was kept by what was granted, not by what was run.

SuspectStateTest.shouldGrantATrialAgainThatWasGivenBack and CallSuspicionTest.shouldGiveBackATrialThatWasNotSent; both use the new call, so they did not run before.

Change: a gateway that ends a call whose trial was not sent tells control, which takes it off the count.

Result: both pass. CrashSuspectsTest uses the shared FakeSuspectTrials; its checks are the same.

--- a/src/main/java/org/cuminrack/control/SuspectState.java
+++ b/src/main/java/org/cuminrack/control/SuspectState.java
@@ -86,7 +86,7 @@
   /**
    * Permits a request to run once more if the last crash or trial of each of its suspects is long
    * enough ago. Each trial makes the wait for the next one longer; after the last one, the
-   * suspicion has to expire.
+   * suspicion has to expire. A trial that was not run may be given back, and does not count then.
    */
   TrialResult tryAgain(TrialRequest request, long timeMillis) {
     List<SuspicionData> suspects =
@@ -95,6 +95,10 @@
             .map(suspicions::get)
             .filter(Objects::nonNull)
             .toList();
+    if (request.getGivenBack()) {
+      suspects.forEach(this::takeBackTrial);
+      return TrialResult.getDefaultInstance();
+    }
     long waitMillis =
         suspects.stream().mapToLong(each -> trialDueMillis(each) - timeMillis).max().orElse(0);
     if (waitMillis > 0) {
@@ -110,6 +114,11 @@
     return TrialResult.newBuilder().setGranted(true).build();
   }
 
+  private void takeBackTrial(SuspicionData suspicion) {
+    int trials = Math.max(0, suspicion.getTrials() - 1);
+    suspicions.replace(suspicion.getFingerprint(), suspicion.toBuilder().setTrials(trials).build());
+  }
+
   private static long trialDueMillis(SuspicionData suspicion) {
     boolean unproven =
         suspicion.getCrashesCount() == 1 && crashed(suspicion).size() >= SUSPENDING_CRASHES;
--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -21,7 +22,7 @@
   private final Map<Fingerprint, Integer> crashesAtArrival = new HashMap<>();
   private final int upstreamsCrashedAtArrival;
   private int lostDispatches;
-  private boolean onTrial;
+  private List<Fingerprint> onTrialFor = List.of();
   private boolean sent;
 
   CallSuspicion(CrashSuspects suspects, RequestKeys keys) {
@@ -54,8 +55,8 @@
     suspects.admit(
         keys,
         executor,
-        trial -> {
-          onTrial = trial;
+        trialOf -> {
+          onTrialFor = trialOf;
           onPermitted.run();
         },
         onSuspended);
@@ -84,12 +85,12 @@
 
   /** Returns whether control has permitted the request to run although it is suspended. */
   boolean isOnTrial() {
-    return onTrial;
+    return !onTrialFor.isEmpty();
   }
 
   /** Returns whether the request is suspended; a trial permits it to be sent once. */
   boolean isSuspended() {
-    boolean permittedByTrial = onTrial && !sent;
+    boolean permittedByTrial = isOnTrial() && !sent;
     return !permittedByTrial && suspects.isSuspended(keys);
   }
 
@@ -98,7 +99,7 @@
    * there, but not resumed after a loss.
    */
   boolean isSuspendedFromResuming() {
-    boolean permittedByTrial = onTrial && lostDispatches == 0;
+    boolean permittedByTrial = isOnTrial() && lostDispatches == 0;
     return !permittedByTrial && suspects.isSuspended(keys);
   }
 
@@ -133,6 +134,14 @@
     }
   }
 
+  /** Records that the call has ended; a trial that it did not use is given back. */
+  void recordEnd() {
+    if (isOnTrial() && !sent) {
+      suspects.giveBackTrial(onTrialFor);
+      onTrialFor = List.of();
+    }
+  }
+
   /** Registers the request as running on an upstream that has its prompt to process. */
   SuspectDispatch registerDispatch(UpstreamRecord upstream) {
     sent = true;
--- a/src/main/java/org/cuminrack/gateway/CrashSuspects.java
+++ b/src/main/java/org/cuminrack/gateway/CrashSuspects.java
@@ -47,8 +47,11 @@
   /** Wait before a gateway asks control for a trial, and after a trial that was granted. */
   private static final Duration TRIAL_WAIT = Duration.ofSeconds(10);
 
-  /** The longest wait for the next request for a trial of a request that is unproven. */
-  private static final Duration UNPROVEN_TRIAL_WAIT = Duration.ofSeconds(1);
+  /**
+   * Wait before a gateway asks again if the suspect may be cleared soon, or after it gave back a
+   * trial.
+   */
+  private static final Duration SHORT_TRIAL_WAIT = Duration.ofSeconds(1);
 
   /** Wait after control did not answer a request for a trial. */
   private static final Duration TRIAL_WAIT_WITHOUT_CONTROL = Duration.ofSeconds(1);
@@ -125,17 +128,18 @@
    *
    * @param executor runs one of the callbacks if control had to be asked; otherwise it is called
    *     before this method returns
-   * @param onPermitted receives whether the request is on trial
+   * @param onPermitted receives the suspects that the request is on trial for; none if it is not
+   *     suspended
    * @param onSuspended receives the time until the next trial
    */
   void admit(
       RequestKeys keys,
       Executor executor,
-      Consumer<Boolean> onPermitted,
+      Consumer<List<Fingerprint>> onPermitted,
       Consumer<Duration> onSuspended) {
     List<Fingerprint> suspended = suspendedKeys(keys);
     if (suspended.isEmpty()) {
-      onPermitted.accept(false);
+      onPermitted.accept(List.of());
       return;
     }
     Optional<Duration> wait = waitOrClaimTrial(suspended);
@@ -157,7 +161,7 @@
   private synchronized Optional<Duration> waitOrClaimTrial(List<Fingerprint> suspended) {
     long nowNanos = clock.nanoTime();
     boolean unproven = isUnproven(suspended);
-    long nextNanos = nowNanos + (unproven ? UNPROVEN_TRIAL_WAIT : TRIAL_WAIT).toNanos();
+    long nextNanos = nowNanos + (unproven ? SHORT_TRIAL_WAIT : TRIAL_WAIT).toNanos();
     if (nextTrialNanos.size() >= MAX_WAITS) {
       nextTrialNanos.keySet().removeIf(each -> crashedUpstreams(each) < MAX_CRASHES);
     }
@@ -179,7 +183,7 @@
       RequestKeys keys,
       List<Fingerprint> suspended,
       SuspectTrials.Outcome outcome,
-      Consumer<Boolean> onPermitted,
+      Consumer<List<Fingerprint>> onPermitted,
       Consumer<Duration> onSuspended) {
     logger.atInfo().log(
         "%s",
@@ -189,7 +193,7 @@
             .with("crashes", suspended.stream().map(this::crashes).toList())
             .with("outcome", outcome));
     if (outcome instanceof SuspectTrials.Granted) {
-      onPermitted.accept(true);
+      onPermitted.accept(suspended);
       return;
     }
     Duration wait =
@@ -200,10 +204,16 @@
     onSuspended.accept(wait);
   }
 
+  /** Gives back a trial that was granted, but not run. */
+  void giveBackTrial(List<Fingerprint> suspended) {
+    deferTrial(suspended, SHORT_TRIAL_WAIT);
+    trials.giveBack(suspended);
+  }
+
   private Duration retryAfter(List<Fingerprint> suspended, SuspectTrials.Denied denied) {
     boolean mayBeClearedSoon =
-        isUnproven(suspended) && denied.retryAfter().compareTo(UNPROVEN_TRIAL_WAIT) > 0;
-    return mayBeClearedSoon ? UNPROVEN_TRIAL_WAIT : denied.retryAfter();
+        isUnproven(suspended) && denied.retryAfter().compareTo(SHORT_TRIAL_WAIT) > 0;
+    return mayBeClearedSoon ? SHORT_TRIAL_WAIT : denied.retryAfter();
   }
 
   private synchronized void deferTrial(List<Fingerprint> suspended, Duration wait) {
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -149,7 +149,9 @@
     suspicion.admit(
         io::execute,
         () -> {
-          if (!ended) {
+          if (ended) {
+            suspicion.recordEnd();
+          } else {
             start.run();
           }
         },
@@ -303,6 +305,7 @@
       return false;
     }
     ended = true;
+    suspicion.recordEnd();
     context.requestMetrics().recordRequest(outcome, age());
     logger.atInfo().log(
         "%s",
--- a/src/main/java/org/cuminrack/gateway/SuspectTrials.java
+++ b/src/main/java/org/cuminrack/gateway/SuspectTrials.java
@@ -14,6 +14,9 @@
    */
   CompletableFuture<Outcome> request(List<Fingerprint> suspects);
 
+  /** Gives back a trial that was granted, but not run, so that another request may have it. */
+  void giveBack(List<Fingerprint> suspects);
+
   /** Control's answer. */
   sealed interface Outcome {}
 
--- a/src/test/java/org/cuminrack/control/SuspectStateTest.java
+++ b/src/test/java/org/cuminrack/control/SuspectStateTest.java
@@ -123,6 +123,16 @@
     assertThat(granted).isEqualTo(3);
   }
 
+  @Test
+  void shouldGrantATrialAgainThatWasGivenBack() {
+    crashAtOnce("engine-1", "engine-2", "engine-3");
+    tryAt(0);
+
+    state.tryAgain(trial(REQUEST).toBuilder().setGivenBack(true).build(), 0);
+
+    assertThat(tryAt(0).getGranted()).isTrue();
+  }
+
   @Test
   void shouldKeepTheUpstreamsThatCrashedAtOnceInASnapshot() {
     crashAtOnce("engine-1", "engine-2", "engine-3");
--- a/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
+++ b/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
@@ -26,13 +26,10 @@
   private final ManualClock clock = new ManualClock();
   private final SuspectTable table = new SuspectTable();
   private final CrashReports reports = new IgnoredReports();
+  private final FakeSuspectTrials trials = new FakeSuspectTrials();
   private final CrashSuspects suspects =
       new CrashSuspects(
-          table,
-          new RunningRequests(reports, RelayBounds.defaults()),
-          reports,
-          requested -> CompletableFuture.completedFuture(new SuspectTrials.Granted()),
-          clock);
+          table, new RunningRequests(reports, RelayBounds.defaults()), reports, trials, clock);
   private final RequestKeys keys = RequestKeys.of(REQUEST, "llm", List.of());
 
   @Test
@@ -64,6 +61,26 @@
     assertThat(suspicion.isSuspendedFromResuming()).isTrue();
   }
 
+  @Test
+  void shouldGiveBackATrialThatWasNotSent() {
+    CallSuspicion suspicion = suspendedCallOnTrial();
+
+    suspicion.recordEnd();
+
+    assertThat(trials.givenBack).containsExactly(REQUEST);
+    assertThat(suspicion.isSuspended()).isTrue();
+  }
+
+  @Test
+  void shouldNotGiveBackATrialThatWasSent() {
+    CallSuspicion suspicion = suspendedCallOnTrial();
+    suspicion.registerDispatch(UPSTREAM);
+
+    suspicion.recordEnd();
+
+    assertThat(trials.givenBack).isEmpty();
+  }
+
   private CallSuspicion suspendedCallOnTrial() {
     for (int known = 0; known < CrashSuspects.MAX_CRASHES; known++) {
       table.recordCrash(
--- a/src/test/java/org/cuminrack/gateway/CrashSuspectsTest.java
+++ b/src/test/java/org/cuminrack/gateway/CrashSuspectsTest.java
@@ -38,20 +38,10 @@
   private final SuspectTable table = new SuspectTable();
   private final RecordingReports reports = new RecordingReports();
   private final List<String> decisions = new ArrayList<>();
-  private SuspectTrials.Outcome trialOutcome = new SuspectTrials.Granted();
-  private int trialRequests;
-  private List<Fingerprint> trialSuspects = List.of();
+  private final FakeSuspectTrials trials = new FakeSuspectTrials();
   private final CrashSuspects suspects =
       new CrashSuspects(
-          table,
-          new RunningRequests(reports, RelayBounds.defaults()),
-          reports,
-          requested -> {
-            trialRequests++;
-            trialSuspects = requested;
-            return CompletableFuture.completedFuture(trialOutcome);
-          },
-          clock);
+          table, new RunningRequests(reports, RelayBounds.defaults()), reports, trials, clock);
 
   @Test
   void shouldPermitARequestAfterTwoCrashes() {
@@ -69,7 +59,7 @@
     admit();
 
     assertThat(decisions).containsExactly("suspended PT10S");
-    assertThat(trialRequests).isEqualTo(0);
+    assertThat(trials.requests).isEqualTo(0);
   }
 
   @Test
@@ -86,7 +76,7 @@
   @Test
   void shouldNotWaitLongForTheNextTrialOfARequestThatMayBeClearedSoon() {
     crashAtOnce(KEYS, 3);
-    trialOutcome = new SuspectTrials.Denied(Duration.ofMinutes(1));
+    trials.outcome = new SuspectTrials.Denied(Duration.ofMinutes(1));
 
     admit();
 
@@ -120,7 +110,7 @@
     admit();
 
     assertThat(decisions).containsExactly("suspended PT10S", "trial", "suspended PT10S").inOrder();
-    assertThat(trialRequests).isEqualTo(1);
+    assertThat(trials.requests).isEqualTo(1);
   }
 
   @Test
@@ -128,7 +118,7 @@
     crash(3);
     admit();
     clock.advance(TRIAL_WAIT);
-    trialOutcome = new SuspectTrials.Unavailable("no leader");
+    trials.outcome = new SuspectTrials.Unavailable("no leader");
 
     admit();
 
@@ -140,7 +130,7 @@
     crash(3);
     admit();
     clock.advance(TRIAL_WAIT);
-    trialOutcome = new SuspectTrials.Denied(Duration.ofSeconds(42));
+    trials.outcome = new SuspectTrials.Denied(Duration.ofSeconds(42));
 
     admit();
 
@@ -255,7 +245,7 @@
     admit(PROMPT);
 
     assertThat(decisions).containsExactly("suspended PT10S", "trial").inOrder();
-    assertThat(trialSuspects).containsExactly(SHARED_PART, PART, REQUEST).inOrder();
+    assertThat(trials.requested).containsExactly(SHARED_PART, PART, REQUEST).inOrder();
   }
 
   @Test
@@ -321,7 +311,7 @@
     suspects.admit(
         keys,
         Runnable::run,
-        trial -> decisions.add(trial ? "trial" : "permitted"),
+        trialOf -> decisions.add(trialOf.isEmpty() ? "permitted" : "trial"),
         wait -> decisions.add("suspended " + wait));
   }
 
