Take back an unused trial once, also if the command is repeated

Cause: the command named the suspects, but not which trial is given back.

Change: a trial is identified by the time at which it was granted, and is taken back if it is the last one.

--- a/src/main/java/org/cuminrack/control/SuspectState.java
+++ b/src/main/java/org/cuminrack/control/SuspectState.java
@@ -95,8 +95,8 @@
             .map(suspicions::get)
             .filter(Objects::nonNull)
             .toList();
-    if (request.getGivenBack()) {
-      suspects.forEach(this::takeBackTrial);
+    if (request.getGivenBackMillis() != 0) {
+      suspects.forEach(each -> takeBackTrial(each, request.getGivenBackMillis()));
       return TrialResult.getDefaultInstance();
     }
     long waitMillis =
@@ -109,14 +109,19 @@
           suspicion.toBuilder()
               .setTrials(suspicion.getTrials() + 1)
               .setSinceMillis(timeMillis)
+              .setTrialMillis(timeMillis)
               .build());
     }
-    return TrialResult.newBuilder().setGranted(true).build();
+    return TrialResult.newBuilder().setGranted(true).setGrantedMillis(timeMillis).build();
   }
 
-  private void takeBackTrial(SuspicionData suspicion) {
-    int trials = Math.max(0, suspicion.getTrials() - 1);
-    suspicions.replace(suspicion.getFingerprint(), suspicion.toBuilder().setTrials(trials).build());
+  /** Takes the last trial off the count, once; a command may be repeated. */
+  private void takeBackTrial(SuspicionData suspicion, long grantedMillis) {
+    if (suspicion.getTrialMillis() == grantedMillis) {
+      suspicions.replace(
+          suspicion.getFingerprint(),
+          suspicion.toBuilder().setTrials(suspicion.getTrials() - 1).clearTrialMillis().build());
+    }
   }
 
   private static long trialDueMillis(SuspicionData suspicion) {
--- a/src/main/java/org/cuminrack/gateway/CallSuspicion.java
+++ b/src/main/java/org/cuminrack/gateway/CallSuspicion.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -22,7 +21,7 @@
   private final Map<Fingerprint, Integer> crashesAtArrival = new HashMap<>();
   private final int upstreamsCrashedAtArrival;
   private int lostDispatches;
-  private List<Fingerprint> onTrialFor = List.of();
+  private Optional<SuspectTrial> trial = Optional.empty();
   private boolean sent;
 
   CallSuspicion(CrashSuspects suspects, RequestKeys keys) {
@@ -55,8 +54,8 @@
     suspects.admit(
         keys,
         executor,
-        trialOf -> {
-          onTrialFor = trialOf;
+        granted -> {
+          trial = granted;
           onPermitted.run();
         },
         onSuspended);
@@ -85,7 +84,7 @@
 
   /** Returns whether control has permitted the request to run although it is suspended. */
   boolean isOnTrial() {
-    return !onTrialFor.isEmpty();
+    return trial.isPresent();
   }
 
   /** Returns whether the request is suspended; a trial permits it to be sent once. */
@@ -136,9 +135,9 @@
 
   /** Records that the call has ended; a trial that it did not use is given back. */
   void recordEnd() {
-    if (isOnTrial() && !sent) {
-      suspects.giveBackTrial(onTrialFor);
-      onTrialFor = List.of();
+    if (!sent) {
+      trial.ifPresent(suspects::giveBack);
+      trial = Optional.empty();
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/CrashSuspects.java
+++ b/src/main/java/org/cuminrack/gateway/CrashSuspects.java
@@ -128,18 +128,17 @@
    *
    * @param executor runs one of the callbacks if control had to be asked; otherwise it is called
    *     before this method returns
-   * @param onPermitted receives the suspects that the request is on trial for; none if it is not
-   *     suspended
+   * @param onPermitted receives the trial; empty if the request is not suspended
    * @param onSuspended receives the time until the next trial
    */
   void admit(
       RequestKeys keys,
       Executor executor,
-      Consumer<List<Fingerprint>> onPermitted,
+      Consumer<Optional<SuspectTrial>> onPermitted,
       Consumer<Duration> onSuspended) {
     List<Fingerprint> suspended = suspendedKeys(keys);
     if (suspended.isEmpty()) {
-      onPermitted.accept(List.of());
+      onPermitted.accept(Optional.empty());
       return;
     }
     Optional<Duration> wait = waitOrClaimTrial(suspended);
@@ -183,7 +182,7 @@
       RequestKeys keys,
       List<Fingerprint> suspended,
       SuspectTrials.Outcome outcome,
-      Consumer<List<Fingerprint>> onPermitted,
+      Consumer<Optional<SuspectTrial>> onPermitted,
       Consumer<Duration> onSuspended) {
     logger.atInfo().log(
         "%s",
@@ -192,8 +191,8 @@
             .with("suspects", suspended.stream().map(keys::describe).toList())
             .with("crashes", suspended.stream().map(this::crashes).toList())
             .with("outcome", outcome));
-    if (outcome instanceof SuspectTrials.Granted) {
-      onPermitted.accept(suspended);
+    if (outcome instanceof SuspectTrials.Granted granted) {
+      onPermitted.accept(Optional.of(new SuspectTrial(suspended, granted.grantedMillis())));
       return;
     }
     Duration wait =
@@ -205,9 +204,9 @@
   }
 
   /** Gives back a trial that was granted, but not run. */
-  void giveBackTrial(List<Fingerprint> suspended) {
-    deferTrial(suspended, SHORT_TRIAL_WAIT);
-    trials.giveBack(suspended);
+  void giveBack(SuspectTrial trial) {
+    deferTrial(trial.suspects(), SHORT_TRIAL_WAIT);
+    trials.giveBack(trial);
   }
 
   private Duration retryAfter(List<Fingerprint> suspended, SuspectTrials.Denied denied) {
--- a/src/main/java/org/cuminrack/gateway/ReplicatedSuspectTrials.java
+++ b/src/main/java/org/cuminrack/gateway/ReplicatedSuspectTrials.java
@@ -37,12 +37,11 @@
   }
 
   @Override
-  public void giveBack(List<Fingerprint> suspects) {
+  public void giveBack(SuspectTrial trial) {
+    TrialRequest request =
+        message(trial.suspects()).setGivenBackMillis(trial.grantedMillis()).build();
     calls
-        .call(
-            Method.TRY_SUSPECT,
-            message(suspects).setGivenBack(true).build().toByteArray(),
-            GIVE_BACK_TIMEOUT)
+        .call(Method.TRY_SUSPECT, request.toByteArray(), GIVE_BACK_TIMEOUT)
         .thenAccept(reply -> reply.peekLeft(ReplicatedSuspectTrials::logNotGivenBack));
   }
 
@@ -64,7 +63,7 @@
     try {
       TrialResult result = TrialResult.parseFrom(reply.get());
       return result.getGranted()
-          ? new Granted()
+          ? new Granted(result.getGrantedMillis())
           : new Denied(Duration.ofMillis(result.getWaitMillis()));
     } catch (InvalidProtocolBufferException e) {
       return new Unavailable("unreadable reply: " + e.getMessage());
--- a/src/main/java/org/cuminrack/gateway/SuspectTrials.java
+++ b/src/main/java/org/cuminrack/gateway/SuspectTrials.java
@@ -15,13 +15,17 @@
   CompletableFuture<Outcome> request(List<Fingerprint> suspects);
 
   /** Gives back a trial that was granted, but not run, so that another request may have it. */
-  void giveBack(List<Fingerprint> suspects);
+  void giveBack(SuspectTrial trial);
 
   /** Control's answer. */
   sealed interface Outcome {}
 
-  /** The request may run once, at the gateway that asked. */
-  record Granted() implements Outcome {}
+  /**
+   * The request may run once, at the gateway that asked.
+   *
+   * @param grantedMillis identifies the trial; see {@link SuspectTrial}
+   */
+  record Granted(long grantedMillis) implements Outcome {}
 
   /** No trial is due. */
   record Denied(Duration retryAfter) implements Outcome {}
--- a/src/test/java/org/cuminrack/control/SuspectStateTest.java
+++ b/src/test/java/org/cuminrack/control/SuspectStateTest.java
@@ -125,12 +125,24 @@
 
   @Test
   void shouldGrantATrialAgainThatWasGivenBack() {
-    crashAtOnce("engine-1", "engine-2", "engine-3");
-    tryAt(0);
+    crash("engine-1", 0, 0);
+    long grantedMillis = tryAt(10).getGrantedMillis();
 
-    state.tryAgain(trial(REQUEST).toBuilder().setGivenBack(true).build(), 0);
+    giveBack(grantedMillis);
 
-    assertThat(tryAt(0).getGranted()).isTrue();
+    assertThat(tryAt(20).getGranted()).isTrue();
+  }
+
+  @Test
+  void shouldTakeBackATrialOnceIfTheCommandIsRepeated() {
+    crash("engine-1", 0, 0);
+    tryAt(10);
+    long grantedMillis = tryAt(70).getGrantedMillis();
+
+    giveBack(grantedMillis);
+    giveBack(grantedMillis);
+
+    assertThat(tryAt(70).getWaitMillis()).isEqualTo(Duration.ofMinutes(1).toMillis());
   }
 
   @Test
@@ -204,6 +216,10 @@
     assertThat(restored.companions(REQUEST)).containsExactly("aa");
   }
 
+  private void giveBack(long grantedMillis) {
+    state.tryAgain(trial(REQUEST).toBuilder().setGivenBackMillis(grantedMillis).build(), 0);
+  }
+
   private void crashAtOnce(String... upstreams) {
     for (String upstream : upstreams) {
       crash(upstream, 0, 0);
--- a/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
+++ b/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
@@ -67,7 +67,7 @@
 
     suspicion.recordEnd();
 
-    assertThat(trials.givenBack).containsExactly(REQUEST);
+    assertThat(trials.givenBack).containsExactly(new SuspectTrial(List.of(REQUEST), 7));
     assertThat(suspicion.isSuspended()).isTrue();
   }
 
--- a/src/test/java/org/cuminrack/gateway/FakeSuspectTrials.java
+++ b/src/test/java/org/cuminrack/gateway/FakeSuspectTrials.java
@@ -7,10 +7,10 @@
 
 /** Answers each request for a trial with {@code outcome}, and keeps what it is asked. */
 final class FakeSuspectTrials implements SuspectTrials {
-  Outcome outcome = new Granted();
+  Outcome outcome = new Granted(7);
   int requests;
   List<Fingerprint> requested = List.of();
-  final List<Fingerprint> givenBack = new ArrayList<>();
+  final List<SuspectTrial> givenBack = new ArrayList<>();
 
   @Override
   public CompletableFuture<Outcome> request(List<Fingerprint> suspects) {
@@ -20,7 +20,7 @@
   }
 
   @Override
-  public void giveBack(List<Fingerprint> suspects) {
-    givenBack.addAll(suspects);
+  public void giveBack(SuspectTrial trial) {
+    givenBack.add(trial);
   }
 }
