Identify trials, so that lost answers and unsent ones cost innocent requests no wait

Callers of an innocent request got 503 for up to a second after all upstreams were back, or for ten seconds if control's answer to a request for a trial was lost.

Cause: a gateway that had given a trial back asked for none for a second, longer than a request waits to be cleared. A trial was identified by the time at which control granted it, so that a gateway which did not get the answer could neither use it nor give it back; and a repeated command was denied because of its own first attempt.

Change: gateways choose the id of a trial; control takes a repeated command for the same trial and a returned one off the count, once. The wait is a quarter of a second.

--- a/src/main/java/org/cuminrack/control/SuspectState.java
+++ b/src/main/java/org/cuminrack/control/SuspectState.java
@@ -95,10 +95,13 @@
             .map(suspicions::get)
             .filter(Objects::nonNull)
             .toList();
-    if (request.getGivenBackMillis() != 0) {
-      suspects.forEach(each -> takeBackTrial(each, request.getGivenBackMillis()));
+    if (request.getGivenBack()) {
+      suspects.forEach(each -> takeBackTrial(each, request.getTrialId()));
       return TrialResult.getDefaultInstance();
     }
+    if (wasGranted(request.getTrialId(), suspects)) {
+      return TrialResult.newBuilder().setGranted(true).build();
+    }
     long waitMillis =
         suspects.stream().mapToLong(each -> trialDueMillis(each) - timeMillis).max().orElse(0);
     if (waitMillis > 0) {
@@ -109,18 +112,24 @@
           suspicion.toBuilder()
               .setTrials(suspicion.getTrials() + 1)
               .setSinceMillis(timeMillis)
-              .setTrialMillis(timeMillis)
+              .setTrialId(request.getTrialId())
               .build());
     }
-    return TrialResult.newBuilder().setGranted(true).setGrantedMillis(timeMillis).build();
+    return TrialResult.newBuilder().setGranted(true).build();
+  }
+
+  /** Returns whether a command is repeated whose trial was granted. */
+  private static boolean wasGranted(String trialId, List<SuspicionData> suspects) {
+    return !trialId.isEmpty()
+        && suspects.stream().anyMatch(each -> each.getTrialId().equals(trialId));
   }
 
   /** Takes the last trial off the count, once; a command may be repeated. */
-  private void takeBackTrial(SuspicionData suspicion, long grantedMillis) {
-    if (suspicion.getTrialMillis() == grantedMillis) {
+  private void takeBackTrial(SuspicionData suspicion, String trialId) {
+    if (!trialId.isEmpty() && suspicion.getTrialId().equals(trialId)) {
       suspicions.replace(
           suspicion.getFingerprint(),
-          suspicion.toBuilder().setTrials(suspicion.getTrials() - 1).clearTrialMillis().build());
+          suspicion.toBuilder().setTrials(suspicion.getTrials() - 1).clearTrialId().build());
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/CrashSuspects.java
+++ b/src/main/java/org/cuminrack/gateway/CrashSuspects.java
@@ -51,7 +51,7 @@
    * Wait before a gateway asks again if the suspect may be cleared soon, or after it gave back a
    * trial.
    */
-  private static final Duration SHORT_TRIAL_WAIT = Duration.ofSeconds(1);
+  private static final Duration SHORT_TRIAL_WAIT = Duration.ofMillis(250);
 
   /** Wait after control did not answer a request for a trial. */
   private static final Duration TRIAL_WAIT_WITHOUT_CONTROL = Duration.ofSeconds(1);
@@ -146,11 +146,12 @@
       onSuspended.accept(wait.get());
       return;
     }
+    SuspectTrial trial = SuspectTrial.of(suspended);
     trials
-        .request(suspended)
+        .request(trial)
         .thenAccept(
             outcome ->
-                executor.execute(() -> finish(keys, suspended, outcome, onPermitted, onSuspended)));
+                executor.execute(() -> finish(keys, trial, outcome, onPermitted, onSuspended)));
   }
 
   /**
@@ -180,10 +181,11 @@
 
   private void finish(
       RequestKeys keys,
-      List<Fingerprint> suspended,
+      SuspectTrial trial,
       SuspectTrials.Outcome outcome,
       Consumer<Optional<SuspectTrial>> onPermitted,
       Consumer<Duration> onSuspended) {
+    List<Fingerprint> suspended = trial.suspects();
     logger.atInfo().log(
         "%s",
         LogEvent.named("suspect-trial")
@@ -191,14 +193,18 @@
             .with("suspects", suspended.stream().map(keys::describe).toList())
             .with("crashes", suspended.stream().map(this::crashes).toList())
             .with("outcome", outcome));
-    if (outcome instanceof SuspectTrials.Granted granted) {
-      onPermitted.accept(Optional.of(new SuspectTrial(suspended, granted.grantedMillis())));
+    if (outcome instanceof SuspectTrials.Granted) {
+      onPermitted.accept(Optional.of(trial));
       return;
     }
     Duration wait =
         outcome instanceof SuspectTrials.Denied denied
             ? retryAfter(suspended, denied)
             : TRIAL_WAIT_WITHOUT_CONTROL;
+    if (outcome instanceof SuspectTrials.Unavailable) {
+      // Only the answer may be lost.
+      trials.giveBack(trial);
+    }
     deferTrial(suspended, wait);
     onSuspended.accept(wait);
   }
--- a/src/main/java/org/cuminrack/gateway/ReplicatedSuspectTrials.java
+++ b/src/main/java/org/cuminrack/gateway/ReplicatedSuspectTrials.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.generated.control.TrialRequest;
@@ -30,25 +29,25 @@
   }
 
   @Override
-  public CompletableFuture<Outcome> request(List<Fingerprint> suspects) {
+  public CompletableFuture<Outcome> request(SuspectTrial trial) {
     return calls
-        .call(Method.TRY_SUSPECT, message(suspects).build().toByteArray(), TIMEOUT)
+        .call(Method.TRY_SUSPECT, message(trial).build().toByteArray(), TIMEOUT)
         .thenApply(ReplicatedSuspectTrials::outcome);
   }
 
   @Override
   public void giveBack(SuspectTrial trial) {
-    TrialRequest request =
-        message(trial.suspects()).setGivenBackMillis(trial.grantedMillis()).build();
+    TrialRequest request = message(trial).setGivenBack(true).build();
     calls
         .call(Method.TRY_SUSPECT, request.toByteArray(), GIVE_BACK_TIMEOUT)
         .thenAccept(reply -> reply.peekLeft(ReplicatedSuspectTrials::logNotGivenBack));
   }
 
-  private static TrialRequest.Builder message(List<Fingerprint> suspects) {
+  private static TrialRequest.Builder message(SuspectTrial trial) {
     return TrialRequest.newBuilder()
-        .setFingerprint(suspects.get(0).hex())
-        .addAllOthers(suspects.stream().skip(1).map(Fingerprint::hex).toList());
+        .setTrialId(trial.id())
+        .setFingerprint(trial.suspects().get(0).hex())
+        .addAllOthers(trial.suspects().stream().skip(1).map(Fingerprint::hex).toList());
   }
 
   private static void logNotGivenBack(ControlFailure failure) {
@@ -63,7 +62,7 @@
     try {
       TrialResult result = TrialResult.parseFrom(reply.get());
       return result.getGranted()
-          ? new Granted(result.getGrantedMillis())
+          ? new Granted()
           : new Denied(Duration.ofMillis(result.getWaitMillis()));
     } catch (InvalidProtocolBufferException e) {
       return new Unavailable("unreadable reply: " + e.getMessage());
--- a/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
+++ b/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
@@ -173,6 +173,19 @@
     assertEveryGatewayServes("/read/held");
   }
 
+  @Test
+  void shouldServeARequestSoonAfterItsTrialFoundNoUpstream() throws Exception {
+    List<CompletableFuture<String>> held = holdOnEveryUpstream(0, "GET", "/read/held");
+    for (CrashingUpstream shop : cluster.upstreams("shop")) {
+      shop.crash();
+    }
+    held.forEach(CompletableFuture::join);
+    callFirstGateway("GET", "/read/held");
+    cluster.recover();
+
+    assertEveryGatewayServes("/read/held");
+  }
+
   private void sendThroughAllGateways(String method, String path, int count) throws Exception {
     for (int i = 0; i < count; i++) {
       String gateway = cluster.gateways().get(i % cluster.gateways().size());
