--- a/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
+++ b/src/test/java/org/cuminrack/gateway/CallSuspicionTest.java
@@ -4,8 +4,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import org.cuminrack.admission.Fingerprint;
 import org.cuminrack.fleet.CrashedProcess;
 import org.cuminrack.fleet.SuspectTable;
@@ -25,7 +23,7 @@
 
   private final ManualClock clock = new ManualClock();
   private final SuspectTable table = new SuspectTable();
-  private final CrashReports reports = new IgnoredReports();
+  private final CrashReports reports = new IgnoredCrashReports();
   private final FakeSuspectTrials trials = new FakeSuspectTrials();
   private final CrashSuspects suspects =
       new CrashSuspects(
@@ -94,15 +92,4 @@
     assertThat(suspicion.isOnTrial()).isTrue();
     return suspicion;
   }
-
-  private static final class IgnoredReports implements CrashReports {
-    @Override
-    public CompletableFuture<Boolean> reportCrash(
-        String upstream, String bootId, Map<Fingerprint, CrashEvidence> running, Duration timeout) {
-      return CompletableFuture.completedFuture(true);
-    }
-
-    @Override
-    public void clear(Fingerprint fingerprint) {}
-  }
 }
--- a/src/test/java/org/cuminrack/gateway/CrashSuspectsTest.java
+++ b/src/test/java/org/cuminrack/gateway/CrashSuspectsTest.java
@@ -62,44 +62,6 @@
     assertThat(trials.requests).isEqualTo(0);
   }
 
-  @Test
-  void shouldRequestATrialAtOnceOfARequestThatCrashedThreeUpstreamsAtOnce() {
-    crashAtOnce(KEYS, 3);
-
-    admit();
-    admit();
-
-    assertThat(decisions).containsExactly("trial", "suspended PT0.25S").inOrder();
-    assertThat(suspects.isUnproven(KEYS)).isTrue();
-  }
-
-  @Test
-  void shouldNotWaitLongForTheNextTrialOfARequestThatMayBeClearedSoon() {
-    crashAtOnce(KEYS, 3);
-    trials.outcome = new SuspectTrials.Denied(Duration.ofMinutes(1));
-
-    admit();
-
-    assertThat(decisions).containsExactly("suspended PT0.25S");
-  }
-
-  @Test
-  void shouldPermitARequestThatCrashedTwoUpstreamsAtOnce() {
-    crashAtOnce(KEYS, 2);
-
-    admit();
-
-    assertThat(decisions).containsExactly("permitted");
-  }
-
-  @Test
-  void shouldNotSuspendAPartInWhosePromptsUpstreamsCrashedAtOnce() {
-    crashAtOnce(PROMPT, 3);
-
-    assertThat(suspects.isSuspended(PROMPT)).isTrue();
-    assertThat(suspects.isSuspended(prompt("r9", "a1", "bad0"))).isFalse();
-  }
-
   @Test
   void shouldPermitOneTrialOnceItIsDue() {
     crash(3);
@@ -125,16 +87,6 @@
     assertThat(decisions).containsExactly("suspended PT10S", "suspended PT1S").inOrder();
   }
 
-  @Test
-  void shouldGiveBackATrialIfControlsAnswerIsLost() {
-    crashAtOnce(KEYS, 3);
-    trials.outcome = new SuspectTrials.Unavailable("timed out");
-
-    admit();
-
-    assertThat(trials.givenBack).hasSize(1);
-  }
-
   @Test
   void shouldWaitAsLongAsControlSays() {
     crash(3);
@@ -296,17 +248,6 @@
     }
   }
 
-  private void crashAtOnce(RequestKeys keys, int upstreams) {
-    List<SuspectDispatch> dispatches = new ArrayList<>();
-    for (int i = 0; i < upstreams; i++) {
-      UpstreamRecord upstream =
-          new UpstreamRecord(
-              "i-" + i, "llm", "10.0.0." + i + ":80", "dc-a", 6, UpstreamPhase.READY, 100, 1, 0, 0);
-      dispatches.add(suspects.dispatch(upstream, keys, key -> 0));
-    }
-    dispatches.forEach(suspects::crashed);
-  }
-
   private void crashOnce(RequestKeys keys, int knownCrashes) {
     SuspectDispatch dispatch = dispatch(keys, knownCrashes);
     suspects.crashed(dispatch);
--- a/src/test/java/org/cuminrack/platform/CrashingPromptPartTest.java
+++ b/src/test/java/org/cuminrack/platform/CrashingPromptPartTest.java
@@ -167,7 +167,7 @@
           held.add(
               CompletableFuture.supplyAsync(
                   () -> callUnchecked(gateway, "/plan/held-" + prompt.hashCode(), prompt)));
-          return cluster.upstreams("llm").stream().allMatch(CrashingUpstream::holdsARequest);
+          return cluster.upstreams("llm").stream().allMatch(each -> each.heldRequests() > 0);
         });
     return held;
   }
--- a/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
+++ b/src/test/java/org/cuminrack/platform/CrashingRequestTest.java
@@ -246,7 +246,7 @@
           String gateway = cluster.gateways().get(sent[0] % cluster.gateways().size());
           String id = "h-" + round + "-" + sent[0]++;
           held.add(CompletableFuture.supplyAsync(() -> callUnchecked(gateway, id, method, path)));
-          return cluster.upstreams("shop").stream().allMatch(CrashingUpstream::holdsARequest);
+          return cluster.upstreams("shop").stream().allMatch(each -> each.heldRequests() > 0);
         });
     return held;
   }
--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -114,10 +114,6 @@
     }
   }
 
-  boolean holdsARequest() {
-    return holding.get() > 0;
-  }
-
   /** Returns the number of requests that wait for {@link #releaseHeld}. */
   int heldRequests() {
     return holding.get();
--- a/src/test/java/org/cuminrack/platform/FrozenGatewayTest.java
+++ b/src/test/java/org/cuminrack/platform/FrozenGatewayTest.java
@@ -36,7 +36,8 @@
         PlatformFixture.await(
             "the engine to send the rest, and the freeze to last",
             () ->
-                !engine.holdsARequest() && System.nanoTime() - frozenNanos > FREEZE_TIME.toNanos());
+                engine.heldRequests() == 0
+                    && System.nanoTime() - frozenNanos > FREEZE_TIME.toNanos());
         cluster.process("gateway-1").thaw();
 
         String rest = new String(in.readAllBytes(), StandardCharsets.UTF_8);
--- a/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
+++ b/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
@@ -80,7 +80,7 @@
     shop.hold();
     CompletableFuture<String> response =
         CompletableFuture.supplyAsync(() -> callUnchecked("POST", "/order/unframed-held-end"));
-    PlatformFixture.await("the order to run", shop::holdsARequest);
+    PlatformFixture.await("the order to run", () -> shop.heldRequests() > 0);
     announce("draining", 2);
     PlatformFixture.await(
         "the gateway to know that the upstream leaves", () -> platform.dump().contains("DRAINING"));
