--- a/review/src/Deployment.java
+++ b/review/src/Deployment.java
@@ -269,6 +269,20 @@
     }
   }
 
+  /** Sends SIGTERM now, and SIGKILL after the grace time; does not wait. */
+  void stop(String name, int graceMillis) {
+    ended.add(name);
+    Process process = processes.get(name);
+    process.destroy();
+    log("SIGTERM to " + name);
+    daemon(
+        () -> {
+          sleep(graceMillis);
+          log(name + (process.isAlive() ? " is killed after the grace time" : " has ended"));
+          process.destroyForcibly();
+        });
+  }
+
   /** Kills all control processes at the same moment and starts them again. */
   void restartCore() throws Exception {
     for (int i = 0; i < CONTROLS; i++) {
