--- a/review/src/ManyManifests.java
+++ b/review/src/ManyManifests.java
@@ -3,7 +3,8 @@
 
 /**
  * Sends hundreds of manifests, one after the other; with the disruption, of many routes. Exits with
- * 1 if the newest acknowledged one can't be read back, before or after a restart of the core.
+ * 1 if one is not acknowledged in time, or the newest acknowledged one can't be read back, before or
+ * after a restart of the core.
  */
 final class ManyManifests {
   /** The largest dose of big_config adds 350 routes; it comes eight times. */
@@ -15,6 +16,12 @@
   /** The bound ack-ms of the site file. */
   private static final int ACK_MILLIS = 4000;
 
+  /** What the rule adds to it for each route of a manifest. */
+  private static final int ACK_MILLIS_PER_ROUTE = 3;
+
+  /** Changes that are not acknowledged, after which no more are sent. */
+  private static final int MAX_UNACKED = 2;
+
   /** The bound recover-s of the site file. */
   private static final int RECOVER_MILLIS = 12_000;
 
@@ -46,8 +53,8 @@
     deployment.startAll(2);
     deployment.putManifest(Manifests.of(1, FEW_ROUTES, ""), 15000);
     deployment.awaitReady(2, 15000);
-    sendChanges(routes);
-    boolean broken = !readBack();
+    boolean broken = !sendChanges(routes);
+    broken |= !readBack();
     logErrors();
     deployment.restartCore();
     broken |= !readBack();
@@ -55,22 +62,29 @@
     return broken ? 1 : 0;
   }
 
-  private void sendChanges(int routes) throws Exception {
+  /** Returns whether each change was acknowledged in time. */
+  private boolean sendChanges(int routes) throws Exception {
     long startNanos = System.nanoTime();
     long bytes = 0;
+    int ackMillis = ACK_MILLIS + ACK_MILLIS_PER_ROUTE * (routes + 3);
     int unacked = 0;
-    for (int i = 0; i < CHANGES && System.nanoTime() - startNanos < MAX_SENDING_NANOS; i++) {
+    for (int i = 0;
+        i < CHANGES
+            && unacked < MAX_UNACKED
+            && System.nanoTime() - startNanos < MAX_SENDING_NANOS;
+        i++) {
       long version = 2 + 3L * i;
       byte[] manifest = Manifests.of(version, routes, "").getBytes(StandardCharsets.UTF_8);
       Http.Response response =
-          deployment.operator("POST", "/cuminrack/config/replace", manifest, ACK_MILLIS);
+          deployment.operator("POST", "/cuminrack/config/replace", manifest, ackMillis);
       if (response != null && response.status() == 200) {
         ackedVersion = version;
         bytes += manifest.length;
       } else {
         unacked++;
         deployment.log("operator: version " + version + " not acknowledged: "
-            + (response == null ? "no answer" : response.status() + " " + response.text()));
+            + (response == null ? "no answer" : response.status() + " " + response.text())
+            + " after " + ackMillis + " ms: BROKEN");
       }
       if (i % 50 == 0) {
         deployment.log("operator: " + (i + 1) + " changes sent, the last of " + manifest.length
@@ -79,6 +93,7 @@
     }
     deployment.log("operator: version " + ackedVersion + " is the newest acknowledged one, "
         + bytes + " bytes acknowledged in all, " + unacked + " changes not acknowledged");
+    return unacked == 0;
   }
 
   /** Returns whether the newest acknowledged version, or a later one, is read back in time. */
