Don't take the end of a stopped stream's connection for the end of the stream

Cause: the gateway tells the engine to stop the generation and copy the rest of its memory. The engine stops, closes the stream without its end, and answers the call when the copy is complete. In between, the dispatch took the end of the connection for the end of the stream: the engine still listens, so ResponseEnd saw nothing wrong, and the relay ended the answer and cancelled the move. The same happened if the move had failed after the stop.

MovedUnframedStreamTest on the code before: 3 of 4 failed (the fourth guards streams that had ended before the stop).

Change: the dispatch knows that its engine may have stopped the generation. The end of an unframed connection then waits for the answer to the stop: the stream resumes at the target, or is complete if the engine states that it stopped nothing, or is broken off. A move that fails is logged, which it was not while the connection stood.

After: MovedUnframedStreamTest 4 of 4, GenerationPathTest and UnframedResponseTest as before.

--- a/src/main/java/org/cuminrack/gateway/EngineCalls.java
+++ b/src/main/java/org/cuminrack/gateway/EngineCalls.java
@@ -19,4 +19,10 @@
    * Returns the handle of the copy from a response to {@link #copyKvCache}; empty if none was made.
    */
   Optional<String> copyHandle(int status, ByteString body);
+
+  /**
+   * Returns whether the status of a response to {@link #copyKvCache} states that the call stopped
+   * nothing: the generation had ended before, or the engine rejected the call.
+   */
+  boolean stoppedNothing(int status);
 }
--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -14,6 +14,7 @@
   private static final int STATUS_OK = 200;
   private static final int STATUS_REDIRECT = 300;
   private static final int MAX_EVENT_BYTES = 64 << 10;
+  private static final String STOPPED = "the engine may have stopped the generation for a move";
 
   private final GatewayContext context;
   private final GatewayCall call;
@@ -29,6 +30,9 @@
   private HeaderMap headers;
   private int status;
   private boolean sent;
+  private boolean stopPending;
+  private boolean stopUnconfirmed;
+  private boolean endAwaitsStop;
   private boolean closed;
 
   private EngineDispatch(
@@ -223,10 +227,54 @@
       onRefused();
     } else if (isStream() && splitter.isInsideEvent()) {
       lost("the stream ended inside an event");
+    } else if (!mayBeStopped() || ResponseEnd.isDetectable(call, status, headers)) {
+      checkEnd();
+    } else if (stopPending) {
+      endAwaitsStop = true;
     } else {
-      Runnable onComplete = isStream() ? this::onStreamEnded : this::onRefused;
-      ResponseEnd.check(
-          context, call, reservation.upstream(), status, headers, onComplete, this::lost);
+      lost(STOPPED);
+    }
+  }
+
+  private void checkEnd() {
+    Runnable onComplete = isStream() ? this::onStreamEnded : this::onRefused;
+    ResponseEnd.check(
+        context, call, reservation.upstream(), status, headers, onComplete, this::lost);
+  }
+
+  /**
+   * Returns whether the engine may have stopped the generation on request. It then closes the
+   * connection without the end of the stream, which looks like the end of an unframed one.
+   */
+  private boolean mayBeStopped() {
+    return stopPending || stopUnconfirmed;
+  }
+
+  /** The engine is being told to stop the generation. */
+  void stopRequested() {
+    stopPending = true;
+  }
+
+  /** The engine has stated that it did not stop the generation. */
+  void stopRejected() {
+    stopPending = false;
+    if (!endAwaitsStop) {
+      return;
+    }
+    endAwaitsStop = false;
+    if (stopUnconfirmed) {
+      lost(STOPPED);
+    } else {
+      checkEnd();
+    }
+  }
+
+  /** It is unknown whether the engine has stopped the generation. */
+  void stopUnconfirmed() {
+    stopPending = false;
+    stopUnconfirmed = true;
+    if (endAwaitsStop) {
+      lost(STOPPED);
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/GenerationMoves.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationMoves.java
@@ -1,6 +1,8 @@
 package org.cuminrack.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
+import org.cuminrack.log.LogEvent;
 import org.cuminrack.routing.EngineSpec;
 
 /**
@@ -8,6 +10,8 @@
  * its backup. Confined to one I/O thread.
  */
 final class GenerationMoves {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /**
    * Maximum attempts to move a generation; after these it stays on its engine until the engine
    * stops.
@@ -36,8 +40,8 @@
     /** Resumes the generation on the reserved engine. */
     void resumeAt(Reservation reservation, ResumePoint resumePoint, String cause);
 
-    /** The generation was not moved; it keeps running unless its engine has stopped. */
-    void moveFailed(String detail);
+    /** The generation was not moved, and the connection to its engine was lost meanwhile. */
+    void connectionLostDuringMove(String detail);
   }
 
   /**
@@ -137,10 +141,32 @@
     }
 
     @Override
-    public void failed(Reservation target, String detail) {
+    public void stopping() {
+      current.stopRequested();
+    }
+
+    @Override
+    public void failed(Reservation target, String detail, boolean mayHaveStopped) {
       move = Optional.empty();
       target.release();
-      owner.moveFailed(detail);
+      logFailure(detail, mayHaveStopped);
+      if (current.isClosed()) {
+        owner.connectionLostDuringMove(detail);
+      } else if (mayHaveStopped) {
+        current.stopUnconfirmed();
+      } else {
+        current.stopRejected();
+      }
+    }
+
+    private void logFailure(String detail, boolean mayHaveStopped) {
+      logger.atInfo().log(
+          "%s",
+          LogEvent.named("stream-not-moved")
+              .with("request", call.head().attemptId())
+              .with("upstream", current.reservation().upstream().id())
+              .with("may_have_stopped", mayHaveStopped)
+              .with("detail", detail));
     }
   }
 
@@ -161,7 +187,7 @@
     }
 
     @Override
-    public void failed(Reservation target, String detail) {
+    public void failed(Reservation target, String detail, boolean mayHaveStopped) {
       move = Optional.empty();
       resumeAt(target, backupPoint, cause);
     }
--- a/src/main/java/org/cuminrack/gateway/MemoryMove.java
+++ b/src/main/java/org/cuminrack/gateway/MemoryMove.java
@@ -40,15 +40,23 @@
     this.listener = listener;
   }
 
-  /** Receives the result; exactly one method is called, unless the move is cancelled. */
+  /**
+   * Receives the result: exactly one of {@code moved} and {@code failed} is called, unless the move
+   * is cancelled.
+   */
   interface Listener {
+    /** The source engine is being told to stop the generation. */
+    default void stopping() {}
+
     /** The generation has stopped and can resume from the copy. */
     void moved(Reservation target, ResumePoint resumePoint);
 
     /**
      * The move failed; the target's reservation passes to the listener, which uses or releases it.
+     *
+     * @param mayHaveStopped whether the source engine may have stopped the generation for the move
      */
-    void failed(Reservation target, String detail);
+    void failed(Reservation target, String detail, boolean mayHaveStopped);
   }
 
   /** Begins a move with pre-copy. */
@@ -93,17 +101,20 @@
 
   private void sendCopyCall(boolean stop) {
     stopping = stop;
+    if (stop) {
+      listener.stopping();
+    }
     exchange =
         io.open(
             calls.copyKvCache(fromAddress, attemptId, target.upstream().address(), stop),
             new CopyCall());
   }
 
-  private void fail(String detail) {
+  private void fail(String detail, boolean mayHaveStopped) {
     if (!finished) {
       finished = true;
       exchange.close();
-      listener.failed(target, detail);
+      listener.failed(target, detail, mayHaveStopped);
     }
   }
 
@@ -123,7 +134,7 @@
 
     @Override
     public void notSent(NotSentReason reason) {
-      fail("the engine can't be reached");
+      fail("the engine can't be reached", false);
     }
 
     @Override
@@ -134,7 +145,7 @@
     @Override
     public void bodyReceived(ByteBuffer bytes) {
       if (!body.append(bytes)) {
-        fail("the answer is larger than allowed");
+        fail("the answer is larger than allowed", stopping);
       }
     }
 
@@ -147,13 +158,13 @@
       if (copyHandle.isPresent()) {
         onCopied(copyHandle.get());
       } else {
-        fail("the engine answered " + status);
+        fail("the engine answered " + status, stopping && !calls.stoppedNothing(status));
       }
     }
 
     @Override
     public void failed(String detail) {
-      fail(detail);
+      fail(detail, stopping);
     }
   }
 }
--- a/src/main/java/org/cuminrack/gateway/ResponseEnd.java
+++ b/src/main/java/org/cuminrack/gateway/ResponseEnd.java
@@ -10,6 +10,11 @@
 final class ResponseEnd {
   private ResponseEnd() {}
 
+  /** Returns whether the end of a response can be distinguished from a lost connection. */
+  static boolean isDetectable(GatewayCall call, int status, HeaderMap headers) {
+    return ResponseFraming.hasDetectableEnd(call.exchange().getRequestMethod(), status, headers);
+  }
+
   /**
    * Checks a response. One that only its connection delimits is complete if its upstream still
    * listens, or was about to leave; otherwise the upstream may have crashed in the middle of it.
@@ -26,7 +31,7 @@
       HeaderMap headers,
       Runnable onComplete,
       Consumer<String> onBroken) {
-    if (ResponseFraming.hasDetectableEnd(call.exchange().getRequestMethod(), status, headers)) {
+    if (isDetectable(call, status, headers)) {
       onComplete.run();
       return;
     }
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -288,8 +288,8 @@
   }
 
   @Override
-  public void moveFailed(String detail) {
-    if (!call.hasEnded() && current.isClosed()) {
+  public void connectionLostDuringMove(String detail) {
+    if (!call.hasEnded()) {
       abort("move failed: " + detail);
     }
   }
--- a/src/main/java/org/cuminrack/platform/PlatformEngineCalls.java
+++ b/src/main/java/org/cuminrack/platform/PlatformEngineCalls.java
@@ -44,4 +44,9 @@
         .filter(JsonNode::isValueNode)
         .map(JsonNode::asText);
   }
+
+  @Override
+  public boolean stoppedNothing(int status) {
+    return status == StatusCodes.NOT_FOUND || status == StatusCodes.CONFLICT;
+  }
 }
