Admit generations during a planned stop by how long they last

Cause: a generation of fewer than 100 output tokens was taken for one that ends within twice its target latency. The target covers the time to the first event only; the events after it last as long as the output is long. Besides, it was decided once, at the head of the request: one whose body came later, or that waited for engine memory when the stop began, was sent all the same.

Change: the expected duration is the target latency, and the longest gap between events that meets the target for each further event of the longest possible output, with a margin. Routes now know that gap. A request whose deadline ends before the gateway stops is admitted whatever it is, plain ones by the caller's deadline and not the route's timeout alone. The decision is made again once the body is there, and when a generation gets its place. Generations of 100 tokens and more are no longer refused for that alone.

The latest moment at which a generation of 30 tokens is admitted is unchanged where its events last less than three quarters of its target latency.

--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -118,11 +118,12 @@
    * less the response margin.
    */
   Duration remaining() {
-    Duration limit =
-        head.timeout()
-            .filter(timeout -> timeout.compareTo(route.timeout()) < 0)
-            .orElse(route.timeout());
-    return limit.minus(age()).minus(RESPONSE_MARGIN);
+    return head.timeLimit(route).minus(age()).minus(RESPONSE_MARGIN);
+  }
+
+  /** Returns whether the request, if it is sent now, ends before a planned stop of the gateway. */
+  boolean endsBeforeStop() {
+    return context.stopAdmission().admits(route, remaining(), head.demand(), service.engine());
   }
 
   /** Runs a task at the deadline, unless the call has ended. */
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -17,6 +17,7 @@
     RetryBudgets retries,
     CrashSuspects suspects,
     GenerationQueue queue,
+    StopAdmission stopAdmission,
     GatewayCounters counters,
     RequestMetrics requestMetrics,
     RelayBounds bounds,
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -42,10 +42,7 @@
    */
   private static final long LINGER_MILLIS = 200;
 
-  private static final Duration RETRY_AFTER_STOPPING = Duration.ofMillis(50);
-
   private final GatewayContext context;
-  private final StopAdmission stopAdmission;
 
   public GatewayHandler(
       FleetView view,
@@ -79,11 +76,11 @@
             new RetryBudgets(settings, () -> view.gateways().size()),
             suspects,
             new GenerationQueue(),
+            new StopAdmission(clock),
             new GatewayCounters(),
             requestMetrics,
             RelayBounds.defaults().withConnectTimeout(CONNECT_TIMEOUT),
             clock);
-    stopAdmission = new StopAdmission(clock);
     view.onChange(context.queue()::retry);
   }
 
@@ -100,7 +97,7 @@
    * requests that are expected to end within the stop timeout.
    */
   public void beginStop(Duration stopTimeout) {
-    stopAdmission.begin(stopTimeout);
+    context.stopAdmission().begin(stopTimeout);
   }
 
   public GatewayCounters counters() {
@@ -115,7 +112,7 @@
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     long arrivedNanos = context.clock().nanoTime();
-    if (stopAdmission.isStopping()) {
+    if (context.stopAdmission().isStopping()) {
       exchange.setPersistent(false);
     }
     context.counters().requestStarted();
@@ -175,12 +172,35 @@
       reject(exchange, GatewayFailure.KEY_UNKNOWN, "route " + route.get().name());
       return;
     }
-    if (!stopAdmission.admits(route.get(), head.get().demand())) {
+    AdmittedRequest admitted =
+        new AdmittedRequest(
+            route.get(),
+            serviceOf(table, route.get(), head.get()),
+            head.get(),
+            keyHolder,
+            arrivedNanos);
+    if (endsBeforeStop(admitted)) {
+      readBody(exchange, table, admitted);
+    } else {
       reject(exchange, GatewayFailure.STOPPING, head.get().attemptId());
-      return;
     }
-    readBody(
-        exchange, table, new AdmittedRequest(route.get(), head.get(), keyHolder, arrivedNanos));
+  }
+
+  private static ServiceSpec serviceOf(RoutingTable table, HttpRoute route, RequestHead head) {
+    String name = route.serviceAt(splitPoint(head.attemptId()));
+    return table.service(name).orElseThrow(() -> new IllegalStateException("no service " + name));
+  }
+
+  private boolean endsBeforeStop(AdmittedRequest admitted) {
+    Duration untilDeadline =
+        admitted
+            .head()
+            .timeLimit(admitted.route())
+            .minusNanos(context.clock().nanoTime() - admitted.arrivedNanos());
+    return context
+        .stopAdmission()
+        .admits(
+            admitted.route(), untilDeadline, admitted.head().demand(), admitted.service().engine());
   }
 
   private void readBody(HttpServerExchange exchange, RoutingTable table, AdmittedRequest admitted) {
@@ -194,7 +214,11 @@
         new BodyReader.Listener() {
           @Override
           public void bodyComplete(ByteString body) {
-            relay(exchange, table, admitted, body);
+            if (endsBeforeStop(admitted)) {
+              relay(exchange, admitted, body);
+            } else {
+              reject(exchange, GatewayFailure.STOPPING, admitted.head().attemptId());
+            }
           }
 
           @Override
@@ -219,14 +243,9 @@
         });
   }
 
-  private void relay(
-      HttpServerExchange exchange, RoutingTable table, AdmittedRequest admitted, ByteString body) {
+  private void relay(HttpServerExchange exchange, AdmittedRequest admitted, ByteString body) {
     HttpRoute route = admitted.route();
-    String serviceName = route.serviceAt(splitPoint(admitted.head().attemptId()));
-    ServiceSpec service =
-        table
-            .service(serviceName)
-            .orElseThrow(() -> new IllegalStateException("no service " + serviceName));
+    ServiceSpec service = admitted.service();
     GatewayCall call =
         new GatewayCall(
             context,
@@ -267,7 +286,7 @@
     Optional<Duration> retryAfter =
         switch (failure) {
           case NOT_READY -> Optional.of(RETRY_AFTER_NOT_READY);
-          case STOPPING -> Optional.of(RETRY_AFTER_STOPPING);
+          case STOPPING -> Optional.of(StopAdmission.RETRY_AFTER);
           default -> Optional.empty();
         };
     failure.send(exchange, retryAfter);
@@ -275,5 +294,9 @@
 
   /** A request whose head passed all checks. */
   private record AdmittedRequest(
-      HttpRoute route, RequestHead head, Optional<KeyHolder> keyHolder, long arrivedNanos) {}
+      HttpRoute route,
+      ServiceSpec service,
+      RequestHead head,
+      Optional<KeyHolder> keyHolder,
+      long arrivedNanos) {}
 }
--- a/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
@@ -109,6 +109,12 @@
       reservation.release();
       return;
     }
+    if (!call.endsBeforeStop()) {
+      reservation.release();
+      context.queue().retry();
+      call.fail(GatewayFailure.STOPPING, Optional.of(StopAdmission.RETRY_AFTER), "queued");
+      return;
+    }
     Optional<Reservation> backup = reserveBackup(reservation.upstream());
     logPlacement(reservation, backup);
     onReserved.accept(reservation, backup);
--- a/src/main/java/org/cuminrack/gateway/RequestHead.java
+++ b/src/main/java/org/cuminrack/gateway/RequestHead.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.cuminrack.routing.HttpRoute;
 
 /**
  * What the gateway reads from the headers of a caller's request.
@@ -23,4 +24,11 @@
   public RequestHead {
     promptParts = List.copyOf(promptParts);
   }
+
+  /** Returns how long after its arrival the request fails: the caller's or the route's timeout. */
+  Duration timeLimit(HttpRoute route) {
+    return timeout
+        .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
+        .orElse(route.timeout());
+  }
 }
--- a/src/main/java/org/cuminrack/gateway/StopAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/StopAdmission.java
@@ -2,23 +2,25 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.cuminrack.routing.EngineSpec;
 import org.cuminrack.routing.HttpRoute;
 import org.cuminrack.time.Clock;
 
 /**
- * Admission of requests during a gateway's planned stop: admits only those that are expected to end
- * before the gateway stops. The others are refused at once, so that they go to another gateway
- * instead of being aborted. Thread-safe.
+ * Admission of requests during a gateway's planned stop: admits only those that end before the
+ * gateway stops, at the latest by their deadline or, for generations, by the targets of their
+ * route. The others are refused at once, so that they go to another gateway instead of being
+ * aborted. Thread-safe.
  */
 final class StopAdmission {
+  /** Callers find another gateway at once. */
+  static final Duration RETRY_AFTER = Duration.ofMillis(50);
+
   /**
-   * Generations with a lower output limit count as short; see {@link
-   * #SHORT_GENERATION_MAX_TARGET_MULTIPLE}.
+   * Share of the target latency by which a generation may miss the targets of its route and still
+   * end in time.
    */
-  private static final int MIN_LONG_OUTPUT_TOKENS = 100;
-
-  /** Upper bound of a short generation's duration, in multiples of its target latency. */
-  private static final int SHORT_GENERATION_MAX_TARGET_MULTIPLE = 2;
+  private static final int MARGIN_TARGET_DIVISOR = 4;
 
   private final Clock clock;
   private volatile boolean stopping;
@@ -39,25 +41,51 @@
   }
 
   /**
-   * Returns whether a request may be admitted: always unless stopping, then only if it is expected
-   * to end before the gateway stops.
+   * Returns whether a request may be admitted: always unless stopping, then only if it ends before
+   * the gateway stops.
+   *
+   * @param untilDeadline the time until the request fails at the latest
+   * @param demand the size of a generation; empty for other requests
+   * @param engine the engines that a generation would run on; empty for other requests
    */
-  boolean admits(HttpRoute route, Optional<GenerationDemand> demand) {
+  boolean admits(
+      HttpRoute route,
+      Duration untilDeadline,
+      Optional<GenerationDemand> demand,
+      Optional<EngineSpec> engine) {
     if (!stopping) {
       return true;
     }
-    boolean isLong =
-        route.kind().isStreamed()
-            && demand
-                .map(stated -> stated.maxOutputTokens() >= MIN_LONG_OUTPUT_TOKENS)
-                .orElse(true);
-    if (isLong) {
-      return false;
+    Duration untilStopped = Duration.ofNanos(endNanos - clock.nanoTime());
+    return untilDeadline.compareTo(untilStopped) < 0
+        || expectedDuration(route, demand, engine)
+            .filter(duration -> duration.compareTo(untilStopped) < 0)
+            .isPresent();
+  }
+
+  /**
+   * Returns the time that a generation with the longest possible output takes by the targets of its
+   * route, with a margin; empty if the request is not a generation of known size and pace.
+   */
+  private static Optional<Duration> expectedDuration(
+      HttpRoute route, Optional<GenerationDemand> demand, Optional<EngineSpec> engine) {
+    if (!route.kind().isStreamed()
+        || demand.isEmpty()
+        || engine.isEmpty()
+        || route.targetEventGap().isEmpty()) {
+      return Optional.empty();
     }
-    Duration maxDuration =
-        route.kind().isStreamed()
-            ? route.targetLatency().multipliedBy(SHORT_GENERATION_MAX_TARGET_MULTIPLE)
-            : route.timeout();
-    return clock.nanoTime() + maxDuration.toNanos() < endNanos;
+    Duration toFirstEvent = route.targetLatency();
+    long gaps = Math.max(0, engine.get().eventsFor(demand.get().maxOutputTokens()) - 1);
+    Duration afterFirstEvent =
+        route
+            .targetEventGap()
+            .get()
+            .multipliedBy(gaps)
+            .plus(toFirstEvent.dividedBy(MARGIN_TARGET_DIVISOR));
+    // A short generation is given twice its target latency.
+    return Optional.of(
+        toFirstEvent.plus(
+            afterFirstEvent.compareTo(toFirstEvent) > 0 ? afterFirstEvent : toFirstEvent));
   }
 }
--- a/src/main/java/org/cuminrack/platform/RoutingDocuments.java
+++ b/src/main/java/org/cuminrack/platform/RoutingDocuments.java
@@ -98,12 +98,18 @@
         kind(JsonFields.string(route, "kind")),
         Duration.ofMillis(timeoutMillis),
         Duration.ofMillis(JsonFields.integer(route, "target-latency-ms", timeoutMillis)),
+        targetEventGap(route),
         (int) JsonFields.integer(route, "priority", 0),
         split(route, services),
         (int) Math.max(1, JsonFields.integer(route, "max-attempts", 1)),
         JsonFields.bool(route, "public"));
   }
 
+  private static Optional<Duration> targetEventGap(JsonNode route) {
+    long gapMillis = (long) Math.ceil(JsonFields.number(route, "target-gap-ms", 0));
+    return gapMillis > 0 ? Optional.of(Duration.ofMillis(gapMillis)) : Optional.empty();
+  }
+
   private static RequestKind kind(String text) {
     return switch (text) {
       case "safe" -> RequestKind.IDEMPOTENT;
--- a/src/main/java/org/cuminrack/routing/HttpRoute.java
+++ b/src/main/java/org/cuminrack/routing/HttpRoute.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A route from a host and path prefix to services.
@@ -9,6 +10,8 @@
  * @param pathPrefix begins and ends with a slash
  * @param timeout the time from arrival after which a request fails
  * @param targetLatency the target time to the response, or to the first event of a stream
+ * @param targetEventGap the longest time between two events of a stream that meets the target;
+ *     empty if the route states none
  * @param priority 0 is the most urgent
  * @param maxAttempts the maximum number of times that a request is sent
  * @param isPublic whether callers need no API key
@@ -20,6 +23,7 @@
     RequestKind kind,
     Duration timeout,
     Duration targetLatency,
+    Optional<Duration> targetEventGap,
     int priority,
     List<WeightedService> services,
     int maxAttempts,
--- a/src/test/java/org/cuminrack/platform/PlatformFixture.java
+++ b/src/test/java/org/cuminrack/platform/PlatformFixture.java
@@ -13,6 +13,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.cuminrack.process.ControlProcess;
 import org.cuminrack.process.GatewayProcess;
 import org.cuminrack.settings.SettingsFile;
@@ -38,8 +40,8 @@
         "timeout-ms":1000,"target-latency-ms":200,"priority":2,"service":"shop","max-attempts":1,
         "public":false},
        {"name":"plan","host":"shop.example","path-prefix":"/plan/","kind":"streaming",
-        "timeout-ms":20000,"target-latency-ms":1800,"priority":1,"service":"llm",
-        "max-attempts":1,"public":false}],
+        "timeout-ms":20000,"target-latency-ms":1800,"target-gap-ms":180,"priority":1,
+        "service":"llm","max-attempts":1,"public":false}],
        "services":[{"name":"shop","health-path":"/health","max-conns":96},
         {"name":"llm","health-path":"/health","max-conns":222,"engine":{"slots":24,
          "kv-capacity-tokens":34000,"stride":4,"backups":true,"moves":true}}],
@@ -55,8 +57,10 @@
   private final int callerPort = FreePorts.port();
   private final int readyPort = FreePorts.port();
   private final int dumpPort = FreePorts.port();
+  private final GatewayProcess gatewayProcess;
+  private final AtomicBoolean gatewayStopping = new AtomicBoolean();
 
-  private PlatformFixture(Path folder) throws IOException {
+  private PlatformFixture(Path folder, Duration stopTimeout) throws IOException {
     int wirePort = FreePorts.port();
     Path control =
         Files.writeString(
@@ -90,27 +94,37 @@
             http_address: "127.0.0.1:%d"
             caller_address: "127.0.0.1:%d"
             ready_address: "127.0.0.1:%d"
+            stop_timeout_millis: %d
             control_wire_port: %d
-            stop_timeout_millis: 100
             control_seeds: ["127.0.0.1:%d"]
             """
                 .formatted(
-                    FreePorts.port(), dumpPort, callerPort, readyPort, wirePort, controlPort));
+                    FreePorts.port(),
+                    dumpPort,
+                    callerPort,
+                    readyPort,
+                    stopTimeout.toMillis(),
+                    wirePort,
+                    controlPort));
     ControlProcess controlProcess =
         new ControlProcess(SettingsFile.control(control).get(), Clock.system());
     controlProcess.start();
     closeables.push(controlProcess::stop);
-    GatewayProcess gatewayProcess =
-        new GatewayProcess(SettingsFile.gateway(gateway).get(), Clock.system());
+    gatewayProcess = new GatewayProcess(SettingsFile.gateway(gateway).get(), Clock.system());
     gatewayProcess.start();
-    closeables.push(gatewayProcess::stop);
+    closeables.push(this::stopGateway);
   }
 
   /**
    * Starts both processes, stores version 3 of the document and waits until the gateway is ready.
    */
   static PlatformFixture start(Path folder) throws IOException {
-    PlatformFixture platform = new PlatformFixture(folder);
+    return start(folder, Duration.ofMillis(100));
+  }
+
+  /** Starts both processes likewise, the gateway with this limit on its planned stop. */
+  static PlatformFixture start(Path folder, Duration stopTimeout) throws IOException {
+    PlatformFixture platform = new PlatformFixture(folder, stopTimeout);
     platform.callUntilAcknowledged("POST", "/config/replace", DOCUMENT.formatted(3));
     await(
         "the gateway to be ready",
@@ -118,6 +132,21 @@
     return platform;
   }
 
+  /** Begins the planned stop of the gateway; returns once it is not ready any more. */
+  CompletableFuture<Void> beginStopOfGateway() {
+    CompletableFuture<Void> stopped = CompletableFuture.runAsync(this::stopGateway);
+    await(
+        "the gateway not to be ready any more",
+        () -> statusOf(readyPort, "/cuminrack/ready") != 200);
+    return stopped;
+  }
+
+  private void stopGateway() {
+    if (gatewayStopping.compareAndSet(false, true)) {
+      gatewayProcess.stop();
+    }
+  }
+
   FakeUpstream startUpstream() throws IOException {
     FakeUpstream upstream = new FakeUpstream();
     closeables.push(upstream);
--- a/src/test/java/org/cuminrack/platform/RoutingDocumentsTest.java
+++ b/src/test/java/org/cuminrack/platform/RoutingDocumentsTest.java
@@ -14,7 +14,7 @@
   private static final String ROUTE =
       """
       {"name":"r","host":"shop.example","path-prefix":"/a/","kind":"streaming","timeout-ms":6000,
-       "target-latency-ms":1500,"priority":1,"service":"llm","max-attempts":1,"public":false}""";
+       "target-latency-ms":1500,"target-gap-ms":180,"priority":1,"service":"llm","max-attempts":1,"public":false}""";
   private static final String SERVICE =
       """
       {"name":"llm","health-path":"/health","max-conns":222,"cold-per-s":27.0,
@@ -30,6 +30,7 @@
     HttpRoute route = table.route("shop.example", "/a/x").get();
     assertThat(route.kind()).isEqualTo(RequestKind.EVENT_STREAM);
     assertThat(route.timeout()).isEqualTo(Duration.ofSeconds(6));
+    assertThat(route.targetEventGap()).hasValue(Duration.ofMillis(180));
     assertThat(table.holderOf("key-2").get().organisation()).isEqualTo("org-1");
     assertThat(table.holderOf("key-2").get().priority()).hasValue(2);
     assertThat(table.service("llm").get().engine().get().memoryTokens()).isEqualTo(34_240);
--- a/src/test/java/org/cuminrack/routing/RoutingTableTest.java
+++ b/src/test/java/org/cuminrack/routing/RoutingTableTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class RoutingTableTest {
@@ -79,6 +80,7 @@
         RequestKind.IDEMPOTENT,
         Duration.ofSeconds(1),
         Duration.ofMillis(200),
+        Optional.empty(),
         0,
         services,
         1,
