Ask for a key as long as a routing document contains tenants

Cause: an empty table of keys stood for "no key is asked for". The decoder made the same empty table of a document without tenants and of one whose tenants hold no key.

RoutingDocumentsTest holds the decoder.

Change: the keys of a routing table are absent if the document contains no tenants; otherwise they are a table, which may be empty. Tenants that are not a list, null among them, are invalid: null opened all routes, and a program that writes an empty list as null would have revoked the last key with it.

--- a/src/main/java/org/cuminrack/platform/RoutingDocuments.java
+++ b/src/main/java/org/cuminrack/platform/RoutingDocuments.java
@@ -143,11 +143,12 @@
     return split;
   }
 
-  private static Map<String, KeyHolder> keys(JsonNode root) {
-    Map<String, KeyHolder> keys = new HashMap<>();
-    if (!root.hasNonNull("tenants")) {
-      return keys;
+  /** Returns the keys of all tenants; absent if the document does not contain tenants. */
+  private static Optional<Map<String, KeyHolder>> keys(JsonNode root) {
+    if (!root.has("tenants")) {
+      return Optional.empty();
     }
+    Map<String, KeyHolder> keys = new HashMap<>();
     for (JsonNode tenant : JsonFields.array(root, "tenants")) {
       KeyHolder holder = new KeyHolder(JsonFields.string(tenant, "name"), priority(tenant));
       for (JsonNode key : JsonFields.array(tenant, "api-keys")) {
@@ -156,7 +157,7 @@
         JsonFields.require(isUnique, "api-keys", "each key once", holder.organisation());
       }
     }
-    return keys;
+    return Optional.of(keys);
   }
 
   private static OptionalInt priority(JsonNode tenant) {
--- a/src/main/java/org/cuminrack/routing/RoutingTable.java
+++ b/src/main/java/org/cuminrack/routing/RoutingTable.java
@@ -13,25 +13,26 @@
   private final List<HttpRoute> routes;
   private final Map<String, Map<String, HttpRoute>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services;
-  private final Map<String, KeyHolder> keys;
+  private final Optional<Map<String, KeyHolder>> keys;
   private final CallerLimits limits;
 
   /**
    * Creates a table.
    *
    * @param services services by name
-   * @param keys key holders by API key; empty if callers need no key
+   * @param keys key holders by API key; absent if callers need no key, whereas a map without any
+   *     key admits callers to public routes only
    */
   public RoutingTable(
       long version,
       List<HttpRoute> routes,
       Map<String, ServiceSpec> services,
-      Map<String, KeyHolder> keys,
+      Optional<Map<String, KeyHolder>> keys,
       CallerLimits limits) {
     this.version = version;
     this.routes = List.copyOf(routes);
     this.services = Map.copyOf(services);
-    this.keys = Map.copyOf(keys);
+    this.keys = keys.map(Map::copyOf);
     this.limits = limits;
     for (HttpRoute route : routes) {
       routesByHost
@@ -64,12 +65,12 @@
 
   /** Returns whether routes that are not public require an API key. */
   public boolean requiresApiKeys() {
-    return !keys.isEmpty();
+    return keys.isPresent();
   }
 
   /** Returns the holder of an API key. */
   public Optional<KeyHolder> holderOf(String key) {
-    return Optional.ofNullable(keys.get(key));
+    return keys.map(holders -> holders.get(key));
   }
 
   /** Returns the route of this host whose prefix is the longest match of the path. */
--- a/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
+++ b/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
@@ -95,6 +95,34 @@
     assertThat(sent).doesNotContain("key-1");
   }
 
+  /** Guards against requests with revoked or unknown keys that run once no key is left. */
+  @Test
+  void shouldRefuseAllKeysOnceTheLastOneIsRevoked() throws Exception {
+    FakeUpstream shop = platform.startUpstream();
+    announceAndAwait("i-1", "shop", shop, "dc-a", "/read/warm");
+    String withoutKeys = DOCUMENT.formatted(4).replace("[\"key-1\"]", "[]");
+    platform.callUntilAcknowledged("POST", "/config/replace", withoutKeys);
+
+    PlatformFixture.await(
+        "the revocation to be in force",
+        () -> platform.call("k-1", "GET", "/read/x", KEY).startsWith("HTTP/1.1 401 "));
+    assertThat(platform.call("k-2", "GET", "/read/x", "Authorization: Bearer never-a-key"))
+        .startsWith("HTTP/1.1 401 ");
+    assertThat(platform.call("k-3", "GET", "/read/x")).startsWith("HTTP/1.1 401 ");
+  }
+
+  @Test
+  void shouldServeCallersWithoutAKeyIfTheDocumentContainsNoTenants() throws Exception {
+    FakeUpstream shop = platform.startUpstream();
+    announceAndAwait("i-1", "shop", shop, "dc-a", "/read/warm");
+    String withoutTenants = DOCUMENT.formatted(4).replace("\"tenants\":", "\"ignored\":");
+    platform.callUntilAcknowledged("POST", "/config/replace", withoutTenants);
+
+    PlatformFixture.await(
+        "the document to be in force",
+        () -> platform.call("k-1", "GET", "/read/x").startsWith("HTTP/1.1 200 "));
+  }
+
   @Test
   void shouldRetryAnIdempotentRequestOnAnotherUpstream() throws Exception {
     FakeUpstream failing = platform.startUpstream().withScript(PlainRequestPathTest::fail);
--- a/src/test/java/org/cuminrack/platform/RoutingDocumentsTest.java
+++ b/src/test/java/org/cuminrack/platform/RoutingDocumentsTest.java
@@ -88,6 +88,29 @@
         .isEqualTo("api-keys: expected each key once, found org-2");
   }
 
+  /** Guards against routes that open to everybody once the last key is revoked. */
+  @Test
+  void shouldRequireKeysAsLongAsTheDocumentContainsTenants() {
+    String withoutKeys = "{\"name\":\"org-1\",\"api-keys\":[]}";
+
+    assertThat(decode(document(ROUTE, SERVICE, withoutKeys)).get().requiresApiKeys()).isTrue();
+    assertThat(decode(document(ROUTE, SERVICE, "")).get().requiresApiKeys()).isTrue();
+  }
+
+  @Test
+  void shouldRequireNoKeysWithoutTenants() {
+    String document = document(ROUTE, SERVICE, "").replace("\"tenants\":[]", "\"version\":7");
+
+    assertThat(decode(document).get().requiresApiKeys()).isFalse();
+  }
+
+  @Test
+  void shouldRejectTenantsThatAreNotAList() {
+    String document = document(ROUTE, SERVICE, "").replace("\"tenants\":[]", "\"tenants\":null");
+
+    assertThat(error(document)).isEqualTo("tenants: expected a list, found null");
+  }
+
   @Test
   void shouldRejectADocumentThatIsNotAnObject() {
     assertThat(decode("[]").isLeft()).isTrue();
--- a/src/test/java/org/cuminrack/routing/RoutingTableTest.java
+++ b/src/test/java/org/cuminrack/routing/RoutingTableTest.java
@@ -65,7 +65,7 @@
   }
 
   private static RoutingTable table(HttpRoute... routes) {
-    return new RoutingTable(1, List.of(routes), Map.of(), Map.of(), LIMITS);
+    return new RoutingTable(1, List.of(routes), Map.of(), Optional.empty(), LIMITS);
   }
 
   private static HttpRoute route(String name, String prefix) {
