Refuse callers with 503 until an entry knows the organisations

A caller of an entry that had just started got 401, "no such organisation", a status that is not retried, though the organisation exists.

Evidence: by reading; CallerRequestHandlingTest .shouldRefuseCallersUntilTheEntryKnowsTheOrganisations fails without the change (401). How often callers met it was not measured.

Change: until the first state is fetched, requests get no-lease: 503, not run, with the other entries.

--- a/src/main/java/org/cuminrack/member/ClusterView.java
+++ b/src/main/java/org/cuminrack/member/ClusterView.java
@@ -23,4 +23,9 @@
   public static ClusterView empty() {
     return new ClusterView(0, 0, Configuration.empty(), List.of(), Map.of());
   }
+
+  /** Returns whether the entry has not fetched any state yet. */
+  public boolean isEmpty() {
+    return revision == 0;
+  }
 }
--- a/src/main/java/org/cuminrack/relay/RequestFilter.java
+++ b/src/main/java/org/cuminrack/relay/RequestFilter.java
@@ -10,6 +10,7 @@
 import org.cuminrack.config.Organisation;
 import org.cuminrack.http.ExecutionStatus;
 import org.cuminrack.http.ProblemDocument;
+import org.cuminrack.member.ClusterView;
 import org.xnio.IoUtils;
 
 /**
@@ -18,6 +19,7 @@
  */
 final class RequestFilter {
   private static final Duration LIMIT_RETRY_AFTER = Duration.ofSeconds(1);
+  private static final Duration NO_STATE_RETRY_AFTER = Duration.ofSeconds(1);
 
   /** Delay before closing a connection whose body timed out, so that the response can be sent. */
   private static final long CLOSE_DELAY_MILLIS = 200;
@@ -35,8 +37,18 @@
   }
 
   private void filter(HttpServerExchange exchange, Consumer<CallerRequest> next) {
+    ClusterView view = context.membership().view();
+    if (view.isEmpty()) {
+      // An organisation that is missing here need not be unknown.
+      refuse(
+          exchange,
+          context
+              .problems()
+              .refused(RefusalReason.NO_LEASE, NO_STATE_RETRY_AFTER, ExecutionStatus.NO));
+      return;
+    }
     Either<String, Organisation> identity =
-        CallerIdentity.authenticate(exchange, context.membership().view().configuration());
+        CallerIdentity.authenticate(exchange, view.configuration());
     if (identity.isLeft()) {
       refuse(exchange, context.problems().unauthorised(identity.getLeft()));
       return;
--- a/src/test/java/org/cuminrack/relay/CallerRequestHandlingTest.java
+++ b/src/test/java/org/cuminrack/relay/CallerRequestHandlingTest.java
@@ -163,6 +163,19 @@
     RelayFixture.await(() -> entry.api().inFlightCount() == 0);
   }
 
+  /** Guards against known callers that are told for good that they are unknown. */
+  @Test
+  void shouldRefuseCallersUntilTheEntryKnowsTheOrganisations() throws IOException {
+    fixture.membership.clearView();
+
+    CallerSession session = entry.send(CallerHttpRequest.generation()).readHead();
+
+    assertThat(session.status()).isEqualTo(503);
+    String body = session.readBody();
+    assertThat(body).contains("no-lease");
+    assertThat(body).contains("\"ran\":\"no\"");
+  }
+
   @Test
   void shouldRejectACallerWithAnInvalidKey() throws IOException {
     CallerHttpRequest request =
--- a/src/test/java/org/cuminrack/relay/FakeMembership.java
+++ b/src/test/java/org/cuminrack/relay/FakeMembership.java
@@ -39,6 +39,11 @@
     view = view(List.of(members));
   }
 
+  /** Clears the view, as of an entry that has just started. */
+  void clearView() {
+    view = ClusterView.empty();
+  }
+
   private static ClusterView view(List<EntryMember> members) {
     List<ConfigObject> objects =
         List.of(
