--- a/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
+++ b/src/test/java/org/cuminrack/platform/UnframedResponseTest.java
@@ -1,7 +1,12 @@
 package org.cuminrack.platform;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.URI;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import org.cuminrack.system.FreePorts;
@@ -98,6 +103,28 @@
     assertThat(response).doesNotContain(LAST_CHUNK);
   }
 
+  /** Guards against a stream that looks complete to callers whose answers aren't framed either. */
+  @Test
+  void shouldResetTheConnectionOfAnHttp10CallerWhoseStreamIsBrokenOff() throws Exception {
+    URI gateway = URI.create("http://" + platform.callerAddress());
+    try (Socket caller = new Socket(gateway.getHost(), gateway.getPort())) {
+      String request =
+          """
+          POST /plan/unframed-midway-end HTTP/1.0
+          Host: shop.example
+          Attempt-Id: c-10
+          %s
+          Content-Length: 0
+
+          """;
+      caller
+          .getOutputStream()
+          .write(request.formatted(PlatformFixture.KEY).replace("\n", "\r\n").getBytes(US_ASCII));
+
+      assertThrows(SocketException.class, () -> caller.getInputStream().readAllBytes());
+    }
+  }
+
   /** Returns the response to a request that the upstream answers after it began to leave. */
   private String callWhileLeaving(CrashingUpstream upstream, String path) throws Exception {
     upstream.hold();
