--- a/src/main/java/org/cuminrack/gateway/StopAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/StopAdmission.java
@@ -8,19 +8,19 @@
 
 /**
  * Admission of requests during a gateway's planned stop: admits only those that end before the
- * gateway stops, at the latest by their deadline or, for generations, by the targets of their
- * route. The others are refused at once, so that they go to another gateway instead of being
- * aborted. Thread-safe.
+ * gateway stops, by their deadline or, for generations, if they meet the targets of their route.
+ * The others are refused at once, so that they go to another gateway instead of being aborted.
+ * Thread-safe.
  */
 final class StopAdmission {
   /** Callers find another gateway at once. */
   static final Duration RETRY_AFTER = Duration.ofMillis(50);
 
-  /**
-   * Share of the target latency by which a generation may miss the targets of its route and still
-   * end in time.
-   */
-  private static final int MARGIN_TARGET_DIVISOR = 4;
+  /** The shortest duration that is expected of a generation, in multiples of its target latency. */
+  private static final int MIN_DURATION_TARGET_MULTIPLE = 2;
+
+  /** A generation may exceed the targets of its route by its target latency divided by this. */
+  private static final int TARGETS_PER_MARGIN = 4;
 
   private final Clock clock;
   private volatile boolean stopping;
@@ -75,17 +75,11 @@
         || route.targetEventGap().isEmpty()) {
       return Optional.empty();
     }
-    Duration toFirstEvent = route.targetLatency();
+    Duration target = route.targetLatency();
     long gaps = Math.max(0, engine.get().eventsFor(demand.get().maxOutputTokens()) - 1);
-    Duration afterFirstEvent =
-        route
-            .targetEventGap()
-            .get()
-            .multipliedBy(gaps)
-            .plus(toFirstEvent.dividedBy(MARGIN_TARGET_DIVISOR));
-    // A short generation is given twice its target latency.
-    return Optional.of(
-        toFirstEvent.plus(
-            afterFirstEvent.compareTo(toFirstEvent) > 0 ? afterFirstEvent : toFirstEvent));
+    Duration byTargets = target.plus(route.targetEventGap().get().multipliedBy(gaps));
+    Duration withMargin = byTargets.plus(target.dividedBy(TARGETS_PER_MARGIN));
+    Duration shortest = target.multipliedBy(MIN_DURATION_TARGET_MULTIPLE);
+    return Optional.of(withMargin.compareTo(shortest) > 0 ? withMargin : shortest);
   }
 }
