Split the dispatch, the handler and the call of a gateway into smaller files

Change: what the end of a connection means once an engine was told to stop a generation is GenerationStop; the listener and the refused response of a dispatch, an admitted request, and the start of a call that may be suspended have files of their own. A method of a test double that nothing used is gone. No change of behaviour is intended.

After: tests of the gateway package, MovedUnframedStreamTest, GatewayStopTest, UnframedResponseTest and GenerationPathTest, none failed.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -1,6 +1,5 @@
 package org.cuminrack.gateway;
 
-import com.google.protobuf.ByteString;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -14,25 +13,22 @@
   private static final int STATUS_OK = 200;
   private static final int STATUS_REDIRECT = 300;
   private static final int MAX_EVENT_BYTES = 64 << 10;
-  private static final String STOPPED = "the engine may have stopped the generation for a move";
 
   private final GatewayContext context;
   private final GatewayCall call;
   private final Reservation reservation;
   private final Optional<Reservation> backup;
   private final Optional<ResumePoint> resumedFrom;
-  private final Listener listener;
+  private final EngineDispatchListener listener;
   private final EventSplitter splitter;
   private final BoundedBody refusalBody;
+  private final GenerationStop stop = new GenerationStop();
   private UpstreamExchange exchange;
   private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
   private ResponseHead responseHead;
   private HeaderMap headers;
   private int status;
   private boolean sent;
-  private boolean stopPending;
-  private boolean stopUnconfirmed;
-  private boolean endAwaitsStop;
   private boolean closed;
 
   private EngineDispatch(
@@ -41,7 +37,7 @@
       Reservation reservation,
       Optional<Reservation> backup,
       Optional<ResumePoint> resumedFrom,
-      Listener listener) {
+      EngineDispatchListener listener) {
     this.context = context;
     this.call = call;
     this.reservation = reservation;
@@ -52,33 +48,6 @@
     this.splitter = new EventSplitter(MAX_EVENT_BYTES, this::eventReceived);
   }
 
-  /** Receives the events of a dispatch; each of the last four methods ends it. */
-  interface Listener {
-    /** The head of the event stream arrived. */
-    void streamStarted(int status, HeaderMap headers);
-
-    /** A complete event arrived. */
-    void event(String id, byte[] bytes);
-
-    /** All complete events of one read were delivered. */
-    void eventsRead();
-
-    /** Nothing was sent, or another upstream answered at the address. */
-    void notSent(EngineDispatch dispatch);
-
-    /** The engine answered with an error or redirect instead of a stream. */
-    void refused(EngineDispatch dispatch, RefusedResponse response);
-
-    /** The stream is complete. */
-    void streamEnded(EngineDispatch dispatch);
-
-    /** The engine or the connection to it is lost. */
-    void lost(EngineDispatch dispatch, String detail);
-  }
-
-  /** A response that is not a stream. */
-  record RefusedResponse(int status, HeaderMap headers, ByteString body, boolean notExecuted) {}
-
   /** Opens a connection and sends the request. */
   static EngineDispatch open(
       GatewayContext context,
@@ -86,7 +55,7 @@
       Reservation reservation,
       Optional<Reservation> backup,
       Optional<ResumePoint> resumedFrom,
-      Listener listener) {
+      EngineDispatchListener listener) {
     EngineDispatch dispatch =
         new EngineDispatch(context, call, reservation, backup, resumedFrom, listener);
     Optional<String> backupAddress = backup.map(reserved -> reserved.upstream().address());
@@ -227,12 +196,21 @@
       onRefused();
     } else if (isStream() && splitter.isInsideEvent()) {
       lost("the stream ended inside an event");
-    } else if (!mayBeStopped() || ResponseEnd.isDetectable(call, status, headers)) {
+    } else if (ResponseEnd.isDetectable(call, status, headers)) {
       checkEnd();
-    } else if (stopPending) {
-      endAwaitsStop = true;
     } else {
-      lost(STOPPED);
+      handleEnd(stop.connectionEnded());
+    }
+  }
+
+  /** Handles the end of the connection of an unframed response. */
+  private void handleEnd(GenerationStop.End end) {
+    switch (end) {
+      case OF_RESPONSE -> checkEnd();
+      case OF_GENERATION_STOP -> lost("the engine may have stopped the generation for a move");
+      case UNDECIDED -> {
+        // The answer to the stop decides.
+      }
     }
   }
 
@@ -241,40 +219,19 @@
     ResponseEnd.check(call, reservation.upstream(), status, headers, onComplete, this::lost);
   }
 
-  /**
-   * Returns whether the engine may have stopped the generation on request. It then closes the
-   * connection without the end of the stream, which looks like the end of an unframed one.
-   */
-  private boolean mayBeStopped() {
-    return stopPending || stopUnconfirmed;
-  }
-
   /** The engine is being told to stop the generation. */
   void stopRequested() {
-    stopPending = true;
+    stop.requested();
   }
 
   /** The engine has stated that it did not stop the generation. */
   void stopRejected() {
-    stopPending = false;
-    if (!endAwaitsStop) {
-      return;
-    }
-    endAwaitsStop = false;
-    if (stopUnconfirmed) {
-      lost(STOPPED);
-    } else {
-      checkEnd();
-    }
+    stop.rejected().ifPresent(this::handleEnd);
   }
 
   /** It is unknown whether the engine has stopped the generation. */
   void stopUnconfirmed() {
-    stopPending = false;
-    stopUnconfirmed = true;
-    if (endAwaitsStop) {
-      lost(STOPPED);
-    }
+    stop.unconfirmed().ifPresent(this::handleEnd);
   }
 
   private void onStreamEnded() {
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -26,11 +26,6 @@
    */
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(30);
 
-  /** How long a request waits to be cleared by a trial of another call. */
-  private static final Duration MAX_CLEARANCE_WAIT = Duration.ofMillis(500);
-
-  private static final Duration CLEARANCE_POLL_INTERVAL = Duration.ofMillis(50);
-
   private final GatewayContext context;
   private final RelayedRequest request;
   private final HttpServerExchange exchange;
@@ -137,43 +132,6 @@
         });
   }
 
-  /**
-   * Runs the start of the call, unless the request is suspended after crashes of upstreams and no
-   * trial of it is due; then the call fails.
-   */
-  void startUnlessSuspended(Runnable start) {
-    if (suspicion.isSuspended() && !context.selector().hasAvailableUpstream(service.name())) {
-      // A trial could not be run; the call fails for the lack of an upstream.
-      start.run();
-      return;
-    }
-    suspicion.admit(
-        io::execute,
-        () -> {
-          if (ended) {
-            suspicion.recordEnd();
-          } else {
-            start.run();
-          }
-        },
-        wait -> awaitClearance(start, wait));
-  }
-
-  /** Fails the call, unless the request may be cleared soon by the trial of another call. */
-  private void awaitClearance(Runnable start, Duration wait) {
-    if (suspicion.isUnproven() && age().compareTo(MAX_CLEARANCE_WAIT) < 0) {
-      io.after(
-          CLEARANCE_POLL_INTERVAL.toMillis(),
-          () -> {
-            if (!ended) {
-              startUnlessSuspended(start);
-            }
-          });
-    } else {
-      fail(GatewayFailure.SUSPENDED, Optional.of(wait), suspicion.describe());
-    }
-  }
-
   CallSuspicion suspicion() {
     return suspicion;
   }
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -179,7 +179,7 @@
             head.get(),
             keyHolder,
             arrivedNanos);
-    if (endsBeforeStop(admitted)) {
+    if (admitted.endsBeforeStop(context)) {
       readBody(exchange, table, admitted);
     } else {
       reject(exchange, GatewayFailure.STOPPING, head.get().attemptId());
@@ -191,18 +191,6 @@
     return table.service(name).orElseThrow(() -> new IllegalStateException("no service " + name));
   }
 
-  private boolean endsBeforeStop(AdmittedRequest admitted) {
-    Duration untilDeadline =
-        admitted
-            .head()
-            .timeLimit(admitted.route())
-            .minusNanos(context.clock().nanoTime() - admitted.arrivedNanos());
-    return context
-        .stopAdmission()
-        .admits(
-            admitted.route(), untilDeadline, admitted.head().demand(), admitted.service().engine());
-  }
-
   private void readBody(HttpServerExchange exchange, RoutingTable table, AdmittedRequest admitted) {
     IoContext io = IoContext.of(exchange, context.bounds());
     int maxBodyBytes = (int) Math.min(Integer.MAX_VALUE, table.limits().maxBodyBytes());
@@ -214,7 +202,7 @@
         new BodyReader.Listener() {
           @Override
           public void bodyComplete(ByteString body) {
-            if (endsBeforeStop(admitted)) {
+            if (admitted.endsBeforeStop(context)) {
               relay(exchange, admitted, body);
             } else {
               reject(exchange, GatewayFailure.STOPPING, admitted.head().attemptId());
@@ -291,12 +279,4 @@
         };
     failure.send(exchange, retryAfter);
   }
-
-  /** A request whose head passed all checks. */
-  private record AdmittedRequest(
-      HttpRoute route,
-      ServiceSpec service,
-      RequestHead head,
-      Optional<KeyHolder> keyHolder,
-      long arrivedNanos) {}
 }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -55,7 +55,7 @@
     DisconnectWatcher.begin(call.exchange(), relay::onCallerDisconnected);
     call.runAtDeadline(relay::onDeadline);
     context.retries().recordFirstAttempt(call.service().name());
-    call.startUnlessSuspended(relay::send);
+    CallStart.unlessSuspended(context, call, relay::send);
   }
 
   private void send() {
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -16,7 +16,7 @@
  * that is leaving.
  */
 final class StreamRelay
-    implements CallerSink.Listener, EngineDispatch.Listener, GenerationMoves.Owner {
+    implements CallerSink.Listener, EngineDispatchListener, GenerationMoves.Owner {
   /**
    * Dispatches that could not be sent, or reached another upstream than intended, after which the
    * generation is refused.
@@ -78,7 +78,7 @@
     DisconnectWatcher.begin(call.exchange(), relay::callerDisconnected);
     call.runAtDeadline(relay::onDeadline);
     context.retries().recordFirstAttempt(call.service().name());
-    call.startUnlessSuspended(relay.admission::begin);
+    CallStart.unlessSuspended(context, call, relay.admission::begin);
   }
 
   private void send(
@@ -196,7 +196,7 @@
   }
 
   @Override
-  public void refused(EngineDispatch dispatch, EngineDispatch.RefusedResponse response) {
+  public void refused(EngineDispatch dispatch, RefusedResponse response) {
     if (dispatch.isResumed()) {
       abort("the engine with the memory copy answered " + response.status());
     } else if (response.notExecuted()) {
--- a/src/test/java/org/cuminrack/platform/UnframedEngine.java
+++ b/src/test/java/org/cuminrack/platform/UnframedEngine.java
@@ -69,18 +69,13 @@
     stopped.countDown();
   }
 
-  /** Refuses connections from now on, as if the process had ended. */
-  void stopListening() throws IOException {
-    listener.close();
-  }
-
   private void accept() {
     while (!listener.isClosed()) {
       try {
         Socket connection = listener.accept();
         threads.execute(() -> serve(connection));
       } catch (IOException e) {
-        // Closed by stopListening or at the end of the test.
+        // Closed at the end of the test.
         return;
       }
     }
