Name the margin of a planned stop as a share, and trace the failed test of the whole path

Evidence: EndToEndTest sends its requests once each entry has served a generation, so no entry was without state, and the new 503 was not its cause. Its control processes had an election from 20:07:10.82 to 11.14, and the first order ran at 11.83.

Change: the margin is a share of the target latency, the same quarter; texts say "expected to end" where that is meant.

--- a/src/main/java/org/cuminrack/gateway/StopAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/StopAdmission.java
@@ -13,14 +13,14 @@
  * Thread-safe.
  */
 final class StopAdmission {
-  /** Callers find another gateway at once. */
+  /** Short, because another gateway can serve the request. */
   static final Duration RETRY_AFTER = Duration.ofMillis(50);
 
   /** The shortest duration that is expected of a generation, in multiples of its target latency. */
   private static final int MIN_DURATION_TARGET_MULTIPLE = 2;
 
-  /** A generation may exceed the targets of its route by its target latency divided by this. */
-  private static final int TARGETS_PER_MARGIN = 4;
+  /** Share of the target latency by which a generation may exceed the targets of its route. */
+  private static final double MARGIN_SHARE_OF_TARGET = 0.25;
 
   private final Clock clock;
   private volatile boolean stopping;
@@ -41,8 +41,8 @@
   }
 
   /**
-   * Returns whether a request may be admitted: always unless stopping, then only if it ends before
-   * the gateway stops.
+   * Returns whether a request may be admitted: always unless stopping, then only if it is expected
+   * to end before the gateway stops.
    *
    * @param untilDeadline the time until the request fails at the latest
    * @param demand the size of a generation; empty for other requests
@@ -78,7 +78,7 @@
     Duration target = route.targetLatency();
     long gaps = Math.max(0, engine.get().eventsFor(demand.get().maxOutputTokens()) - 1);
     Duration byTargets = target.plus(route.targetEventGap().get().multipliedBy(gaps));
-    Duration withMargin = byTargets.plus(target.dividedBy(TARGETS_PER_MARGIN));
+    Duration withMargin = byTargets.plusMillis((long) (target.toMillis() * MARGIN_SHARE_OF_TARGET));
     Duration shortest = target.multipliedBy(MIN_DURATION_TARGET_MULTIPLE);
     return Optional.of(withMargin.compareTo(shortest) > 0 ? withMargin : shortest);
   }
