Log the voters of a replica and that an election lacks a majority

The record of the incident could not tell a group that has lost its majority from one whose leader is not found: no line named the voters, a voter that is never elected said nothing after its first line, and a read that was refused left no line. Now replica-started and replica-role name the voters, quorum-missing names the voters that answer and that don't, and refused reads and calls without a leader have a line each. No logic changes.

--- a/src/main/java/org/cuminrack/platform/ControlEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/ControlEndpoints.java
@@ -185,6 +185,8 @@
       Either<ProposalFailure, RoutingData> outcome,
       Throwable failure) {
     if (failure != null || outcome.isLeft() || outcome.get().getDocument().isEmpty()) {
+      Object reason = failure != null ? failure : outcome.map(RoutingData::getVersion);
+      logger.atInfo().log("%s", LogEvent.named("routing-read-refused").with("outcome", reason));
       sendError(exchange, StatusCodes.SERVICE_UNAVAILABLE, "the newest version is not known");
       return;
     }
@@ -232,6 +234,8 @@
     }
     String leader = routing.leader();
     if (leader.isEmpty()) {
+      logger.atInfo().log(
+          "%s", LogEvent.named("no-leader").with("path", exchange.getRequestPath()));
       sendError(exchange, StatusCodes.SERVICE_UNAVAILABLE, "no control VM leads");
       return false;
     }
--- a/src/main/java/org/cuminrack/quorum/QuorumNode.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -49,6 +49,7 @@
   private final Disk disk;
   private final PacketSender sender;
   private final RequestTable requests = new RequestTable();
+  private final ReplicaEvents events = new ReplicaEvents();
   private final LinkedBlockingQueue<Event> eventQueue = new LinkedBlockingQueue<>();
   private final List<Event> localEvents = new ArrayList<>();
   private LogStore store;
@@ -90,7 +91,7 @@
   public void start() {
     String vmName = settings.vmName();
     store = openStore(vmName);
-    logStart();
+    logCorruption();
     core =
         new QuorumCore(
             store.recovered(),
@@ -100,6 +101,7 @@
             random,
             clock.nanoTime());
     view = core.view();
+    events.started(view, store.recovered().entries().size());
     diskWorker = new DiskWorker(vmName, store, eventQueue::add, sender::send, this::stopOnFailure);
     effectRunner = new EffectRunner(stateMachine, sender, diskWorker, requests);
     diskWorker.start();
@@ -118,17 +120,11 @@
     }
   }
 
-  private void logStart() {
+  private void logCorruption() {
     Optional<String> corruption = store.corruption();
     corruption.ifPresent(
         detail ->
             logger.atSevere().log("%s", LogEvent.named("disk-corrupted").with("detail", detail)));
-    LogEvent event =
-        LogEvent.named("replica-started")
-            .with("replica", store.recovered().self())
-            .with("blank", store.recovered().snapshot() == null)
-            .with("entries", store.recovered().entries().size());
-    logger.atInfo().log("%s", event);
   }
 
   @Override
@@ -253,12 +249,12 @@
     return events;
   }
 
-  private void step(List<Event> events) {
-    effectRunner.recordSyncedVotes(events);
-    List<Effect> effects = core.step(events, clock.nanoTime());
+  private void step(List<Event> received) {
+    effectRunner.recordSyncedVotes(received);
+    List<Effect> effects = core.step(received, clock.nanoTime());
     CoreView before = view;
     view = core.view();
-    logRoleChange(before, view);
+    events.stepped(before, view, clock.nanoTime());
     effects.forEach(effectRunner::execute);
     stateIsCurrent = effectRunner.appliedTerm() == view.term();
     effectRunner
@@ -266,17 +262,6 @@
         .ifPresent(localEvents::add);
   }
 
-  private static void logRoleChange(CoreView before, CoreView after) {
-    if (before.role() != after.role() || !before.leader().equals(after.leader())) {
-      logger.atInfo().log(
-          "%s",
-          LogEvent.named("replica-role")
-              .with("role", after.role())
-              .with("term", after.term())
-              .with("leader", after.leader()));
-    }
-  }
-
   private void stopOnFailure(Throwable cause) {
     failure = cause.toString();
     stopping = true;
--- /dev/null
+++ b/src/main/java/org/cuminrack/quorum/ReplicaEvents.java
@@ -0,0 +1,75 @@
+package org.cuminrack.quorum;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.TreeSet;
+import org.cuminrack.log.LogEvent;
+import org.cuminrack.quorum.internal.CoreView;
+import org.cuminrack.quorum.internal.Role;
+
+/** Logs how a replica's role changes, and that it can't be elected. */
+final class ReplicaEvents {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** An election among reachable voters takes less than a second. */
+  private static final Duration QUORUM_MISSING_AFTER = Duration.ofSeconds(2);
+
+  private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(10);
+
+  private long electingSinceNanos;
+  private long nextWarningNanos;
+
+  /** Logs the start of a replica with the state that it has recovered. */
+  void started(CoreView view, int entryCount) {
+    LogEvent event =
+        LogEvent.named("replica-started")
+            .with("replica", view.self())
+            .with("blank", view.role() == Role.BLANK)
+            .with("entries", entryCount)
+            .with("voters", voters(view));
+    logger.atInfo().log("%s", event);
+  }
+
+  /** Logs what differs between the views before and after a step. */
+  void stepped(CoreView before, CoreView after, long nowNanos) {
+    if (before.role() != after.role() || !before.leader().equals(after.leader())) {
+      logger.atInfo().log(
+          "%s",
+          LogEvent.named("replica-role")
+              .with("role", after.role())
+              .with("term", after.term())
+              .with("leader", after.leader())
+              .with("voters", voters(after)));
+    }
+    if (!isElecting(after)) {
+      return;
+    }
+    if (!isElecting(before)) {
+      electingSinceNanos = nowNanos;
+      nextWarningNanos = nowNanos + QUORUM_MISSING_AFTER.toNanos();
+    }
+    if (nowNanos >= nextWarningNanos) {
+      nextWarningNanos = nowNanos + REPEAT_INTERVAL.toNanos();
+      warnOfMissingQuorum(after, Duration.ofNanos(nowNanos - electingSinceNanos));
+    }
+  }
+
+  private static boolean isElecting(CoreView view) {
+    return view.role() == Role.PRE_CANDIDATE || view.role() == Role.CANDIDATE;
+  }
+
+  private static void warnOfMissingQuorum(CoreView view, Duration since) {
+    logger.atWarning().log(
+        "%s",
+        LogEvent.named("quorum-missing")
+            .with("term", view.term())
+            .with("since_ms", since.toMillis())
+            .with("voters", voters(view))
+            .with("answering", new TreeSet<>(view.answeringVoters())));
+  }
+
+  private static List<String> voters(CoreView view) {
+    return view.voters() == null ? List.of() : List.copyOf(view.voters().incarnations().keySet());
+  }
+}
--- a/src/main/java/org/cuminrack/quorum/internal/CoreView.java
+++ b/src/main/java/org/cuminrack/quorum/internal/CoreView.java
@@ -1,10 +1,13 @@
 package org.cuminrack.quorum.internal;
 
+import java.util.Set;
+
 /**
  * A copy of the core's state, for the node, the diagnostic dump and tests.
  *
  * @param established whether the replica leads and has committed an entry of its term
  * @param voters null while the replica is blank
+ * @param answeringVoters the VMs that recently replied to this replica's requests for votes
  */
 public record CoreView(
     ReplicaId self,
@@ -19,4 +22,5 @@
     long snapshotIndex,
     long groupId,
     boolean diskFull,
-    VoterSet voters) {}
+    VoterSet voters,
+    Set<String> answeringVoters) {}
--- a/src/main/java/org/cuminrack/quorum/internal/Elections.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Elections.java
@@ -1,6 +1,8 @@
 package org.cuminrack.quorum.internal;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -12,6 +14,7 @@
 
   private final CoreState state;
   private final Set<ReplicaId> grantingVoters = new HashSet<>();
+  private final Map<String, Long> lastReplyNanosByVoter = new HashMap<>();
   private long ownVoteSequence;
   private long nextPreVoteNanos;
   private long yieldedNanos = Long.MIN_VALUE;
@@ -119,7 +122,15 @@
     return yieldedNanos <= state.lastLeaderContactNanos && (!sameLog || sortsFirst);
   }
 
+  /** Returns the VMs of the voters that recently replied to a request for a vote. */
+  Set<String> answeringVoters() {
+    long sinceNanos = state.nowNanos - 2 * state.timing.electionTimeoutMaxNanos();
+    lastReplyNanosByVoter.values().removeIf(replyNanos -> replyNanos < sinceNanos);
+    return Set.copyOf(lastReplyNanosByVoter.keySet());
+  }
+
   void onPreVoteReply(ReplicaId from, Message.PreVoteReply reply) {
+    lastReplyNanosByVoter.put(from.vmName(), state.nowNanos);
     boolean isForCurrentRequest =
         state.role == Role.PRE_CANDIDATE && reply.nextTerm() == state.term + 1;
     if (isForCurrentRequest && reply.granted()) {
--- a/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
+++ b/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
@@ -82,7 +82,8 @@
         state.isBlank() ? 0 : state.snapshot.index(),
         state.groupId(),
         state.diskFull,
-        state.isBlank() ? null : state.log.voters());
+        state.isBlank() ? null : state.log.voters(),
+        elections.answeringVoters());
   }
 
   MemoryLog log() {
