Wait for all voters to record a renewal before the test's clock advances

WireRenewalExchangeTest.shouldTellANewLeaderWhenASessionLastRenewed waits for a majority only, and then advances the clock. A renewal that arrives at the third voter after that looks younger by the advance. The checks are unchanged; the test waits for two more conditions.

--- a/src/test/java/org/cuminrack/control/WireRenewalExchangeTest.java
+++ b/src/test/java/org/cuminrack/control/WireRenewalExchangeTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -11,8 +13,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.cuminrack.generated.control.KnownRenewalsReply;
+import org.cuminrack.generated.control.KnownRenewalsRequest;
+import org.cuminrack.system.Conditions;
 import org.cuminrack.time.ManualClock;
+import org.cuminrack.wire.Method;
 import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireFailure;
 import org.cuminrack.wire.WireGroup;
 import org.cuminrack.wire.WireServer;
 import org.junit.jupiter.api.AfterEach;
@@ -77,6 +84,9 @@
     long renewedNanos = clock.nanoTime();
     clock.advance(Duration.ofMillis(30));
     assertThat(share(0, 1, Duration.ofMillis(30))).isTrue();
+    // A majority was awaited; a renewal that arrives after the clock has advanced looks younger.
+    awaitRecorded(1, 1);
+    awaitRecorded(2, 1);
     servers.get(0).stop();
 
     clock.advance(Duration.ofMillis(400));
@@ -137,6 +147,25 @@
     return voters.get(leader).share(term, Map.of(SESSION, age)).join();
   }
 
+  private void awaitRecorded(int voter, long term) {
+    Conditions.await(
+        "voter " + voter + " to record a renewal",
+        Duration.ofSeconds(10),
+        () -> recordedRenewals(voter, term) == 1);
+  }
+
+  private int recordedRenewals(int voter, long term) {
+    byte[] question = KnownRenewalsRequest.newBuilder().setTerm(term).build().toByteArray();
+    Either<WireFailure, byte[]> reply =
+        wire.call(addresses.get(voter), Method.KNOWN_RENEWALS, question, Duration.ofSeconds(1))
+            .join();
+    try {
+      return reply.isLeft() ? 0 : KnownRenewalsReply.parseFrom(reply.get()).getRenewalsCount();
+    } catch (InvalidProtocolBufferException e) {
+      throw new AssertionError("the reply of voter " + voter, e);
+    }
+  }
+
   private Optional<Map<Long, Long>> lastRenewals(int leader, long term) {
     return voters.get(leader).lastRenewalNanos(term).join();
   }
