--- a/src/test/java/org/cuminrack/system/Conditions.java
+++ b/src/test/java/org/cuminrack/system/Conditions.java
@@ -16,7 +16,7 @@
   }
 
   /** Polls until the supplier returns a value other than null, and returns that value. */
-  static <T> T awaitValue(
+  public static <T> T awaitValue(
       String description, Duration timeout, Supplier<T> value, Supplier<String> failureDetail) {
     long endNanos = System.nanoTime() + timeout.toNanos();
     while (System.nanoTime() < endNanos) {
