Derive the voters of the control group from the losses that it has to tolerate

Cause: the group had three voters, the seeds, and one control VM a data centre, whatever the settings said may be lost. Two disks of three voters leave one, which is never elected.

The founders form the group as before; its leader adds replicas until 2 f + 1 vote, spread so that no tolerated loss of data centres takes the majority. While the group forms, the first command is refused until then, for eight election timeouts at most, so that what is acknowledged first is on as many disks as later. A lost voter is replaced by the VM that leaves the fewest voters together; a voter is moved if a data centre has too many. Voter sets and hello messages name data centres.

Ruled out: every control VM a voter (a removed VM would keep its vote beside its successor's), and forming the group with all VMs at once (a VM that starts late would be left out).

--- a/src/main/java/org/cuminrack/control/Replies.java
+++ b/src/main/java/org/cuminrack/control/Replies.java
@@ -37,6 +37,9 @@
     if (failure instanceof ProposalFailure.ReadOnly readOnly) {
       return failed(ReplyStatus.READ_ONLY, readOnly.detail());
     }
+    if (failure instanceof ProposalFailure.TooFewVoters tooFew) {
+      return failed(ReplyStatus.READ_ONLY, "voters: " + tooFew.detail());
+    }
     return failed(ReplyStatus.OUTCOME_UNKNOWN, ((ProposalFailure.OutcomeUnknown) failure).detail());
   }
 
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -178,9 +178,11 @@
     Duration electionTimeout = settings.electionTimeout();
     return new QuorumSettings(
         settings.node().vm(),
+        settings.node().dataCentre(),
         settings.voters(),
         settings.openGroup() ? settings.node().wireAddress().getPort() : 0,
         settings.mayFormGroup(),
+        settings.tolerance(),
         settings.dataFolder(),
         settings.heartbeat(),
         electionTimeout,
--- a/src/main/java/org/cuminrack/quorum/ProposalFailure.java
+++ b/src/main/java/org/cuminrack/quorum/ProposalFailure.java
@@ -16,6 +16,12 @@
    */
   record OutcomeUnknown(String detail) implements ProposalFailure {}
 
+  /**
+   * The group forms and does not have the voters yet that it needs to tolerate losses: the command
+   * was not and will not be committed.
+   */
+  record TooFewVoters(String detail) implements ProposalFailure {}
+
   /** The leader's disk is full: the command was not and will not be committed. */
   record ReadOnly(String detail) implements ProposalFailure {}
 }
--- a/src/main/java/org/cuminrack/quorum/QuorumNode.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -49,12 +49,12 @@
   private final Disk disk;
   private final PacketSender sender;
   private final RequestTable requests = new RequestTable();
-  private final ReplicaEvents events = new ReplicaEvents();
   private final LinkedBlockingQueue<Event> eventQueue = new LinkedBlockingQueue<>();
   private final List<Event> localEvents = new ArrayList<>();
   private LogStore store;
   private DiskWorker diskWorker;
   private QuorumCore core;
+  private ReplicaEvents events;
   private Thread thread;
   private EffectRunner effectRunner;
   private volatile CoreView view;
@@ -92,14 +92,15 @@
     String vmName = settings.vmName();
     store = openStore(vmName);
     logCorruption();
-    core =
-        new QuorumCore(
-            store.recovered(),
-            new MembershipPolicy(
-                settings.founders().keySet(), settings.joinPort() != 0, settings.mayFormGroup()),
-            settings.timing(),
-            random,
-            clock.nanoTime());
+    MembershipPolicy policy =
+        new MembershipPolicy(
+            settings.founders().keySet(),
+            settings.joinPort() != 0,
+            settings.mayFormGroup(),
+            settings.tolerance(),
+            settings.dataCentre());
+    events = new ReplicaEvents(policy);
+    core = new QuorumCore(store.recovered(), policy, settings.timing(), random, clock.nanoTime());
     view = core.view();
     events.started(view, store.recovered().entries().size());
     diskWorker = new DiskWorker(vmName, store, eventQueue::add, sender::send, this::stopOnFailure);
--- a/src/main/java/org/cuminrack/quorum/QuorumSettings.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumSettings.java
@@ -10,11 +10,14 @@
  * Settings of a replica.
  *
  * @param vmName this VM's name; one of the founders if {@code joinPort} is 0
+ * @param dataCentre this VM's data centre; empty if unknown
  * @param founders the wire addresses of the VMs that form the group, by name; the same on all VMs;
  *     set by {@code voters} or {@code control_seeds}
  * @param joinPort the wire port of VMs that join later, whose names are their IP addresses; 0 if
  *     only founders may be members of the group
  * @param mayFormGroup whether this replica may take part in forming a new group
+ * @param tolerance the losses that the group has to tolerate; a group of fixed VMs tolerates the
+ *     loss of a minority
  * @param dataFolder the folder that stores the log
  * @param heartbeat the interval between heartbeats of a leader
  * @param electionTimeoutMin the minimum time without contact from a leader before an election
@@ -23,9 +26,11 @@
  */
 public record QuorumSettings(
     String vmName,
+    String dataCentre,
     Map<String, String> founders,
     int joinPort,
     boolean mayFormGroup,
+    LossTolerance tolerance,
     Path dataFolder,
     Duration heartbeat,
     Duration electionTimeoutMin,
@@ -61,9 +66,11 @@
       int snapshotIntervalEntries) {
     this(
         vmName,
+        "",
         founders,
         0,
         true,
+        LossTolerance.ofMinority(founders.size()),
         dataFolder,
         heartbeat,
         electionTimeoutMin,
--- a/src/main/java/org/cuminrack/quorum/QuorumStatus.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumStatus.java
@@ -1,6 +1,7 @@
 package org.cuminrack.quorum;
 
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A replica's state as shown in the diagnostic dump.
@@ -9,7 +10,10 @@
  * @param role blank (without a log), follower, pre-candidate, candidate or leader
  * @param leader the leader's VM name; empty if unknown
  * @param voters the voters' incarnations by VM name; empty while the replica is blank
- * @param replacing whether a voter is being replaced
+ * @param dataCentres the voters' data centres by VM name, if known
+ * @param votersIndex the index of the entry that set the voters
+ * @param learners on the leader, the VMs that have the log and do not vote
+ * @param replacing whether voters are being added or replaced
  * @param readOnly whether the disk is full
  * @param corruption the data that could not be read at startup; empty if none
  * @param broken the error that stopped the replica; empty while it runs
@@ -25,6 +29,9 @@
     long appliedIndex,
     long snapshotIndex,
     Map<String, String> voters,
+    Map<String, String> dataCentres,
+    long votersIndex,
+    Set<String> learners,
     boolean replacing,
     boolean readOnly,
     String corruption,
--- a/src/main/java/org/cuminrack/quorum/ReplicaEvents.java
+++ b/src/main/java/org/cuminrack/quorum/ReplicaEvents.java
@@ -4,11 +4,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.logging.Level;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.quorum.internal.CoreView;
+import org.cuminrack.quorum.internal.MembershipPolicy;
 import org.cuminrack.quorum.internal.Role;
 
-/** Logs how a replica's role changes, and that it can't be elected. */
+/** Logs how a replica's role changes, which losses its group tolerates, and a missing quorum. */
 final class ReplicaEvents {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -17,9 +19,14 @@
 
   private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(10);
 
+  private final MembershipPolicy policy;
   private long electingSinceNanos;
   private long nextWarningNanos;
 
+  ReplicaEvents(MembershipPolicy policy) {
+    this.policy = policy;
+  }
+
   /** Logs the start of a replica with the state that it has recovered. */
   void started(CoreView view, int entryCount) {
     LogEvent event =
@@ -42,6 +49,7 @@
               .with("leader", after.leader())
               .with("voters", voters(after)));
     }
+    logTolerance(before, after);
     if (!isElecting(after)) {
       return;
     }
@@ -55,6 +63,24 @@
     }
   }
 
+  /** Logs whether the voters tolerate the losses that they have to, if this replica leads. */
+  private void logTolerance(CoreView before, CoreView after) {
+    boolean changed =
+        before.established() != after.established() || before.votersIndex() != after.votersIndex();
+    if (!after.established() || !changed || after.voters().isJoint()) {
+      return;
+    }
+    boolean satisfied = policy.isSatisfiedBy(after.voters());
+    logger.at(satisfied ? Level.INFO : Level.WARNING).log(
+        "%s",
+        LogEvent.named(satisfied ? "losses-tolerated" : "losses-not-tolerated")
+            .with("vm_losses", policy.tolerance().vmLosses())
+            .with("data_centre_losses", policy.tolerance().dataCentreLosses())
+            .with("voters_needed", policy.tolerance().voterCount())
+            .with("voters", voters(after))
+            .with("data_centres", after.voters().voterDataCentres()));
+  }
+
   private static boolean isElecting(CoreView view) {
     return view.role() == Role.PRE_CANDIDATE || view.role() == Role.CANDIDATE;
   }
--- a/src/main/java/org/cuminrack/quorum/internal/CoreView.java
+++ b/src/main/java/org/cuminrack/quorum/internal/CoreView.java
@@ -7,6 +7,9 @@
  *
  * @param established whether the replica leads and has committed an entry of its term
  * @param voters null while the replica is blank
+ * @param votersIndex the index of the entry that set the voters
+ * @param learners the VMs to which this replica replicates its log as the leader and that do not
+ *     vote
  * @param answeringVoters the VMs that recently replied to this replica's requests for votes
  */
 public record CoreView(
@@ -23,4 +26,6 @@
     long groupId,
     boolean diskFull,
     VoterSet voters,
+    long votersIndex,
+    Set<String> learners,
     Set<String> answeringVoters) {}
--- a/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
+++ b/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
@@ -16,6 +16,7 @@
 
   private final CoreState state;
   private final Map<String, Long> blankReplicas = new TreeMap<>();
+  private final Map<String, String> dataCentres = new TreeMap<>();
 
   /** Voters reported by founders; the founders in the settings may have left the group. */
   private final Set<String> learnedVoters = new TreeSet<>();
@@ -39,10 +40,14 @@
     round = state.random.nextLong();
     discoveryVms().stream()
         .filter(vmName -> !vmName.equals(state.self.vmName()))
-        .forEach(vmName -> state.sendToVm(vmName, new Message.Hello(state.isBlank(), round)));
+        .forEach(vmName -> state.sendToVm(vmName, hello()));
     formGroupIfAllAreBlank();
   }
 
+  private Message hello() {
+    return new Message.Hello(state.isBlank(), round, state.membershipPolicy.dataCentre());
+  }
+
   private Set<String> discoveryVms() {
     Set<String> discoveryVms = new TreeSet<>(state.membershipPolicy.founders());
     discoveryVms.addAll(learnedVoters);
@@ -79,7 +84,10 @@
    * is not a voter contacts the voters too, since only the leader can add it.
    */
   void onHello(ReplicaId from, Message.Hello hello) {
-    state.send(from, new Message.HelloReply(state.isBlank(), hello.round()));
+    state.send(
+        from,
+        new Message.HelloReply(
+            state.isBlank(), hello.round(), state.membershipPolicy.dataCentre()));
     if (!hello.blank() || state.isBlank()) {
       return;
     }
@@ -92,6 +100,7 @@
   void onHelloReply(ReplicaId from, Message.HelloReply reply) {
     if (state.isBlank() && reply.blank() && reply.round() == round) {
       blankReplicas.put(from.vmName(), from.incarnation());
+      dataCentres.put(from.vmName(), reply.dataCentre());
       formGroupIfAllAreBlank();
     }
   }
@@ -108,7 +117,8 @@
       return;
     }
     voters.put(state.self.vmName(), state.self.incarnation());
-    formGroup(state.self.incarnation(), VoterSet.of(voters));
+    dataCentres.put(state.self.vmName(), state.membershipPolicy.dataCentre());
+    formGroup(state.self.incarnation(), VoterSet.of(voters, dataCentres));
   }
 
   void onFormGroup(long groupId, Message.FormGroup message) {
--- a/src/main/java/org/cuminrack/quorum/internal/Leadership.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Leadership.java
@@ -12,10 +12,14 @@
 final class Leadership {
   private static final byte[] NO_DATA = {};
 
+  /** How long the first command waits for enough voters, in maximum election timeouts. */
+  private static final int VOTER_WAIT_ELECTION_TIMEOUTS = 8;
+
   private final CoreState state;
   private final Map<ReplicaId, Progress> progress = new HashMap<>();
   private final PendingReads reads = new PendingReads();
   private long firstIndexOfTerm;
+  private long beganNanos;
 
   /**
    * The index of the entry that was appended when this replica's disk last filled up in this term;
@@ -46,6 +50,7 @@
       startReplication(voter, next);
     }
     firstIndexOfTerm = next;
+    beganNanos = state.nowNanos;
     probeIndex = state.diskFull ? next : 0;
     append(EntryKind.NO_OPERATION, NO_DATA);
   }
@@ -76,10 +81,28 @@
       fail(proposal.requestId(), new ProposalFailure.ReadOnly(state.self.vmName() + ": disk full"));
       return;
     }
+    if (awaitsVoters()) {
+      String detail =
+          state.log.voters().size() + " of " + state.membershipPolicy.tolerance().voterCount();
+      fail(proposal.requestId(), new ProposalFailure.TooFewVoters(detail));
+      return;
+    }
     long index = append(EntryKind.COMMAND, proposal.command());
     state.requestIdsByIndex.put(index, proposal.requestId());
   }
 
+  /**
+   * Returns whether the group forms and has fewer voters than the losses that it has to tolerate
+   * need. A command that were committed by fewer could be lost together with the disks of as many
+   * VMs. The wait is limited, so that a group works with the VMs that there are.
+   */
+  private boolean awaitsVoters() {
+    long waitNanos = VOTER_WAIT_ELECTION_TIMEOUTS * state.timing.electionTimeoutMaxNanos();
+    boolean satisfied =
+        votersAreCommitted() && state.membershipPolicy.isSatisfiedBy(state.log.voters());
+    return !state.log.hasCommands() && !satisfied && state.nowNanos - beganNanos < waitNanos;
+  }
+
   /** Adds a read; it is deferred until an entry of this leader's term is committed. */
   void onConfirmLeadership(long requestId) {
     if (state.commitIndex < firstIndexOfTerm) {
@@ -117,8 +140,8 @@
 
   /**
    * Commits the entries that a quorum has synced, if the last of them is of the current term. If
-   * the commit index advances, adds the deferred reads and completes a voter replacement whose
-   * joint set is committed.
+   * the commit index advances, adds the deferred reads and completes a change of voters whose joint
+   * set is committed.
    */
   void advanceCommit() {
     long quorumIndex = state.log.voters().valueReachedByQuorum(this::syncedIndex);
@@ -127,7 +150,7 @@
     }
     state.commitTo(quorumIndex);
     reads.addDeferred(state.commitIndex);
-    completeReplacement();
+    completeVoterChange();
   }
 
   private long syncedIndex(ReplicaId voter) {
@@ -138,20 +161,16 @@
     return peer == null ? 0 : peer.matchIndex;
   }
 
-  private void completeReplacement() {
+  private void completeVoterChange() {
     VoterSet voters = state.log.voters();
     if (voters.isJoint() && votersAreCommitted()) {
       append(EntryKind.VOTERS, voters.completed().encode());
     }
   }
 
-  /**
-   * Starts to replace a voter by a replica, through a joint voter set.
-   *
-   * @param lostVm the VM of the voter to replace
-   */
-  void startReplacement(String lostVm, ReplicaId replica) {
-    append(EntryKind.VOTERS, state.log.voters().replacing(lostVm, replica).encode());
+  /** Starts to change the voters, through a joint voter set. */
+  void startVoterChange(VoterSet joint) {
+    append(EntryKind.VOTERS, joint.encode());
   }
 
   /** Returns whether the current voter set is committed. */
--- a/src/main/java/org/cuminrack/quorum/internal/Learners.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Learners.java
@@ -1,13 +1,17 @@
 package org.cuminrack.quorum.internal;
 
-import java.util.List;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
- * Manages replicas that are not voters on the leader: replicates the log to them and lets each one
- * replace the lost voter of its VM once it has synced all committed entries. One voter is replaced
- * at a time.
+ * Manages replicas that are not voters on the leader: replicates the log to them and makes them
+ * voters once they have synced all committed entries, in place of the lost voter of their own VM or
+ * as {@link VoterPlan} decides. Voters are changed in one step after the other.
  */
 final class Learners {
   private static final int LEARNER_SILENCE_ELECTION_TIMEOUTS = 4;
@@ -24,16 +28,17 @@
   }
 
   /** Starts replication to a replica that searches for the group; a blank one gets the snapshot. */
-  void onHello(ReplicaId from, boolean blank) {
+  void onHello(ReplicaId from, Message.Hello hello) {
     leadership.startReplication(from, state.log.lastIndex() + 1);
     Progress peer = leadership.progress().get(from);
     leadership.recordContact(peer, 0);
-    if (blank && peer.snapshot == null) {
+    peer.dataCentre = hello.dataCentre();
+    if (hello.blank() && peer.snapshot == null) {
       peer.beginSnapshot(state.snapshot);
     }
   }
 
-  /** Removes silent learners and starts a replacement if one is due. */
+  /** Removes silent learners and starts a change of voters if one is due. */
   void onTick() {
     leadership.progress().entrySet().removeIf(this::isSilentLearner);
     if (!leadership.isEstablished() || !leadership.votersAreCommitted()) {
@@ -42,19 +47,16 @@
     if (state.diskFull || state.log.voters().isJoint()) {
       return;
     }
-    List<ReplicaId> caughtUp =
-        leadership.progress().entrySet().stream()
-            .filter(this::isCaughtUp)
-            .map(Map.Entry::getKey)
-            .sorted((a, b) -> a.toString().compareTo(b.toString()))
-            .toList();
-    for (ReplicaId replica : caughtUp) {
-      Optional<String> lost = replaceableVm(replica);
-      if (lost.isPresent()) {
-        leadership.startReplacement(lost.get(), replica);
-        return;
-      }
-    }
+    nextVoters().ifPresent(leadership::startVoterChange);
+  }
+
+  /** Returns the VMs of the learners that replied recently. */
+  Set<String> vms() {
+    return leadership.progress().keySet().stream()
+        .filter(replica -> !state.log.voters().contains(replica))
+        .filter(leadership::hasRecentContact)
+        .map(ReplicaId::vmName)
+        .collect(Collectors.toCollection(TreeSet::new));
   }
 
   private boolean isSilentLearner(Map.Entry<ReplicaId, Progress> entry) {
@@ -64,6 +66,31 @@
             > LEARNER_SILENCE_ELECTION_TIMEOUTS * state.timing.electionTimeoutMaxNanos();
   }
 
+  private Optional<VoterSet> nextVoters() {
+    VoterSet voters = state.log.voters();
+    Map<ReplicaId, String> newVms = new TreeMap<>(Comparator.comparing(ReplicaId::toString));
+    for (Map.Entry<ReplicaId, Progress> entry : leadership.progress().entrySet()) {
+      ReplicaId replica = entry.getKey();
+      if (!isCaughtUp(entry)) {
+        continue;
+      }
+      Long currentIncarnation = voters.incarnations().get(replica.vmName());
+      if (currentIncarnation == null) {
+        newVms.put(replica, entry.getValue().dataCentre);
+      } else if (!leadership.hasRecentContact(
+          new ReplicaId(replica.vmName(), currentIncarnation))) {
+        return Optional.of(
+            voters.replacing(replica.vmName(), replica, entry.getValue().dataCentre));
+      }
+    }
+    if (!state.membershipPolicy.openToNewVms()) {
+      return Optional.empty();
+    }
+    Set<ReplicaId> lostVoters =
+        voters.replicas().stream().filter(this::isLost).collect(Collectors.toSet());
+    return new VoterPlan(state.membershipPolicy, state.self, voters, newVms).nextVoters(lostVoters);
+  }
+
   private boolean isCaughtUp(Map.Entry<ReplicaId, Progress> entry) {
     ReplicaId replica = entry.getKey();
     return !state.log.voters().contains(replica)
@@ -71,27 +98,6 @@
         && entry.getValue().matchIndex >= state.commitIndex;
   }
 
-  /**
-   * Returns the VM whose voter a replica may replace: its own VM or, in an open group, any VM whose
-   * voter is lost.
-   */
-  private Optional<String> replaceableVm(ReplicaId replica) {
-    Map<String, Long> voters = state.log.voters().incarnations();
-    Long currentIncarnation = voters.get(replica.vmName());
-    if (currentIncarnation != null) {
-      boolean silent =
-          !leadership.hasRecentContact(new ReplicaId(replica.vmName(), currentIncarnation));
-      return silent ? Optional.of(replica.vmName()) : Optional.empty();
-    }
-    if (!state.membershipPolicy.openToNewVms()) {
-      return Optional.empty();
-    }
-    return voters.entrySet().stream()
-        .filter(voter -> isLost(new ReplicaId(voter.getKey(), voter.getValue())))
-        .map(Map.Entry::getKey)
-        .findFirst();
-  }
-
   private boolean isLost(ReplicaId voter) {
     Progress peer = leadership.progress().get(voter);
     long lostNanos = LOST_VOTER_ELECTION_TIMEOUTS * state.timing.electionTimeoutMaxNanos();
--- a/src/main/java/org/cuminrack/quorum/internal/MemoryLog.java
+++ b/src/main/java/org/cuminrack/quorum/internal/MemoryLog.java
@@ -14,6 +14,7 @@
   private final TreeMap<Long, VoterSet> voters = new TreeMap<>();
   private long previousIndex;
   private long previousTerm;
+  private boolean hasCommands;
 
   /** Discards all entries and continues after a snapshot. */
   void reset(SnapshotImage image) {
@@ -22,6 +23,12 @@
     voters.put(image.index(), image.voters());
     previousIndex = image.index();
     previousTerm = image.term();
+    hasCommands = image.index() > 0;
+  }
+
+  /** Returns whether the log has, or had, an entry with a command. */
+  boolean hasCommands() {
+    return hasCommands;
   }
 
   /** Returns the index before the first retained entry. */
@@ -60,6 +67,7 @@
           "entry: expected index " + (lastIndex() + 1) + ", found " + entry.index());
     }
     entries.add(entry);
+    hasCommands |= entry.kind() == EntryKind.COMMAND;
     if (entry.kind() == EntryKind.VOTERS) {
       voters.put(entry.index(), VoterSet.decode(entry.data()));
     }
--- a/src/main/java/org/cuminrack/quorum/internal/Message.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Message.java
@@ -55,11 +55,19 @@
    */
   record SnapshotReply(long index, long nextOffset, long readSequence) implements Message {}
 
-  /** Sent by a replica that searches for its group; replies carry the same round. */
-  record Hello(boolean blank, long round) implements Message {}
+  /**
+   * Sent by a replica that searches for its group; replies carry the same round.
+   *
+   * @param dataCentre the sender's data centre; empty if unknown
+   */
+  record Hello(boolean blank, long round, String dataCentre) implements Message {}
 
-  /** The reply to a {@link Hello}. */
-  record HelloReply(boolean blank, long round) implements Message {}
+  /**
+   * The reply to a {@link Hello}.
+   *
+   * @param dataCentre the sender's data centre; empty if unknown
+   */
+  record HelloReply(boolean blank, long round, String dataCentre) implements Message {}
 
   /** Sends the voter set to a blank replica, which becomes a voter if it is in the set. */
   record FormGroup(VoterSet voters) implements Message {}
--- a/src/main/java/org/cuminrack/quorum/internal/PacketCodec.java
+++ b/src/main/java/org/cuminrack/quorum/internal/PacketCodec.java
@@ -96,10 +96,17 @@
               .setNextOffset(reply.nextOffset())
               .setReadSequence(reply.readSequence()));
     } else if (message instanceof Message.Hello hello) {
-      record.setHello(HelloRecord.newBuilder().setBlank(hello.blank()).setRound(hello.round()));
+      record.setHello(
+          HelloRecord.newBuilder()
+              .setBlank(hello.blank())
+              .setRound(hello.round())
+              .setDataCentre(hello.dataCentre()));
     } else if (message instanceof Message.HelloReply reply) {
       record.setHelloReply(
-          HelloReplyRecord.newBuilder().setBlank(reply.blank()).setRound(reply.round()));
+          HelloReplyRecord.newBuilder()
+              .setBlank(reply.blank())
+              .setRound(reply.round())
+              .setDataCentre(reply.dataCentre()));
     } else if (message instanceof Message.FormGroup form) {
       record.setForm(
           FormRecord.newBuilder().setVoters(ByteString.copyFrom(form.voters().encode())));
@@ -192,10 +199,10 @@
   }
 
   private static Message messageOf(HelloRecord record) {
-    return new Message.Hello(record.getBlank(), record.getRound());
+    return new Message.Hello(record.getBlank(), record.getRound(), record.getDataCentre());
   }
 
   private static Message messageOf(HelloReplyRecord record) {
-    return new Message.HelloReply(record.getBlank(), record.getRound());
+    return new Message.HelloReply(record.getBlank(), record.getRound(), record.getDataCentre());
   }
 }
--- a/src/main/java/org/cuminrack/quorum/internal/Progress.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Progress.java
@@ -30,6 +30,9 @@
   long snapshotOffset;
   boolean snapshotPartDue;
 
+  /** The replica's data centre, if it has said hello; empty if unknown. */
+  String dataCentre = "";
+
   Progress(long nextIndex, long nowNanos) {
     this.nextIndex = nextIndex;
     this.lastContactNanos = nowNanos;
--- a/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
+++ b/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
@@ -83,6 +83,8 @@
         state.groupId(),
         state.diskFull,
         state.isBlank() ? null : state.log.voters(),
+        state.isBlank() ? 0 : state.log.votersIndex(),
+        learners.vms(),
         elections.answeringVoters());
   }
 
@@ -231,7 +233,7 @@
     if (packet.message() instanceof Message.Hello hello) {
       formation.onHello(from, hello);
       if (state.role == Role.LEADER) {
-        learners.onHello(from, hello.blank());
+        learners.onHello(from, hello);
       }
     } else if (packet.message() instanceof Message.HelloReply reply) {
       formation.onHelloReply(from, reply);
--- a/src/main/java/org/cuminrack/quorum/internal/VoterSet.java
+++ b/src/main/java/org/cuminrack/quorum/internal/VoterSet.java
@@ -1,8 +1,11 @@
 package org.cuminrack.quorum.internal;
 
+import java.net.URLDecoder;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -11,43 +14,92 @@
 import java.util.stream.Collectors;
 
 /**
- * The replicas that vote. While one replica replaces another, the set is joint: each decision needs
+ * The replicas that vote. While voters are added or replaced, the set is joint: each decision needs
  * a majority of the previous voters and a majority of the new ones.
  *
  * @param incarnations the voters' incarnations by VM name
  * @param previous the previous voters' incarnations by VM name; empty unless the set is joint
+ * @param dataCentres the data centres of current and previous voters by VM name, if known
  */
-public record VoterSet(Map<String, Long> incarnations, Map<String, Long> previous) {
+public record VoterSet(
+    Map<String, Long> incarnations, Map<String, Long> previous, Map<String, String> dataCentres) {
   private static final String SET_SEPARATOR = "/";
   private static final String MEMBER_SEPARATOR = ",";
   private static final String INCARNATION_SEPARATOR = "=";
+  private static final String DATA_CENTRE_SEPARATOR = "@";
+  private static final String UNKNOWN_DATA_CENTRE = "";
 
   public VoterSet {
     incarnations = new TreeMap<>(incarnations);
     previous = new TreeMap<>(previous);
+    dataCentres = new TreeMap<>(dataCentres);
+    dataCentres.values().removeIf(UNKNOWN_DATA_CENTRE::equals);
+    dataCentres.keySet().removeIf(isNotIn(incarnations).and(isNotIn(previous)));
   }
 
-  /** Returns a voter set that is not joint. */
+  private static Predicate<String> isNotIn(Map<String, Long> members) {
+    return vmName -> !members.containsKey(vmName);
+  }
+
+  /** Returns a voter set that is not joint, of VMs in unknown data centres. */
   public static VoterSet of(Map<String, Long> incarnations) {
-    return new VoterSet(incarnations, Map.of());
+    return of(incarnations, Map.of());
   }
 
-  /** Returns whether a voter is being replaced. */
+  /**
+   * Returns a voter set that is not joint.
+   *
+   * @param dataCentres the voters' data centres by VM name, if known
+   */
+  public static VoterSet of(Map<String, Long> incarnations, Map<String, String> dataCentres) {
+    return new VoterSet(incarnations, Map.of(), dataCentres);
+  }
+
+  /** Returns whether voters are being added or replaced. */
   public boolean isJoint() {
     return !previous.isEmpty();
   }
 
   /** Returns the joint set in which a replica replaces the voter of its own or another VM. */
-  public VoterSet replacing(String lostVm, ReplicaId replica) {
+  public VoterSet replacing(String lostVm, ReplicaId replica, String dataCentre) {
     Map<String, Long> after = new TreeMap<>(incarnations);
     after.remove(lostVm);
     after.put(replica.vmName(), replica.incarnation());
-    return new VoterSet(after, incarnations);
+    return new VoterSet(after, incarnations, dataCentresWith(replica, dataCentre));
+  }
+
+  /** Returns the joint set to which a replica of another VM is added. */
+  public VoterSet adding(ReplicaId replica, String dataCentre) {
+    Map<String, Long> after = new TreeMap<>(incarnations);
+    after.put(replica.vmName(), replica.incarnation());
+    return new VoterSet(
+        after, isJoint() ? previous : incarnations, dataCentresWith(replica, dataCentre));
   }
 
-  /** Returns the set after the replacement. */
+  private Map<String, String> dataCentresWith(ReplicaId replica, String dataCentre) {
+    Map<String, String> all = new TreeMap<>(dataCentres);
+    all.put(replica.vmName(), dataCentre);
+    return all;
+  }
+
+  /** Returns the set after the change. */
   public VoterSet completed() {
-    return of(incarnations);
+    return of(incarnations, dataCentres);
+  }
+
+  /** Returns the number of voters, without the previous ones. */
+  public int size() {
+    return incarnations.size();
+  }
+
+  /** Returns the data centre of each voter, without the previous ones; empty where unknown. */
+  public List<String> voterDataCentres() {
+    return incarnations.keySet().stream().map(this::dataCentreOf).toList();
+  }
+
+  /** Returns the data centre of a VM; empty if unknown. */
+  public String dataCentreOf(String vmName) {
+    return dataCentres.getOrDefault(vmName, UNKNOWN_DATA_CENTRE);
   }
 
   /** Returns whether a replica is a current or previous voter. */
@@ -88,7 +140,9 @@
     if (parts.length != 2) {
       throw new IllegalArgumentException("voter set: expected 2 parts, found " + parts.length);
     }
-    return new VoterSet(parse(parts[0]), parse(parts[1]));
+    Map<String, String> dataCentres = new TreeMap<>();
+    Map<String, Long> incarnations = parse(parts[0], dataCentres);
+    return new VoterSet(incarnations, parse(parts[1], dataCentres), dataCentres);
   }
 
   private static boolean containsReplica(Map<String, Long> members, ReplicaId replica) {
@@ -113,20 +167,32 @@
     return sorted[(sorted.length - 1) / 2];
   }
 
-  private static String format(Map<String, Long> members) {
+  private String format(Map<String, Long> members) {
     return members.entrySet().stream()
-        .map(
-            member -> member.getKey() + INCARNATION_SEPARATOR + Long.toHexString(member.getValue()))
+        .map(member -> format(member.getKey(), member.getValue()))
         .collect(Collectors.joining(MEMBER_SEPARATOR));
   }
 
-  private static Map<String, Long> parse(String text) {
+  private String format(String vmName, long incarnation) {
+    String member = vmName + INCARNATION_SEPARATOR + Long.toHexString(incarnation);
+    String dataCentre = dataCentreOf(vmName);
+    return dataCentre.equals(UNKNOWN_DATA_CENTRE)
+        ? member
+        : member + DATA_CENTRE_SEPARATOR + URLEncoder.encode(dataCentre, StandardCharsets.UTF_8);
+  }
+
+  private static Map<String, Long> parse(String text, Map<String, String> dataCentres) {
     Map<String, Long> members = new TreeMap<>();
     for (String member : text.isEmpty() ? new String[0] : text.split(MEMBER_SEPARATOR, -1)) {
-      int separatorIndex = member.lastIndexOf(INCARNATION_SEPARATOR);
-      members.put(
-          member.substring(0, separatorIndex),
-          Long.parseUnsignedLong(member.substring(separatorIndex + 1), 16));
+      int incarnationIndex = member.lastIndexOf(INCARNATION_SEPARATOR);
+      String vmName = member.substring(0, incarnationIndex);
+      String[] incarnationAndDataCentre =
+          member.substring(incarnationIndex + 1).split(DATA_CENTRE_SEPARATOR, 2);
+      members.put(vmName, Long.parseUnsignedLong(incarnationAndDataCentre[0], 16));
+      if (incarnationAndDataCentre.length == 2) {
+        dataCentres.put(
+            vmName, URLDecoder.decode(incarnationAndDataCentre[1], StandardCharsets.UTF_8));
+      }
     }
     return members;
   }
--- a/src/main/java/org/cuminrack/settings/ControlSettings.java
+++ b/src/main/java/org/cuminrack/settings/ControlSettings.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import org.cuminrack.quorum.LossTolerance;
 import org.cuminrack.yaml.MappingReader;
 
 /**
@@ -14,6 +15,7 @@
  * @param voters wire addresses of the control VMs that form the group, by VM name
  * @param openGroup whether VMs that are not listed here may join; VM names are then IP addresses
  * @param mayFormGroup whether this VM may form a new group; false on a VM that replaces another
+ * @param tolerance the losses of control VMs that the group has to tolerate
  * @param heartbeat the interval of the leader's heartbeats
  * @param electionTimeout the minimum time without a leader before an election
  * @param fleet the fleet service, which receives announcements and serves gateways; optional
@@ -24,9 +26,11 @@
     Map<String, String> voters,
     boolean openGroup,
     boolean mayFormGroup,
+    LossTolerance tolerance,
     Duration heartbeat,
     Duration electionTimeout,
     Optional<Fleet> fleet) {
+  private static final int MAX_LOSSES = 10;
   private static final Duration DEFAULT_HEARTBEAT = Duration.ofMillis(100);
   private static final Duration DEFAULT_ELECTION_TIMEOUT = Duration.ofMillis(500);
   private static final Duration DEFAULT_ADDRESS_TTL = Duration.ofSeconds(2);
@@ -38,7 +42,16 @@
       Map<String, String> voters,
       Duration heartbeat,
       Duration electionTimeout) {
-    this(node, dataFolder, voters, false, true, heartbeat, electionTimeout, Optional.empty());
+    this(
+        node,
+        dataFolder,
+        voters,
+        false,
+        true,
+        LossTolerance.ofMinority(voters.size()),
+        heartbeat,
+        electionTimeout,
+        Optional.empty());
   }
 
   /**
@@ -72,8 +85,18 @@
         voters,
         hasSeeds,
         reader.flag("may_form", true),
+        tolerance(reader, hasSeeds, voters.size()),
         reader.millis("heartbeat_millis", DEFAULT_HEARTBEAT, 10, 1_000),
         reader.millis("election_timeout_millis", DEFAULT_ELECTION_TIMEOUT, 50, 10_000),
         hasSeeds ? Optional.of(Fleet.read(reader)) : Optional.empty());
   }
+
+  /** Reads the losses to tolerate; a group of fixed voters tolerates the loss of a minority. */
+  private static LossTolerance tolerance(MappingReader reader, boolean hasSeeds, int voterCount) {
+    LossTolerance ofMinority = LossTolerance.ofMinority(voterCount);
+    int maxVmLosses = hasSeeds ? MAX_LOSSES : ofMinority.vmLosses();
+    return new LossTolerance(
+        reader.number("tolerated_vm_losses", ofMinority.vmLosses(), 0, maxVmLosses),
+        reader.number("tolerated_data_centre_losses", 0, 0, maxVmLosses));
+  }
 }
--- a/src/test/java/org/cuminrack/quorum/OpenGroupTest.java
+++ b/src/test/java/org/cuminrack/quorum/OpenGroupTest.java
@@ -2,14 +2,21 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.cuminrack.system.FreePorts;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
@@ -30,6 +37,7 @@
   @TempDir Path folder;
   private final int port = FreePorts.port();
   private final Map<String, OpenVm> vms = new TreeMap<>();
+  private LossTolerance tolerance = new LossTolerance(1, 1);
 
   @AfterEach
   void stopAll() {
@@ -66,18 +74,68 @@
     assertThat(voters()).containsExactlyElementsIn(FOUNDERS);
   }
 
+  @Test
+  void shouldTolerateTwoLostDisksRightAfterTheFirstAcknowledgement() {
+    tolerance = new LossTolerance(2, 1);
+    FOUNDERS.forEach(founder -> start(founder, true));
+    start(NEW_VM, true);
+    start("127.0.0.5", true);
+    propose("first");
+
+    List<String> all = List.copyOf(vms.keySet());
+    all.forEach(name -> vms.get(name).stop());
+    all.subList(0, 2).forEach(this::wipe);
+    all.forEach(name -> start(name, false));
+
+    propose("second");
+    TestGroup.await(
+        "all VMs to apply both lines",
+        () ->
+            vms.values().stream()
+                .allMatch(vm -> vm.list.lines().containsAll(List.of("first", "second"))));
+  }
+
+  @Test
+  void shouldKeepAMajorityOutsideOfEachDataCentre() {
+    tolerance = new LossTolerance(2, 1);
+    FOUNDERS.forEach(founder -> start(founder, "dc-" + founder, true));
+    start(NEW_VM, "dc-" + FOUNDERS.get(0), true);
+    start("127.0.0.5", "dc-" + FOUNDERS.get(0), true);
+    start("127.0.0.6", "dc-other", true);
+    start("127.0.0.7", "dc-other", true);
+    propose("first");
+
+    List<String> dataCentres =
+        List.copyOf(leader().orElseThrow().node.status().dataCentres().values());
+
+    assertThat(dataCentres).hasSize(5);
+    assertThat(tolerance.majoritySurvivesDataCentreLosses(dataCentres)).isTrue();
+  }
+
+  private void wipe(String name) {
+    try (Stream<Path> files = Files.walk(folder.resolve(name))) {
+      files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private void start(String name, boolean mayFormGroup) {
-    OpenVm vm = new OpenVm(name, mayFormGroup);
+    start(name, "dc-" + name, mayFormGroup);
+  }
+
+  private void start(String name, String dataCentre, boolean mayFormGroup) {
+    OpenVm vm = new OpenVm(name, dataCentre, mayFormGroup);
     vms.put(name, vm);
     vm.start();
   }
 
+  private Optional<OpenVm> leader() {
+    return vms.values().stream().filter(vm -> vm.node.isLeader()).findFirst();
+  }
+
   private List<String> voters() {
-    return vms.values().stream()
-        .filter(vm -> vm.node.isLeader())
-        .findFirst()
-        .map(vm -> List.copyOf(vm.node.status().voters().keySet()))
-        .orElse(List.of());
+    return leader().map(vm -> List.copyOf(vm.node.status().voters().keySet())).orElse(List.of());
   }
 
   private void propose(String line) {
@@ -98,15 +156,17 @@
     private final WireServer server;
     private final QuorumNode node;
 
-    OpenVm(String name, boolean mayFormGroup) {
+    OpenVm(String name, String dataCentre, boolean mayFormGroup) {
       Map<String, String> founders = new TreeMap<>();
       FOUNDERS.forEach(founder -> founders.put(founder, founder + ":" + port));
       QuorumSettings settings =
           new QuorumSettings(
               name,
+              dataCentre,
               founders,
               port,
               mayFormGroup,
+              tolerance,
               folder.resolve(name),
               Duration.ofMillis(30),
               Duration.ofMillis(150),
--- a/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
@@ -55,7 +55,7 @@
     SnapshotImage snapshot = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
     QuorumCore core = core(new RecoveredState(A, 1, null, snapshot, List.of()));
 
-    List<Effect> effects = core.step(List.of(received(B, 0, new Message.Hello(true, 7))), 0);
+    List<Effect> effects = core.step(List.of(received(B, 0, new Message.Hello(true, 7, ""))), 0);
 
     assertThat(messagesOf(effects)).contains(new Message.FormGroup(VOTERS));
   }
@@ -66,7 +66,8 @@
     QuorumCore core = core(new RecoveredState(A, 1, null, snapshot, List.of()));
     ReplicaId wiped = new ReplicaId("b", 99);
 
-    List<Effect> effects = core.step(List.of(received(wiped, 0, new Message.Hello(true, 7))), 0);
+    List<Effect> effects =
+        core.step(List.of(received(wiped, 0, new Message.Hello(true, 7, ""))), 0);
 
     assertThat(messagesOf(effects)).doesNotContain(new Message.FormGroup(VOTERS));
   }
@@ -144,7 +145,7 @@
   }
 
   private static Event reply(ReplicaId from, boolean blank, long round) {
-    return received(from, 0, new Message.HelloReply(blank, round));
+    return received(from, 0, new Message.HelloReply(blank, round, ""));
   }
 
   private static Event received(ReplicaId from, long groupId, Message message) {
