Acknowledge an announcement once it survives the tolerated losses

What callers saw: an upstream's announcement that changes routing, or its leave, was acknowledged with two copies whatever the group has to bear. Two control VMs lost, or the data centre with both, took it along.

Cause: the number of copies was a literal: any one other voter.

Change: the announcement is acknowledged once LossTolerance.someCopySurvives holds for this VM and the voters that stored it, limited to the voters and data centres that there are. One other voter is still needed where there is one, even if no disk may be lost, as announcements are kept in memory. A voter's data centre that is not known adds a copy, but no data centre.

In FleetControlTest the group has the tolerance that was in force before, one lost VM; what its tests check is the same.

--- a/src/main/java/org/cuminrack/fleet/AnnouncementSharing.java
+++ b/src/main/java/org/cuminrack/fleet/AnnouncementSharing.java
@@ -4,10 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.cuminrack.generated.fleet.ShareCall;
+import org.cuminrack.quorum.LossTolerance;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
 import org.cuminrack.wire.WireClient;
@@ -18,37 +18,38 @@
   private static final Duration SHARE_TIMEOUT = Duration.ofMillis(700);
 
   private final WireClient wire;
-  private final Supplier<Set<String>> voterAddresses;
-  private final String ownAddress;
+  private final Supplier<ControlVms> controlVms;
+  private final LossTolerance tolerance;
   private final Clock clock;
   private long lastSharedChange;
 
   AnnouncementSharing(
-      WireClient wire, Supplier<Set<String>> voterAddresses, String ownAddress, Clock clock) {
+      WireClient wire, Supplier<ControlVms> controlVms, LossTolerance tolerance, Clock clock) {
     this.wire = wire;
-    this.voterAddresses = voterAddresses;
-    this.ownAddress = ownAddress;
+    this.controlVms = controlVms;
+    this.tolerance = tolerance;
     this.clock = clock;
   }
 
-  /**
-   * Shares an announcement; completes with true once another control VM has it, or if there is
-   * none.
-   */
-  CompletableFuture<Boolean> shareAndAwaitOneOther(UpstreamRecord announced) {
-    Set<String> otherVoters = otherVoters();
-    if (otherVoters.isEmpty()) {
+  /** Shares an announcement; completes with true once so many voters have it that it survives. */
+  CompletableFuture<Boolean> shareAndAwaitCopies(UpstreamRecord announced) {
+    ControlVms vms = controlVms.get();
+    AnnouncementCopies copies = new AnnouncementCopies(vms, tolerance);
+    if (copies.areEnough()) {
       return CompletableFuture.completedFuture(true);
     }
     CompletableFuture<Boolean> shared = new CompletableFuture<>();
     byte[] payload = shareCall(List.of(announced));
     List<CompletableFuture<?>> calls = new ArrayList<>();
-    for (String address : otherVoters) {
+    for (String address : vms.otherVoters()) {
       calls.add(
           wire.call(address, Method.SHARE_UPSTREAMS, payload, SHARE_TIMEOUT)
               .thenAccept(
                   outcome -> {
                     if (outcome.isRight()) {
+                      copies.add(address);
+                    }
+                    if (copies.areEnough()) {
                       shared.complete(true);
                     }
                   }));
@@ -59,9 +60,7 @@
   }
 
   private Set<String> otherVoters() {
-    Set<String> otherVoters = new TreeSet<>(voterAddresses.get());
-    otherVoters.remove(ownAddress);
-    return otherVoters;
+    return controlVms.get().otherVoters();
   }
 
   private byte[] shareCall(List<UpstreamRecord> records) {
--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -20,6 +19,7 @@
 import org.cuminrack.generated.fleet.WatchCall;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.quorum.LossTolerance;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
 import org.cuminrack.wire.WireClient;
@@ -75,21 +75,20 @@
    *
    * @param stateIsCurrent whether the replicated state of this VM has caught up with the leader's
    *     term
-   * @param voterAddresses supplies the wire addresses of the current voters
-   * @param ownAddress this VM's wire address
+   * @param controlVms supplies the control VMs
+   * @param tolerance the losses of control VMs that an acknowledged announcement has to survive
    */
   public FleetControl(
       ControlState state,
       WireClient wire,
       BooleanSupplier stateIsCurrent,
-      Supplier<Set<String>> voterAddresses,
-      String ownAddress,
+      Supplier<ControlVms> controlVms,
+      LossTolerance tolerance,
       Clock clock) {
     this.responses =
-        new WatchResponses(
-            bootId, state, stateIsCurrent, upstreams, gateways, voterAddresses, clock);
+        new WatchResponses(bootId, state, stateIsCurrent, upstreams, gateways, controlVms, clock);
     this.watches = new PendingWatches(responses::build);
-    this.sharing = new AnnouncementSharing(wire, voterAddresses, ownAddress, clock);
+    this.sharing = new AnnouncementSharing(wire, controlVms, tolerance, clock);
     this.stateIsCurrent = stateIsCurrent;
     this.clock = clock;
     state.onRoutingChange(watches::respondToAll);
@@ -141,8 +140,7 @@
 
   /**
    * Merges an announcement. Completes with true if it may be acknowledged: an announcement that
-   * changes routing must first be stored on a second control VM, if there is one, so that it
-   * survives the loss of this one.
+   * changes routing must first be stored on so many voters that it survives the tolerated losses.
    */
   public CompletableFuture<Boolean> mergeAnnouncement(UpstreamRecord announced) {
     UpstreamChange change = upstreams.merge(announced);
@@ -151,7 +149,7 @@
     }
     logRoutingChange(announced, "announcement");
     watches.respondToAll();
-    return sharing.shareAndAwaitOneOther(announced);
+    return sharing.shareAndAwaitCopies(announced);
   }
 
   private CompletableFuture<byte[]> mergeShared(byte[] payload) {
--- a/src/main/java/org/cuminrack/fleet/WatchResponses.java
+++ b/src/main/java/org/cuminrack/fleet/WatchResponses.java
@@ -1,6 +1,5 @@
 package org.cuminrack.fleet;
 
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cuminrack.control.ControlState;
@@ -18,7 +17,7 @@
   private final BooleanSupplier stateIsCurrent;
   private final UpstreamTable upstreams;
   private final GatewayTable gateways;
-  private final Supplier<Set<String>> voterAddresses;
+  private final Supplier<ControlVms> controlVms;
   private final Clock clock;
 
   /**
@@ -33,14 +32,14 @@
       BooleanSupplier stateIsCurrent,
       UpstreamTable upstreams,
       GatewayTable gateways,
-      Supplier<Set<String>> voterAddresses,
+      Supplier<ControlVms> controlVms,
       Clock clock) {
     this.bootId = bootId;
     this.state = state;
     this.stateIsCurrent = stateIsCurrent;
     this.upstreams = upstreams;
     this.gateways = gateways;
-    this.voterAddresses = voterAddresses;
+    this.controlVms = controlVms;
     this.clock = clock;
   }
 
@@ -72,7 +71,7 @@
         .changedAfter(lastSeenChange)
         .forEach(upstream -> response.addUpstreams(FleetCodec.data(upstream, nowNanos)));
     gateways.live(nowNanos).forEach(gateway -> response.addGateways(FleetCodec.data(gateway)));
-    response.addAllControlAddresses(voterAddresses.get());
+    response.addAllControlAddresses(controlVms.get().voters());
     if (stateIsCurrent.getAsBoolean()) {
       response.setStateCurrent(true);
       RoutingData routing = state.routing();
--- a/src/main/java/org/cuminrack/platform/ControlEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/ControlEndpoints.java
@@ -130,7 +130,8 @@
                   if (failure == null && isStored) {
                     HttpResponses.json(exchange, StatusCodes.OK, Map.of());
                   } else {
-                    sendError(exchange, StatusCodes.SERVICE_UNAVAILABLE, "no second control VM");
+                    sendError(
+                        exchange, StatusCodes.SERVICE_UNAVAILABLE, "too few control VMs have it");
                   }
                 }));
   }
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -15,6 +15,7 @@
 import org.cuminrack.control.RoutingControl;
 import org.cuminrack.control.VoterAddresses;
 import org.cuminrack.control.WireRenewalExchange;
+import org.cuminrack.fleet.ControlVms;
 import org.cuminrack.fleet.FleetControl;
 import org.cuminrack.http.HttpServer;
 import org.cuminrack.lifecycle.ManagedService;
@@ -25,6 +26,7 @@
 import org.cuminrack.platform.DirectoryEndpoint;
 import org.cuminrack.quorum.QuorumNode;
 import org.cuminrack.quorum.QuorumSettings;
+import org.cuminrack.quorum.QuorumStatus;
 import org.cuminrack.settings.ControlSettings;
 import org.cuminrack.settings.NodeSettings;
 import org.cuminrack.settings.SettingsFile;
@@ -98,12 +100,7 @@
     FleetControl fleet =
         services.add(
             new FleetControl(
-                state,
-                wire,
-                log::isCurrent,
-                () -> voterAddresses(log),
-                Addresses.hostAndPort(settings.node().wireAddress()),
-                clock));
+                state, wire, log::isCurrent, () -> controlVms(log), settings.tolerance(), clock));
     fleet.register(server);
     RoutingControl routing = new RoutingControl(log, state, clock);
     int controlPort = addresses.controlAddress().getPort();
@@ -122,13 +119,29 @@
 
   /** Returns the current voters' wire addresses, or the configured ones before a group exists. */
   private Set<String> voterAddresses(QuorumNode log) {
-    Set<String> vms = log.status().voters().keySet();
+    return voterVms(log.status()).stream().map(this::wireAddress).collect(Collectors.toSet());
+  }
+
+  private Set<String> voterVms(QuorumStatus status) {
+    return status.voters().isEmpty() ? settings.voters().keySet() : status.voters().keySet();
+  }
+
+  private String wireAddress(String vm) {
     int port = settings.node().wireAddress().getPort();
-    return vms.isEmpty()
-        ? Set.copyOf(settings.voters().values())
-        : vms.stream()
-            .map(vm -> settings.voters().getOrDefault(vm, vm + ":" + port))
-            .collect(Collectors.toSet());
+    return settings.voters().getOrDefault(vm, vm + ":" + port);
+  }
+
+  private ControlVms controlVms(QuorumNode log) {
+    QuorumStatus status = log.status();
+    return new ControlVms(
+        Addresses.hostAndPort(settings.node().wireAddress()),
+        settings.node().dataCentre(),
+        voterVms(status).stream()
+            .collect(
+                Collectors.toMap(
+                    this::wireAddress, vm -> status.dataCentres().getOrDefault(vm, ""))),
+        status.votersIndex(),
+        status.learners().stream().map(this::wireAddress).collect(Collectors.toSet()));
   }
 
   @Override
--- a/src/test/java/org/cuminrack/fleet/FleetControlTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetControlTest.java
@@ -4,11 +4,15 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.cuminrack.control.ControlState;
 import org.cuminrack.generated.fleet.WatchAnswer;
 import org.cuminrack.generated.fleet.WatchCall;
+import org.cuminrack.quorum.LossTolerance;
 import org.cuminrack.system.FreePorts;
 import org.cuminrack.time.ManualClock;
 import org.cuminrack.wire.WireClient;
@@ -108,6 +112,17 @@
 
   private FleetControl control(int port) {
     return new FleetControl(
-        new ControlState(), wire, () -> true, () -> voters, "127.0.0.1:" + port, new ManualClock());
+        new ControlState(),
+        wire,
+        () -> true,
+        () -> controlVms(port),
+        new LossTolerance(1, 0),
+        new ManualClock());
+  }
+
+  private ControlVms controlVms(int port) {
+    Map<String, String> dataCentreByVoter =
+        voters.stream().collect(Collectors.toMap(Function.identity(), voter -> "dc-a"));
+    return new ControlVms("127.0.0.1:" + port, "dc-a", dataCentreByVoter, 1, Set.of());
   }
 }
