Count the newest voters for a gateway's complete view, and no other control VM

What callers saw: after a change of voters, a gateway could take its view for complete on the word of former voters and of seeds that don't vote, that is, serve with an older routing. A stale control VM also brought former voters back as the addresses that a gateway calls, until another answer named the new ones.

Cause: any polled control VM counted against max(voters, seeds) / 2, and the last answer's voters were taken, whatever their age.

Change: answers carry the index of the entry that set the voters. The voters of the highest index count that was named in an answer of the last 10 s, so that a group that was formed anew is followed too; among equal ones, the last answer, which is how answers without an index are treated. A majority of these voters has to report a current state; a majority of the seeds while no answer names voters.

--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -47,9 +47,9 @@
   private final WireClient wire;
   private final Supplier<GatewayRecord> self;
   private final Clock clock;
-  private final Map<String, Poll> polls = new ConcurrentHashMap<>();
+  private final Map<String, ControlPoll> polls = new ConcurrentHashMap<>();
   private volatile Set<String> seeds;
-  private volatile Set<String> voters = Set.of();
+  private volatile NamedVoters voters = NamedVoters.NONE;
   private volatile boolean stopped;
 
   /**
@@ -89,7 +89,7 @@
 
   /** Returns the wire addresses of the control VMs, by VM name; a VM is named by its host. */
   public Map<String, String> controlAddresses() {
-    Set<String> addresses = voters.isEmpty() ? seeds : voters;
+    Set<String> addresses = voters.addresses().isEmpty() ? seeds : voters.addresses();
     return addresses.stream()
         .collect(
             Collectors.toMap(
@@ -98,6 +98,11 @@
                 (first, second) -> first));
   }
 
+  /** Returns the wire addresses of the voters; empty until an answer names them. */
+  Set<String> voterAddresses() {
+    return voters.addresses();
+  }
+
   /** Returns, by control VM address, whether the last call was answered, for the dump. */
   public Map<String, Boolean> answeredByAddress() {
     Map<String, Boolean> answered = new TreeMap<>();
@@ -111,13 +116,13 @@
   }
 
   private void watch(String address) {
-    Poll poll = new Poll(address, clock.nanoTime());
+    ControlPoll poll = new ControlPoll(address, clock.nanoTime());
     if (polls.putIfAbsent(address, poll) == null) {
       call(poll, true);
     }
   }
 
-  private void call(Poll poll, boolean repeat) {
+  private void call(ControlPoll poll, boolean repeat) {
     if (stopped) {
       return;
     }
@@ -140,7 +145,7 @@
             });
   }
 
-  private void continuePolling(Poll poll, boolean succeeded) {
+  private void continuePolling(ControlPoll poll, boolean succeeded) {
     if (succeeded) {
       call(poll, true);
     } else if (shouldAbandon(poll)) {
@@ -150,12 +155,12 @@
     }
   }
 
-  private boolean shouldAbandon(Poll poll) {
-    boolean listed = seeds.contains(poll.address) || voters.contains(poll.address);
+  private boolean shouldAbandon(ControlPoll poll) {
+    boolean listed = seeds.contains(poll.address) || voters.addresses().contains(poll.address);
     return !listed && clock.nanoTime() - poll.lastResponseNanos > ABANDON_AFTER.toNanos();
   }
 
-  private boolean handleOutcome(Poll poll, Either<WireFailure, byte[]> outcome) {
+  private boolean handleOutcome(ControlPoll poll, Either<WireFailure, byte[]> outcome) {
     if (outcome.isLeft()) {
       if (poll.answered) {
         poll.answered = false;
@@ -177,20 +182,23 @@
     }
     poll.recordResponse(response, clock.nanoTime());
     apply(response);
-    if (response.getStateCurrent()) {
-      poll.stateCurrent = true;
-      completeOnQuorum();
-    }
+    adoptNewestVoters(poll);
+    completeOnQuorum();
     return true;
   }
 
   /**
-   * Marks the view complete once a quorum of control VMs has reported a current state. A quorum
-   * together has seen every change, whereas a single VM may be partitioned.
+   * Marks the view complete once a majority of the voters has reported a current state. A majority
+   * together has seen every change, whereas a single VM may be partitioned. The seeds count until
+   * an answer names voters.
    */
   private void completeOnQuorum() {
-    long currentVmCount = polls.values().stream().filter(poll -> poll.stateCurrent).count();
-    if (currentVmCount > Math.max(voters.size(), seeds.size()) / 2) {
+    Set<String> counted = voters.addresses().isEmpty() ? seeds : voters.addresses();
+    long currentVmCount =
+        polls.values().stream()
+            .filter(poll -> poll.stateCurrent && counted.contains(poll.address))
+            .count();
+    if (currentVmCount > counted.size() / 2) {
       view.markComplete(clock.nanoTime());
     }
   }
@@ -208,34 +216,24 @@
             .map(data -> FleetCodec.upstream(data, nowNanos))
             .toList(),
         response.getGatewaysList().stream().map(FleetCodec::gateway).toList());
-    if (response.getControlAddressesCount() > 0) {
-      voters = Set.copyOf(response.getControlAddressesList());
-      voters.forEach(this::watch);
-    }
   }
 
-  /** The state of the long poll to one control VM. */
-  private static final class Poll {
-    private final String address;
-    private volatile long controlBootId;
-    private volatile long lastUpstreamChange;
-    private volatile boolean answered;
-    private volatile boolean stateCurrent;
-    private volatile long lastResponseNanos;
-
-    Poll(String address, long nowNanos) {
-      this.address = address;
-      this.lastResponseNanos = nowNanos;
-    }
-
-    void recordResponse(WatchAnswer response, long nowNanos) {
-      if (!answered) {
-        logger.atInfo().log("%s", LogEvent.named("control-found").with("control", address));
+  /**
+   * Adopts the newest voters that a control VM has named lately; among equally new ones, those of
+   * the last answer. A VM that is cut off may name former voters.
+   */
+  private synchronized void adoptNewestVoters(ControlPoll lastAnswered) {
+    long nowNanos = clock.nanoTime();
+    NamedVoters newest = lastAnswered.namedVoters;
+    for (ControlPoll poll : polls.values()) {
+      boolean isRecent = nowNanos - poll.lastResponseNanos <= ABANDON_AFTER.toNanos();
+      if (isRecent && poll.namedVoters.isNewerThan(newest)) {
+        newest = poll.namedVoters;
       }
-      controlBootId = response.getControlBoot();
-      lastUpstreamChange = response.getUpstreamChange();
-      answered = true;
-      lastResponseNanos = nowNanos;
+    }
+    if (!newest.addresses().isEmpty()) {
+      voters = newest;
+      newest.addresses().forEach(this::watch);
     }
   }
 }
--- a/src/main/java/org/cuminrack/fleet/WatchResponses.java
+++ b/src/main/java/org/cuminrack/fleet/WatchResponses.java
@@ -71,7 +71,8 @@
         .changedAfter(lastSeenChange)
         .forEach(upstream -> response.addUpstreams(FleetCodec.data(upstream, nowNanos)));
     gateways.live(nowNanos).forEach(gateway -> response.addGateways(FleetCodec.data(gateway)));
-    response.addAllControlAddresses(controlVms.get().voters());
+    ControlVms vms = controlVms.get();
+    response.setVotersIndex(vms.votersIndex()).addAllControlAddresses(vms.voters());
     if (stateIsCurrent.getAsBoolean()) {
       response.setStateCurrent(true);
       RoutingData routing = state.routing();
--- a/src/test/java/org/cuminrack/fleet/FleetControlTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetControlTest.java
@@ -105,6 +105,14 @@
     }
   }
 
+  @Test
+  void shouldNameVotersAndTheirIndex() throws Exception {
+    WatchAnswer response = WatchAnswer.parseFrom(second.watch(WATCH.toByteArray()).join());
+
+    assertThat(response.getControlAddressesList()).containsExactlyElementsIn(voters);
+    assertThat(response.getVotersIndex()).isEqualTo(1);
+  }
+
   private static UpstreamRecord draining() {
     return new UpstreamRecord(
         "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.DRAINING, 100, 2, 0, 0);
