Let gateways poll control VMs that don't vote, and share announcements with them

Cause: gateways polled seeds and voters only, so such a VM's directory knew no gateway. It got no announcements from other control VMs either, so that it acknowledged an upstream's leave without knowing the upstream.

Evidence: failed before: FleetWatcherTest in 3 tests (the VM is never called), FleetControlTest in 2 (learners are not named, nothing is shared with them).

Change: the leader names the learners in a field of their own, and gateways poll them too: one long poll per control VM as before. A learner's list of gateways is not taken over, as it is short until all gateways have called.

After: tests of the fleet package and AnnouncementsTest, none failed.

--- a/src/main/java/org/cuminrack/fleet/AnnouncementSharing.java
+++ b/src/main/java/org/cuminrack/fleet/AnnouncementSharing.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.cuminrack.generated.fleet.ShareCall;
@@ -59,10 +58,6 @@
     return shared;
   }
 
-  private Set<String> otherVoters() {
-    return controlVms.get().otherVoters();
-  }
-
   private byte[] shareCall(List<UpstreamRecord> records) {
     long nowNanos = clock.nanoTime();
     ShareCall.Builder call = ShareCall.newBuilder();
@@ -70,7 +65,7 @@
     return call.build().toByteArray();
   }
 
-  /** Shares the announcements that were merged since the last time. */
+  /** Shares the announcements merged since the last time with all control VMs, also learners. */
   void shareChanged(UpstreamTable upstreams) {
     long change = upstreams.lastChange();
     List<UpstreamRecord> changed = upstreams.changedAfter(lastSharedChange);
@@ -79,7 +74,9 @@
       return;
     }
     byte[] payload = shareCall(changed);
-    otherVoters()
+    controlVms
+        .get()
+        .others()
         .forEach(address -> wire.call(address, Method.SHARE_UPSTREAMS, payload, SHARE_TIMEOUT));
   }
 }
--- a/src/main/java/org/cuminrack/fleet/ControlVms.java
+++ b/src/main/java/org/cuminrack/fleet/ControlVms.java
@@ -30,6 +30,14 @@
     return new TreeSet<>(dataCentreByVoter.keySet());
   }
 
+  /** Returns the addresses of all known control VMs without this one. */
+  Set<String> others() {
+    Set<String> others = voters();
+    others.addAll(learners);
+    others.remove(own);
+    return others;
+  }
+
   /** Returns the addresses of the voters without this VM. */
   Set<String> otherVoters() {
     Set<String> others = voters();
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -24,8 +25,9 @@
 
 /**
  * Keeps a gateway's view up to date by a continuous long poll to every control VM, so that losing
- * some of them causes no delay. Control VMs are discovered from the seeds and from the voter
- * addresses in their responses.
+ * some of them causes no delay. Control VMs are discovered from the seeds and from the addresses of
+ * voters and learners in their responses. Learners do not count for the quorum, but serve callers'
+ * look-ups, for which they need the gateways' calls.
  */
 public final class FleetWatcher implements ManagedService {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -156,8 +158,12 @@
   }
 
   private boolean shouldAbandon(ControlPoll poll) {
-    boolean listed = seeds.contains(poll.address) || voters.addresses().contains(poll.address);
-    return !listed && clock.nanoTime() - poll.lastResponseNanos > ABANDON_AFTER.toNanos();
+    return !isSeedOrVoter(poll)
+        && clock.nanoTime() - poll.lastResponseNanos > ABANDON_AFTER.toNanos();
+  }
+
+  private boolean isSeedOrVoter(ControlPoll poll) {
+    return seeds.contains(poll.address) || voters.addresses().contains(poll.address);
   }
 
   private boolean handleOutcome(ControlPoll poll, Either<WireFailure, byte[]> outcome) {
@@ -181,8 +187,9 @@
       return false;
     }
     poll.recordResponse(response, clock.nanoTime());
-    apply(response);
     adoptNewestVoters(poll);
+    response.getOtherControlAddressesList().forEach(this::watch);
+    apply(poll, response);
     completeOnQuorum();
     return true;
   }
@@ -203,7 +210,7 @@
     }
   }
 
-  private void apply(WatchAnswer response) {
+  private void apply(ControlPoll poll, WatchAnswer response) {
     long nowNanos = clock.nanoTime();
     if (response.hasSuspects()) {
       view.suspects().apply(response.getSuspects());
@@ -215,7 +222,14 @@
         response.getUpstreamsList().stream()
             .map(data -> FleetCodec.upstream(data, nowNanos))
             .toList(),
-        response.getGatewaysList().stream().map(FleetCodec::gateway).toList());
+        gateways(poll, response));
+  }
+
+  /** Returns an answer's gateways; those that a learner lacks may not have found it yet. */
+  private List<GatewayRecord> gateways(ControlPoll poll, WatchAnswer response) {
+    return isSeedOrVoter(poll)
+        ? response.getGatewaysList().stream().map(FleetCodec::gateway).toList()
+        : view.gateways();
   }
 
   /**
--- a/src/main/java/org/cuminrack/fleet/WatchResponses.java
+++ b/src/main/java/org/cuminrack/fleet/WatchResponses.java
@@ -73,6 +73,7 @@
     gateways.live(nowNanos).forEach(gateway -> response.addGateways(FleetCodec.data(gateway)));
     ControlVms vms = controlVms.get();
     response.setVotersIndex(vms.votersIndex()).addAllControlAddresses(vms.voters());
+    response.addAllOtherControlAddresses(vms.learners());
     if (stateIsCurrent.getAsBoolean()) {
       response.setStateCurrent(true);
       RoutingData routing = state.routing();
--- a/src/test/java/org/cuminrack/fleet/FakeControlVm.java
+++ b/src/test/java/org/cuminrack/fleet/FakeControlVm.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.cuminrack.generated.fleet.WatchAnswer;
 import org.cuminrack.system.FreePorts;
 import org.cuminrack.wire.Method;
@@ -22,7 +21,7 @@
 
   private final int port = FreePorts.port();
   private final WireServer server;
-  private final AtomicInteger sharedCalls = new AtomicInteger();
+  private final CountDownLatch shared = new CountDownLatch(1);
   private final CountDownLatch called = new CountDownLatch(1);
   private final CountDownLatch answerHandled = new CountDownLatch(1);
   private WatchAnswer answer;
@@ -34,7 +33,7 @@
     server.serve(
         Method.SHARE_UPSTREAMS,
         payload -> {
-          sharedCalls.incrementAndGet();
+          shared.countDown();
           return CompletableFuture.completedFuture(EMPTY_REPLY);
         });
     server.start();
@@ -59,8 +58,9 @@
     return called.await(5, TimeUnit.SECONDS);
   }
 
-  int sharedCalls() {
-    return sharedCalls.get();
+  /** Returns whether announcements are shared with this VM, after a limited wait. */
+  boolean isSharedTo() throws InterruptedException {
+    return shared.await(5, TimeUnit.SECONDS);
   }
 
   private synchronized CompletableFuture<byte[]> watch() {
--- a/src/test/java/org/cuminrack/fleet/FleetControlTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetControlTest.java
@@ -40,6 +40,7 @@
   private final WireClient wire = new WireClient(GROUP);
   private final FleetControl first = control(firstPort);
   private final FleetControl second = control(secondPort);
+  private Set<String> learners = Set.of();
   private WireServer secondServer;
 
   @BeforeEach
@@ -113,6 +114,30 @@
     assertThat(response.getVotersIndex()).isEqualTo(1);
   }
 
+  @Test
+  void shouldNameLearnersToGateways() throws Exception {
+    learners = Set.of("127.0.0.1:1");
+
+    WatchAnswer response = WatchAnswer.parseFrom(second.watch(WATCH.toByteArray()).join());
+
+    assertThat(response.getOtherControlAddressesList()).containsExactly("127.0.0.1:1");
+  }
+
+  @Test
+  void shouldShareAnnouncementsWithLearner() throws Exception {
+    try (FakeControlVm learner = new FakeControlVm(GROUP)) {
+      learners = Set.of(learner.address());
+      voters.remove("127.0.0.1:" + secondPort);
+      first.mergeAnnouncement(READY).join();
+
+      first.start();
+
+      assertThat(learner.isSharedTo()).isTrue();
+    } finally {
+      first.stop();
+    }
+  }
+
   private static UpstreamRecord draining() {
     return new UpstreamRecord(
         "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.DRAINING, 100, 2, 0, 0);
@@ -131,6 +156,6 @@
   private ControlVms controlVms(int port) {
     Map<String, String> dataCentreByVoter =
         voters.stream().collect(Collectors.toMap(Function.identity(), voter -> "dc-a"));
-    return new ControlVms("127.0.0.1:" + port, "dc-a", dataCentreByVoter, 1, Set.of());
+    return new ControlVms("127.0.0.1:" + port, "dc-a", dataCentreByVoter, 1, learners);
   }
 }
--- a/src/test/java/org/cuminrack/fleet/FleetWatcherTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetWatcherTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.cuminrack.generated.fleet.WatchAnswer;
 import org.cuminrack.platform.RoutingDocuments;
 import org.cuminrack.time.ManualClock;
 import org.cuminrack.wire.WireClient;
@@ -113,6 +114,48 @@
     assertThat(isComplete()).isTrue();
   }
 
+  @Test
+  void shouldPollLearnerSoThatItsDirectoryKnowsGateways() throws Exception {
+    watch(a);
+
+    a.answer(leading(d));
+    assertThat(d.isCalled()).isTrue();
+
+    b.answer(FakeControlVm.current(7, a, b, c).build());
+    d.answer(FakeControlVm.current(7, a, b, c).build());
+    assertThat(watcher.answeredByAddress()).containsEntry(d.address(), true);
+    assertThat(addresses()).isEqualTo(addressesOf(a, b, c));
+  }
+
+  @Test
+  void shouldNotCountLearnerForQuorum() throws Exception {
+    watch(a);
+
+    a.answer(leading(d));
+    d.answer(FakeControlVm.current(7, a, b, c).build());
+
+    assertThat(isComplete()).isFalse();
+  }
+
+  @Test
+  void shouldNotTakeGatewaysFromLearnerThatHasJustStarted() throws Exception {
+    GatewayRecord other = new GatewayRecord("gw-2", "dc-a", "b:1", "b:2", true);
+    watch(a);
+
+    a.answer(
+        leading(d).toBuilder()
+            .addGateways(FleetCodec.data(SELF))
+            .addGateways(FleetCodec.data(other))
+            .build());
+    d.answer(FakeControlVm.current(7, a, b, c).addGateways(FleetCodec.data(SELF)).build());
+
+    assertThat(view.gateways()).containsExactly(SELF, other);
+  }
+
+  private WatchAnswer leading(FakeControlVm learner) {
+    return FakeControlVm.current(7, a, b, c).addOtherControlAddresses(learner.address()).build();
+  }
+
   private void watch(FakeControlVm... seeds) {
     watcher = new FleetWatcher(view, wire, addressesOf(seeds), () -> SELF, clock);
     watcher.start();
