Find the leader among the voters, not among the seeds only

Callers saw: in an open group whose leader is no seed, each operator call (configuration, changes, in-force, status) at any control VM got no answer or 503 until its timeout.

Cause: a control VM forwards operators to the leader through a client that knew the addresses in the settings only. A redirect to any other voter was ignored.

Evidence: OpenGroupOperatorTest.shouldAnswerOperatorsAfterTheOnlySeedIsLost failed before the change: the configuration was not answered within 30 s ("no answer in 5000 ms").

Change: the client's addresses are those in the settings and those of the voters that the replica knows.

Measured: the test passes, once, beside other work.

--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -5,7 +5,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.cuminrack.control.ControlService;
@@ -75,7 +77,7 @@
             .fleet()
             .map(fleet -> addFleet(fleet, log, state, wire, server, clock))
             .orElse(List.of());
-    ControlClient leaderClient = new ControlClient(wire, settings.voters(), clock);
+    ControlClient leaderClient = new ControlClient(wire, () -> addressByVm(log), clock);
     ProcessApi api =
         new ProcessApi(
             dump(log, state),
@@ -117,6 +119,14 @@
             1));
   }
 
+  /** Returns the wire addresses of the configured VMs and of the voters, one of which may lead. */
+  private Map<String, String> addressByVm(QuorumNode log) {
+    Map<String, String> addresses = new TreeMap<>(settings.voters());
+    int port = settings.node().wireAddress().getPort();
+    log.status().voters().keySet().forEach(vm -> addresses.putIfAbsent(vm, vm + ":" + port));
+    return addresses;
+  }
+
   /** Returns the current voters' wire addresses, or the configured ones before a group exists. */
   private Set<String> voterAddresses(QuorumNode log) {
     return voterVms(log.status()).stream().map(this::wireAddress).collect(Collectors.toSet());
