Refuse losses that fixed voters can't tolerate, and an empty list of seeds

Callers saw: control_seeds: [] was accepted, though no first founder exists then; losses that the fixed voters can't tolerate were refused as a number out of a range, without the number of voters.

Cause: no check of the list; the bound was the range of the number. QuorumSettings had neither check.

Change: MappingReader.reject reports a value that does not fit the others ("tolerated_vm_losses: expected at most 1 with 3 voters, found '2'"); QuorumSettings checks its arguments.

--- a/src/main/java/org/cuminrack/quorum/QuorumSettings.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumSettings.java
@@ -39,6 +39,9 @@
 
   public QuorumSettings {
     founders = Map.copyOf(founders);
+    if (founders.isEmpty()) {
+      throw new IllegalArgumentException("founders: expected one or more VMs, found none");
+    }
     if (joinPort == 0 && !founders.containsKey(vmName)) {
       throw new IllegalArgumentException(
           "voters: expected this VM, " + vmName + ", found " + founders.keySet());
@@ -49,6 +52,13 @@
             "voters: expected names of letters, digits, '.', '_' and '-', found " + name);
       }
     }
+    if (joinPort == 0 && tolerance.voterCount() > founders.size()) {
+      throw new IllegalArgumentException(
+          "tolerance: expected at most "
+              + founders.size()
+              + " voters needed, found "
+              + tolerance.voterCount());
+    }
     if (snapshotIntervalEntries < 1) {
       throw new IllegalArgumentException(
           "snapshotIntervalEntries: expected at least 1, found " + snapshotIntervalEntries);
--- a/src/main/java/org/cuminrack/settings/ControlSettings.java
+++ b/src/main/java/org/cuminrack/settings/ControlSettings.java
@@ -79,6 +79,9 @@
         hasSeeds
             ? SeedAddresses.byName(reader.texts("control_seeds"), node.wireAddress().getPort())
             : reader.addresses("voters");
+    if (hasSeeds && voters.isEmpty()) {
+      reader.reject("control_seeds", "one or more addresses");
+    }
     return new ControlSettings(
         node,
         reader.file("data_folder"),
@@ -94,9 +97,19 @@
   /** Reads the losses to tolerate; a group of fixed voters tolerates the loss of a minority. */
   private static LossTolerance tolerance(MappingReader reader, boolean hasSeeds, int voterCount) {
     LossTolerance ofMinority = LossTolerance.ofMinority(voterCount);
-    int maxVmLosses = hasSeeds ? MAX_LOSSES : ofMinority.vmLosses();
-    return new LossTolerance(
-        reader.number("tolerated_vm_losses", ofMinority.vmLosses(), 0, maxVmLosses),
-        reader.number("tolerated_data_centre_losses", 0, 0, maxVmLosses));
+    LossTolerance tolerance =
+        new LossTolerance(
+            reader.number("tolerated_vm_losses", ofMinority.vmLosses(), 0, MAX_LOSSES),
+            reader.number("tolerated_data_centre_losses", 0, 0, MAX_LOSSES));
+    if (!hasSeeds) {
+      String expected = "at most " + ofMinority.vmLosses() + " with " + voterCount + " voters";
+      if (tolerance.vmLosses() > ofMinority.vmLosses()) {
+        reader.reject("tolerated_vm_losses", expected);
+      }
+      if (tolerance.dataCentreLosses() > ofMinority.vmLosses()) {
+        reader.reject("tolerated_data_centre_losses", expected);
+      }
+    }
+    return tolerance;
   }
 }
--- a/src/main/java/org/cuminrack/yaml/MappingReader.java
+++ b/src/main/java/org/cuminrack/yaml/MappingReader.java
@@ -182,6 +182,11 @@
                         "an unknown key")));
   }
 
+  /** Adds an error for a value that is valid by itself but not beside the other values. */
+  public void reject(String key, String expected) {
+    addError(key, lookUp(key), expected);
+  }
+
   private String addressText(String key) {
     return required(
         key, ADDRESS_EXPECTED, text -> addressOrNull(text) == null ? null : text, "0.0.0.0:0");
--- a/src/test/java/org/cuminrack/settings/SettingsFileTest.java
+++ b/src/test/java/org/cuminrack/settings/SettingsFileTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import org.cuminrack.quorum.LossTolerance;
 import org.cuminrack.yaml.YamlError;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -25,6 +26,21 @@
         control-2: 127.0.0.1:7102
       """;
 
+  private static final String OPEN_CONTROL =
+      """
+      vm: 10.1.0.1
+      region: eu-1
+      data_centre: dc-a
+      wire_address: 10.1.0.1:7200
+      http_address: 10.1.0.1:7215
+      data_folder: data
+      control_address: 10.1.0.1:8748
+      directory_address: 10.1.0.1:8746
+      """;
+
+  private static final String SEEDS =
+      "control_seeds: [\"10.1.0.1:8748\", \"10.1.0.2:8748\", \"10.1.0.3:8748\"]\n";
+
   private static final String GATEWAY =
       """
       vm: gateway-1
@@ -96,6 +112,54 @@
         .endsWith("voters: expected an entry for this VM (control-9), found control-1, control-2");
   }
 
+  @Test
+  void shouldReadTheLossesThatAnOpenGroupTolerates() throws IOException {
+    Path file =
+        file(OPEN_CONTROL + SEEDS + "tolerated_vm_losses: 2\ntolerated_data_centre_losses: 1\n");
+
+    assertThat(SettingsFile.control(file).get().tolerance()).isEqualTo(new LossTolerance(2, 1));
+  }
+
+  @Test
+  void shouldTolerateTheLossOfAMinorityOfSeedsOrVotersByDefault() throws IOException {
+    assertThat(SettingsFile.control(file(OPEN_CONTROL + SEEDS)).get().tolerance())
+        .isEqualTo(new LossTolerance(1, 0));
+    assertThat(SettingsFile.control(file(CONTROL)).get().tolerance())
+        .isEqualTo(new LossTolerance(0, 0));
+    assertThat(
+            SettingsFile.control(file(CONTROL + "  control-3: 127.0.0.1:7103\n")).get().tolerance())
+        .isEqualTo(new LossTolerance(1, 0));
+  }
+
+  @Test
+  void shouldRejectLossesThatFixedVotersCannotTolerate() throws IOException {
+    String threeVoters = CONTROL + "  control-3: 127.0.0.1:7103\n";
+
+    assertThat(errors(threeVoters + "tolerated_vm_losses: 2\n"))
+        .containsExactly(
+            folder.resolve("settings.yaml")
+                + ":11: tolerated_vm_losses: expected at most 1 with 3 voters, found '2'");
+    assertThat(errors(threeVoters + "tolerated_data_centre_losses: 2\n"))
+        .containsExactly(
+            folder.resolve("settings.yaml")
+                + ":11: tolerated_data_centre_losses: expected at most 1 with 3 voters, found '2'");
+  }
+
+  @Test
+  void shouldRejectLossesThatAreNoNumber() throws IOException {
+    for (String invalid : List.of("-1", "two", "1.5", "11")) {
+      assertThat(errors(OPEN_CONTROL + SEEDS + "tolerated_vm_losses: " + invalid + "\n").get(0))
+          .endsWith(
+              "tolerated_vm_losses: expected a whole number from 0 to 10, found '" + invalid + "'");
+    }
+  }
+
+  @Test
+  void shouldRejectAnEmptyListOfSeeds() throws IOException {
+    assertThat(errors(OPEN_CONTROL + "control_seeds: []\n").get(0))
+        .contains("settings.yaml:9: control_seeds: expected one or more addresses, found");
+  }
+
   @Test
   void shouldReportAllErrorsAtOnce() throws IOException {
     // region, data_centre, wire_address, http_address, data_folder and voters are missing.
