Share renewals with a majority of the previous and of the new voters

Callers could see: while voters are added or replaced, a lease that was just renewed ends early under a new leader, and its work is given to another entry. Found by reading; not seen in a run of processes.

Cause: VoterAddresses held the new voters only, so a leader counted a renewal as known with a majority of those. A leader that the previous voters elect, if the joint set is not committed, might ask none that knows of it. With three voters growing to five, three of five can include one of the previous three.

Evidence: WireRenewalExchangeTest. shouldNotShareRenewalsWithoutAMajorityOfThePreviousVotersWhileVotersAreChanged fails with the previous voters not counted in VoterAddresses, which is what the code before did.

Change: VoterAddresses names the previous voters too, QuorumStatus shows them, and a renewal is shared once a majority of each knows it. WireRenewalExchangeTest sets the previous voters where it set a flag; its assertions are unchanged.

--- a/src/main/java/org/cuminrack/control/WireRenewalExchange.java
+++ b/src/main/java/org/cuminrack/control/WireRenewalExchange.java
@@ -66,7 +66,7 @@
 
   @Override
   public void tick() {
-    known.observeVoters(voters.get().addresses(), clock.nanoTime());
+    known.observeVoters(voters.get().all(), clock.nanoTime());
   }
 
   @Override
@@ -82,13 +82,23 @@
             .addAllRenewals(encode(ageBySession))
             .build()
             .toByteArray();
-    List<CompletableFuture<Boolean>> replies = new ArrayList<>();
+    Map<String, CompletableFuture<Boolean>> replyByAddress = new HashMap<>();
+    replyByAddress.put(ownAddress, CompletableFuture.completedFuture(true));
     for (String address : others(current)) {
-      replies.add(
+      replyByAddress.put(
+          address,
           wire.call(address, Method.SHARE_RENEWALS, request, TIMEOUT)
               .thenApply(WireRenewalExchange::isRecorded));
     }
-    return Majority.of(current.majority() - 1, replies);
+    return Majority.of(current.majority(), replies(replyByAddress, current.addresses()))
+        .thenCombine(
+            Majority.of(current.majorityOfPrevious(), replies(replyByAddress, current.previous())),
+            Boolean::logicalAnd);
+  }
+
+  private static List<CompletableFuture<Boolean>> replies(
+      Map<String, CompletableFuture<Boolean>> replyByAddress, Set<String> voters) {
+    return voters.stream().map(replyByAddress::get).toList();
   }
 
   /**
@@ -111,7 +121,7 @@
   public CompletableFuture<Optional<Map<Long, Long>>> lastRenewalNanos(long term) {
     tick();
     VoterAddresses current = voters.get();
-    if (current.replacing()) {
+    if (current.changing()) {
       return CompletableFuture.completedFuture(Optional.empty());
     }
     Map<Long, Long> latest = new HashMap<>();
@@ -191,7 +201,7 @@
   }
 
   private Set<String> others(VoterAddresses current) {
-    Set<String> others = new TreeSet<>(current.addresses());
+    Set<String> others = new TreeSet<>(current.all());
     others.remove(ownAddress);
     return others;
   }
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -63,7 +63,7 @@
     WireRenewalExchange renewals =
         new WireRenewalExchange(
             wire,
-            () -> new VoterAddresses(voterAddresses(log), log.status().replacing()),
+            () -> renewalVoters(log.status()),
             Addresses.hostAndPort(node.wireAddress()),
             leases,
             clock);
@@ -122,16 +122,20 @@
   /** Returns the wire addresses of the configured VMs and of the voters, one of which may lead. */
   private Map<String, String> addressByVm(QuorumNode log) {
     Map<String, String> addresses = new TreeMap<>(settings.voters());
-    int port = settings.node().wireAddress().getPort();
-    log.status().voters().keySet().forEach(vm -> addresses.putIfAbsent(vm, vm + ":" + port));
+    log.status().voters().keySet().forEach(vm -> addresses.putIfAbsent(vm, wireAddress(vm)));
     return addresses;
   }
 
-  /** Returns the current voters' wire addresses, or the configured ones before a group exists. */
-  private Set<String> voterAddresses(QuorumNode log) {
-    return voterVms(log.status()).stream().map(this::wireAddress).collect(Collectors.toSet());
+  private VoterAddresses renewalVoters(QuorumStatus status) {
+    return new VoterAddresses(
+        wireAddresses(voterVms(status)), wireAddresses(status.previousVoters().keySet()));
+  }
+
+  private Set<String> wireAddresses(Set<String> vms) {
+    return vms.stream().map(this::wireAddress).collect(Collectors.toSet());
   }
 
+  /** Returns the current voters, or the configured ones before a group exists. */
   private Set<String> voterVms(QuorumStatus status) {
     return status.voters().isEmpty() ? settings.voters().keySet() : status.voters().keySet();
   }
--- a/src/main/java/org/cuminrack/quorum/QuorumStatus.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumStatus.java
@@ -10,6 +10,7 @@
  * @param role blank (without a log), follower, pre-candidate, candidate or leader
  * @param leader the leader's VM name; empty if unknown
  * @param voters the voters' incarnations by VM name; empty while the replica is blank
+ * @param previousVoters the previous voters' incarnations by VM name, while voters are changed
  * @param dataCentres the voters' data centres by VM name, if known
  * @param votersIndex the index of the entry that set the voters
  * @param learners on the leader, the VMs that have the log and do not vote
@@ -29,6 +30,7 @@
     long appliedIndex,
     long snapshotIndex,
     Map<String, String> voters,
+    Map<String, String> previousVoters,
     Map<String, String> dataCentres,
     long votersIndex,
     Set<String> learners,
--- a/src/main/java/org/cuminrack/quorum/StatusConverter.java
+++ b/src/main/java/org/cuminrack/quorum/StatusConverter.java
@@ -21,7 +21,8 @@
         view.commitIndex(),
         view.appliedIndex(),
         view.snapshotIndex(),
-        votersOf(view),
+        view.voters() == null ? Map.of() : incarnationTexts(view.voters().incarnations()),
+        view.voters() == null ? Map.of() : incarnationTexts(view.voters().previous()),
         view.voters() == null ? Map.of() : view.voters().dataCentres(),
         view.votersIndex(),
         view.learners(),
@@ -31,13 +32,9 @@
         failure);
   }
 
-  private static Map<String, String> votersOf(CoreView view) {
-    Map<String, String> voters = new TreeMap<>();
-    if (view.voters() != null) {
-      view.voters()
-          .incarnations()
-          .forEach((vmName, incarnation) -> voters.put(vmName, Long.toHexString(incarnation)));
-    }
-    return voters;
+  private static Map<String, String> incarnationTexts(Map<String, Long> incarnations) {
+    Map<String, String> texts = new TreeMap<>();
+    incarnations.forEach((vmName, incarnation) -> texts.put(vmName, Long.toHexString(incarnation)));
+    return texts;
   }
 }
--- a/src/test/java/org/cuminrack/control/WireRenewalExchangeTest.java
+++ b/src/test/java/org/cuminrack/control/WireRenewalExchangeTest.java
@@ -38,7 +38,7 @@
   private final List<String> addresses = new ArrayList<>();
   private final List<WireRenewalExchange> voters = new ArrayList<>();
   private Set<String> voterAddresses = Set.of();
-  private boolean replacing;
+  private Set<String> previousAddresses = Set.of();
 
   @BeforeEach
   void start() {
@@ -64,7 +64,7 @@
     WireRenewalExchange exchange =
         new WireRenewalExchange(
             wire,
-            () -> new VoterAddresses(voterAddresses, replacing),
+            () -> new VoterAddresses(voterAddresses, previousAddresses),
             addresses.get(voter),
             SETTINGS,
             clock);
@@ -133,16 +133,34 @@
 
   @Test
   void shouldKnowNothingForSureWhileAVoterIsReplacedAndSoonAfter() {
-    replacing = true;
+    previousAddresses = voterAddresses;
     assertThat(lastRenewals(1, 2)).isEmpty();
 
-    replacing = false;
+    previousAddresses = Set.of();
     voterAddresses = new TreeSet<>(addresses.subList(0, 2));
     assertThat(lastRenewals(1, 3)).isEmpty();
     clock.advance(SETTINGS.expiryAtControl());
     assertThat(lastRenewals(1, 4)).isPresent();
   }
 
+  @Test
+  void shouldNotShareRenewalsWithoutAMajorityOfThePreviousVotersWhileVotersAreChanged() {
+    servers.get(1).stop();
+    previousAddresses = new TreeSet<>(addresses.subList(0, 2));
+
+    assertThat(share(0, 1, Duration.ZERO)).isFalse();
+    voterAddresses = Set.of(addresses.get(0), addresses.get(2));
+    assertThat(share(0, 1, Duration.ZERO)).isFalse();
+  }
+
+  @Test
+  void shouldShareRenewalsWithAMajorityOfThePreviousAndOfTheNewVoters() {
+    servers.get(2).stop();
+    previousAddresses = new TreeSet<>(addresses.subList(0, 2));
+
+    assertThat(share(0, 1, Duration.ZERO)).isTrue();
+  }
+
   private boolean share(int leader, long term, Duration age) {
     return voters.get(leader).share(term, Map.of(SESSION, age)).join();
   }
