Report the voters of an open group to replicas with an old log

Callers saw: a returned VM stayed out for ever, so its lost voter was not replaced and the next loss could be one too many. Cause: only blank replicas were told the voters; one with an old log contacted the founders and the voters it knew, and the leader may be none of them. Change: members tell any searching replica of an open group.

--- a/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
+++ b/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
@@ -32,7 +32,10 @@
   }
 
   void onTick() {
-    if (!isSearching() || state.nowNanos < nextHelloNanos) {
+    if (!isSearching()) {
+      return;
+    }
+    if (state.nowNanos < nextHelloNanos) {
       return;
     }
     nextHelloNanos = state.nowNanos + state.timing.electionTimeoutMinNanos();
@@ -78,22 +81,27 @@
   }
 
   /**
-   * Replies to a replica that searches for the group. A blank replica gets the committed voter set
-   * if it is one of the voters or the group is open to new VMs. A blank voter has never
-   * acknowledged an entry and can take part in an election without a leader. A blank replica that
-   * is not a voter contacts the voters too, since only the leader can add it.
+   * Replies to a replica that searches for the group. It gets the committed voter set if it is a
+   * blank voter or the group is open to new VMs. A blank voter has never acknowledged an entry and
+   * can take part in an election without a leader. Other replicas contact the voters too, since
+   * only the leader can add them.
    */
   void onHello(ReplicaId from, Message.Hello hello) {
     state.send(
         from,
         new Message.HelloReply(
             state.isBlank(), hello.round(), state.membershipPolicy.dataCentre()));
-    if (!hello.blank() || state.isBlank()) {
+    sendVoters(from, hello.blank());
+  }
+
+  private void sendVoters(ReplicaId to, boolean toIsBlank) {
+    if (state.isBlank()) {
       return;
     }
     VoterSet committed = state.log.votersAt(state.commitIndex);
-    if (committed.contains(from) || state.membershipPolicy.openToNewVms()) {
-      state.send(from, new Message.FormGroup(committed));
+    boolean becomesVoter = toIsBlank && committed.contains(to);
+    if (becomesVoter || state.membershipPolicy.openToNewVms()) {
+      state.send(to, new Message.FormGroup(committed));
     }
   }
 
@@ -122,10 +130,7 @@
   }
 
   void onFormGroup(long groupId, Message.FormGroup message) {
-    if (!state.isBlank()) {
-      return;
-    }
-    if (message.voters().contains(state.self)) {
+    if (state.isBlank() && message.voters().contains(state.self)) {
       formGroup(groupId, message.voters());
     } else {
       message.voters().replicas().forEach(voter -> learnedVoters.add(voter.vmName()));
--- a/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
@@ -140,6 +140,43 @@
         .isTrue();
   }
 
+  /** A replica whose known voters had been replaced never found the leader again. */
+  @Test
+  void shouldSendTheVotersToAReplicaWithAnOldLog() {
+    SnapshotImage snapshot = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
+    QuorumCore core = openCore(new RecoveredState(A, 1, null, snapshot, List.of()));
+    Message hello = new Message.Hello(false, 7, "");
+
+    List<Effect> effects = core.step(List.of(received(new ReplicaId("d", 4), GROUP, hello)), 0);
+
+    assertThat(messagesOf(effects)).contains(new Message.FormGroup(VOTERS));
+  }
+
+  @Test
+  void shouldContactTheReportedVotersDespiteAnOldLog() {
+    SnapshotImage old = new SnapshotImage(0, 0, GROUP, VOTERS, new byte[0]);
+    QuorumCore core = openCore(new RecoveredState(new ReplicaId("d", 4), 1, null, old, List.of()));
+    VoterSet others = VoterSet.of(Map.of("a", 1L, "e", 5L));
+
+    core.step(List.of(received(A, GROUP, new Message.FormGroup(others))), 1);
+    List<Effect> effects = core.step(List.of(), 2 * TIMING.electionTimeoutMaxNanos());
+
+    assertThat(receiversOf(effects)).contains("e");
+    assertThat(core.view().voters()).isEqualTo(VOTERS);
+  }
+
+  private static QuorumCore openCore(RecoveredState recovered) {
+    return new QuorumCore(
+        recovered, new MembershipPolicy(VMS, true, false), TIMING, new Random(1), 0);
+  }
+
+  private static List<String> receiversOf(List<Effect> effects) {
+    return effects.stream()
+        .filter(effect -> effect instanceof Effect.Send)
+        .map(effect -> ((Effect.Send) effect).packet().toVm())
+        .toList();
+  }
+
   private static QuorumCore core(RecoveredState recovered) {
     return new QuorumCore(recovered, MembershipPolicy.closed(VMS), TIMING, new Random(1), 0);
   }
