Send the voters to a blank voter that a searching voter finds

Callers could see: no leader though no more disks than tolerated are lost, if a founder is still blank and the founders that it knows are gone. Cause: only the blank one's hello was answered with the voters, not its reply to a hello. Evidence: the unit test failed before.

--- a/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
+++ b/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
@@ -105,7 +105,11 @@
     }
   }
 
+  /** A blank replica that replies may know only VMs that are gone, so it gets the voters too. */
   void onHelloReply(ReplicaId from, Message.HelloReply reply) {
+    if (reply.blank()) {
+      sendVoters(from, true);
+    }
     if (state.isBlank() && reply.blank() && reply.round() == round) {
       blankReplicas.put(from.vmName(), from.incarnation());
       dataCentres.put(from.vmName(), reply.dataCentre());
--- a/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
@@ -165,6 +165,17 @@
     assertThat(core.view().voters()).isEqualTo(VOTERS);
   }
 
+  /** A blank voter that knows only lost founders never took part in the election. */
+  @Test
+  void shouldSendTheVotersToABlankVoterThatItFinds() {
+    SnapshotImage snapshot = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
+    QuorumCore core = core(new RecoveredState(A, 1, null, snapshot, List.of()));
+
+    List<Effect> effects = core.step(List.of(reply(B, true, 7)), 0);
+
+    assertThat(messagesOf(effects)).contains(new Message.FormGroup(VOTERS));
+  }
+
   private static QuorumCore openCore(RecoveredState recovered) {
     return new QuorumCore(
         recovered, new MembershipPolicy(VMS, true, false), TIMING, new Random(1), 0);
