Sync the founding voters before others are told them

Callers could see: acknowledged commands gone. Cause: the first founder told the voters before its own disk held them; blank after a power loss, and with the other two founders' disks lost, it could form the group again beside the others. Evidence: the unit test failed before.

--- a/src/main/java/org/cuminrack/quorum/internal/CoreState.java
+++ b/src/main/java/org/cuminrack/quorum/internal/CoreState.java
@@ -26,6 +26,9 @@
   long appliedIndex;
   long syncedIndex;
 
+  /** Whether the disk holds this replica's membership in the group. */
+  boolean membershipSynced;
+
   /**
    * Incremented when entries are removed from the log's end or a snapshot replaces the log, so that
    * older sync events are ignored.
@@ -68,6 +71,7 @@
     commitIndex = snapshot.index();
     appliedIndex = snapshot.index();
     syncedIndex = log.lastIndex();
+    membershipSynced = true;
     electionDeadlineNanos = nowNanos + preVoteRetryNanos();
     effects.add(new Effect.Restore(snapshot));
   }
--- a/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
+++ b/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
@@ -84,7 +84,8 @@
    * Replies to a replica that searches for the group. It gets the committed voter set if it is a
    * blank voter or the group is open to new VMs. A blank voter has never acknowledged an entry and
    * can take part in an election without a leader. Other replicas contact the voters too, since
-   * only the leader can add them.
+   * only the leader can add them. The set is not sent before it is synced: if the VM that forms the
+   * group lost it in a power loss, it could form the group a second time.
    */
   void onHello(ReplicaId from, Message.Hello hello) {
     state.send(
@@ -95,7 +96,7 @@
   }
 
   private void sendVoters(ReplicaId to, boolean toIsBlank) {
-    if (state.isBlank()) {
+    if (state.isBlank() || !state.membershipSynced) {
       return;
     }
     VoterSet committed = state.log.votersAt(state.commitIndex);
--- a/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
+++ b/src/main/java/org/cuminrack/quorum/internal/QuorumCore.java
@@ -159,6 +159,7 @@
     if (synced.epoch() != state.logEpoch) {
       return;
     }
+    state.membershipSynced = true;
     state.syncedIndex = Math.max(state.syncedIndex, synced.index());
     follower.onLogSynced();
   }
--- a/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
@@ -165,6 +165,22 @@
     assertThat(core.view().voters()).isEqualTo(VOTERS);
   }
 
+  /** The founder could lose the group in a power loss and form it again over committed commands. */
+  @Test
+  void shouldNotSendTheVotersBeforeTheyAreSynced() {
+    QuorumCore core = core(RecoveredState.blank(A));
+    long round = roundOf(core.step(List.of(), 0));
+    Event hello = received(B, 0, new Message.Hello(true, 7, ""));
+
+    List<Effect> unsynced =
+        core.step(List.of(reply(B, true, round), reply(C, true, round), hello), 1);
+    List<Effect> synced = core.step(List.of(new Event.LogSynced(1, 0), hello), 2);
+
+    assertThat(core.view().voters()).isEqualTo(VOTERS);
+    assertThat(messagesOf(unsynced)).doesNotContain(new Message.FormGroup(VOTERS));
+    assertThat(messagesOf(synced)).contains(new Message.FormGroup(VOTERS));
+  }
+
   /** A blank voter that knows only lost founders never took part in the election. */
   @Test
   void shouldSendTheVotersToABlankVoterThatItFinds() {
