Forget a silent leader on replicas that do not vote

Callers saw: a redirect to a VM that was gone. Cause: only elections reset the leader, and these replicas run none. Evidence: the unit test failed before (leader a, expected none). Change: such a replica forgets the leader when it searches for the group. Measured: the test passes.

--- a/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
+++ b/src/main/java/org/cuminrack/quorum/internal/GroupFormation.java
@@ -35,6 +35,9 @@
     if (!isSearching()) {
       return;
     }
+    if (!state.isVoter()) {
+      state.leader = null;
+    }
     if (state.nowNanos < nextHelloNanos) {
       return;
     }
--- a/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/GroupFormationTest.java
@@ -140,6 +140,19 @@
         .isTrue();
   }
 
+  /** Callers were redirected to a leader that was gone. */
+  @Test
+  void shouldForgetASilentLeaderOnAReplicaThatDoesNotVote() {
+    QuorumCore core = openCore(RecoveredState.blank(new ReplicaId("d", 4)));
+    SnapshotImage image = new SnapshotImage(20, 1, GROUP, VOTERS, new byte[8]);
+    core.step(List.of(received(A, GROUP, new Message.SnapshotPart(image, 0, 8, 0))), 1);
+    assertThat(core.view().leader()).isEqualTo("a");
+
+    core.step(List.of(), 2 * TIMING.electionTimeoutMaxNanos());
+
+    assertThat(core.view().leader()).isEmpty();
+  }
+
   /** A replica whose known voters had been replaced never found the leader again. */
   @Test
   void shouldSendTheVotersToAReplicaWithAnOldLog() {
