--- a/src/test/java/org/cuminrack/quorum/internal/Invariants.java
+++ b/src/test/java/org/cuminrack/quorum/internal/Invariants.java
@@ -28,6 +28,10 @@
     return committed.isEmpty() ? 0 : committed.lastKey();
   }
 
+  boolean hasCommittedCommand() {
+    return committed.values().stream().anyMatch(entry -> entry.kind() == EntryKind.COMMAND);
+  }
+
   /** Returns the newest voter set known to be committed; null if none. */
   VoterSet committedVoters() {
     return committedVoters.isEmpty() ? null : committedVoters.lastEntry().getValue();
