Acknowledge a repeated leave only once its copies are enough

What upstreams would see: an announcement that they drain or leave is refused with 503, as too few control VMs have it, and its repeat at the same control VM is acknowledged though no other one has it either. If that VM is lost, gateways that start take the upstream for ready.

Cause: only the announcement that changes the table was shared and waited for; a repeat changes nothing.

Evidence: found by reading. AnnouncementSharingTest.shouldNotAcknowledgeARepeatedLeaveWithoutCopies passes; it was not run on the code before, which answers the second call with true at once.

Change: each announcement of an upstream that takes no new requests waits for copies.

--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -140,16 +140,18 @@
 
   /**
    * Merges an announcement. Completes with true if it may be acknowledged: an announcement that
-   * changes routing must first be stored on so many voters that it survives the tolerated losses.
+   * changes routing, or repeats that its upstream takes no new requests, must first be stored on so
+   * many voters that it survives the tolerated losses. A repeat follows one that may not have been.
    */
   public CompletableFuture<Boolean> mergeAnnouncement(UpstreamRecord announced) {
     UpstreamChange change = upstreams.merge(announced);
-    if (change != UpstreamChange.ROUTING_CHANGED) {
+    if (change == UpstreamChange.ROUTING_CHANGED) {
+      logRoutingChange(announced, "announcement");
+      watches.respondToAll();
+    } else if (announced.phase() == UpstreamPhase.READY) {
       return CompletableFuture.completedFuture(true);
     }
-    logRoutingChange(announced, "announcement");
-    watches.respondToAll();
-    return sharing.shareAndAwaitCopies(announced);
+    return sharing.shareAndAwaitCopies(upstreams.find(announced.id()).orElse(announced));
   }
 
   private CompletableFuture<byte[]> mergeShared(byte[] payload) {
--- a/src/test/java/org/cuminrack/fleet/AnnouncementSharingTest.java
+++ b/src/test/java/org/cuminrack/fleet/AnnouncementSharingTest.java
@@ -25,6 +25,8 @@
   private static final UpstreamRecord READY =
       new UpstreamRecord(
           "i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.READY, 100, 1, 0, 0);
+  private static final UpstreamRecord LEAVING =
+      new UpstreamRecord("i-1", "shop", "10.0.0.1:80", "dc-a", 6, UpstreamPhase.LEFT, 100, 2, 0, 0);
 
   private final WireClient wire = new WireClient(GROUP);
   private final List<FakeControlVm> vms = new ArrayList<>();
@@ -103,6 +105,15 @@
     assertThat(isAcknowledged(new LossTolerance(2, 1))).isTrue();
   }
 
+  @Test
+  void shouldNotAcknowledgeARepeatedLeaveWithoutCopies() {
+    addUnreachableVoters("dc-b", "dc-c");
+    FleetControl control = control(new LossTolerance(1, 1));
+
+    assertThat(control.mergeAnnouncement(LEAVING).join()).isFalse();
+    assertThat(control.mergeAnnouncement(LEAVING).join()).isFalse();
+  }
+
   private void addVoter(String dataCentre) {
     FakeControlVm vm = new FakeControlVm(GROUP);
     vms.add(vm);
@@ -118,10 +129,12 @@
   }
 
   private boolean isAcknowledged(LossTolerance tolerance) {
+    return control(tolerance).mergeAnnouncement(READY).join();
+  }
+
+  private FleetControl control(LossTolerance tolerance) {
     ControlVms controlVms = new ControlVms(OWN, "dc-a", dataCentreByVoter, 1, Set.of());
-    FleetControl control =
-        new FleetControl(
-            new ControlState(), wire, () -> true, () -> controlVms, tolerance, new ManualClock());
-    return control.mergeAnnouncement(READY).join();
+    return new FleetControl(
+        new ControlState(), wire, () -> true, () -> controlVms, tolerance, new ManualClock());
   }
 }
