Keep the data centre of a voter that is replaced and takes a place again

What operators would see: losses-tolerated, although two voters are in one data centre that may be lost; a later change of voters prefers a VM in the data centre that has too many.

Cause: the leader learned a replica's data centre from its hello only. A voter that is replaced while it is silent, and comes back to the same leader, never says hello; its empty data centre then overwrote the known one, and counts as a data centre of its own.

Evidence: ReturningVoterTest failed on ("expected: dc-c but was an empty string") and passes.

Change: a leader starts with the voters' data centres from the log, and an unknown one overwrites none.

--- a/src/main/java/org/cuminrack/quorum/internal/Leadership.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Leadership.java
@@ -48,6 +48,9 @@
     long next = state.log.lastIndex() + 1;
     for (ReplicaId voter : state.log.voters().replicas()) {
       startReplication(voter, next);
+      if (!voter.equals(state.self)) {
+        progress.get(voter).dataCentre = state.log.voters().dataCentreOf(voter.vmName());
+      }
     }
     firstIndexOfTerm = next;
     beganNanos = state.nowNanos;
--- a/src/main/java/org/cuminrack/quorum/internal/VoterSet.java
+++ b/src/main/java/org/cuminrack/quorum/internal/VoterSet.java
@@ -78,7 +78,9 @@
 
   private Map<String, String> dataCentresWith(ReplicaId replica, String dataCentre) {
     Map<String, String> all = new TreeMap<>(dataCentres);
-    all.put(replica.vmName(), dataCentre);
+    if (!dataCentre.equals(UNKNOWN_DATA_CENTRE)) {
+      all.put(replica.vmName(), dataCentre);
+    }
     return all;
   }
 
