Count no blank control VM as one with a current state

What callers could see: a gateway that starts after disks were lost counts the wiped control VMs as current, and serves what the one other voter that it reached says, which may be old.

Cause: a blank replica is in term 0 and has applied nothing, of term 0, so it took itself for current.

--- a/src/main/java/org/cuminrack/quorum/QuorumNode.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -204,7 +204,7 @@
 
   /**
    * Returns whether the local state includes all entries committed before the current term. A
-   * restarted replica exposes older states until it has applied its log.
+   * restarted replica exposes older states until it has applied its log; a blank one has no state.
    */
   public boolean isCurrent() {
     return isRunning() && stateIsCurrent;
@@ -257,7 +257,8 @@
     view = core.view();
     events.stepped(before, view, clock.nanoTime());
     effects.forEach(effectRunner::execute);
-    stateIsCurrent = effectRunner.appliedTerm() == view.term();
+    boolean isBlank = view.voters() == null;
+    stateIsCurrent = !isBlank && effectRunner.appliedTerm() == view.term();
     effectRunner
         .takeSnapshotIfDue(view.appliedIndex(), settings.snapshotIntervalEntries())
         .ifPresent(localEvents::add);
--- a/src/test/java/org/cuminrack/quorum/OpenGroupTest.java
+++ b/src/test/java/org/cuminrack/quorum/OpenGroupTest.java
@@ -16,6 +16,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.cuminrack.system.FreePorts;
 import org.cuminrack.time.Clock;
@@ -112,6 +114,16 @@
     assertThat(tolerance.majoritySurvivesDataCentreLosses(dataCentres)).isTrue();
   }
 
+  @Test
+  void shouldNotCountABlankReplicaAsCurrent() {
+    start(FOUNDERS.get(0), true);
+    start(FOUNDERS.get(1), true);
+
+    TestGroup.await("both to search", () -> vms.values().stream().allMatch(OpenVm::hasStepped));
+
+    vms.values().forEach(vm -> assertThat(vm.node.isCurrent()).isFalse());
+  }
+
   private void wipe(String name) {
     try (Stream<Path> files = Files.walk(folder.resolve(name))) {
       files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
@@ -155,6 +167,7 @@
     private final WireClient client = new WireClient(GROUP);
     private final WireServer server;
     private final QuorumNode node;
+    private final AtomicInteger receivedPackets = new AtomicInteger();
 
     OpenVm(String name, String dataCentre, boolean mayFormGroup) {
       Map<String, String> founders = new TreeMap<>();
@@ -175,7 +188,17 @@
       node = new QuorumNode(settings, list, client, Clock.system(), new Random(name.hashCode()));
       server =
           new WireServer(new InetSocketAddress(name, port), GROUP)
-              .serve(Method.QUORUM_MESSAGE, payload -> node.handler().handle(payload));
+              .serve(Method.QUORUM_MESSAGE, this::receive);
+    }
+
+    private CompletableFuture<byte[]> receive(byte[] payload) {
+      receivedPackets.incrementAndGet();
+      return node.handler().handle(payload);
+    }
+
+    /** Returns whether the other replicas have sent several packets, and so has this one. */
+    boolean hasStepped() {
+      return receivedPackets.get() > 4;
     }
 
     void start() {
