Say which voters a new group lacks when it refuses a change

The refusal named numbers only ("5 of 5" while the last change of voters is not committed), and the operator was told that the outcome is not known, though the change is surely not stored. Now both name what is expected and found. FirstCommandTest checks the text, which failed before.

--- a/src/main/java/org/cuminrack/platform/ControlEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/ControlEndpoints.java
@@ -162,7 +162,11 @@
         LogEvent.named("routing-put")
             .with("version", version)
             .with("outcome", failure == null ? outcome : failure));
-    if (failure != null || outcome.isLeft()) {
+    if (failure == null
+        && outcome.isLeft()
+        && outcome.getLeft() instanceof ProposalFailure.TooFewVoters tooFew) {
+      sendError(exchange, StatusCodes.SERVICE_UNAVAILABLE, "not stored: " + tooFew.detail());
+    } else if (failure != null || outcome.isLeft()) {
       sendError(exchange, StatusCodes.SERVICE_UNAVAILABLE, "the outcome is not known");
     } else if (outcome.get() == RoutingVerdict.ROUTING_CONFLICT) {
       sendError(exchange, StatusCodes.CONFLICT, "other content has version " + version);
--- a/src/main/java/org/cuminrack/quorum/internal/Leadership.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Leadership.java
@@ -1,5 +1,6 @@
 package org.cuminrack.quorum.internal;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -85,9 +86,7 @@
       return;
     }
     if (awaitsVoters()) {
-      String detail =
-          state.log.voters().size() + " of " + state.membershipPolicy.tolerance().voterCount();
-      fail(proposal.requestId(), new ProposalFailure.TooFewVoters(detail));
+      fail(proposal.requestId(), new ProposalFailure.TooFewVoters(describeMissingVoters()));
       return;
     }
     long index = append(EntryKind.COMMAND, proposal.command());
@@ -96,8 +95,8 @@
 
   /**
    * Returns whether the group forms and has fewer voters than the losses that it has to tolerate
-   * need. A command that were committed by fewer could be lost together with the disks of as many
-   * VMs. The wait is limited, so that a group works with the VMs that there are.
+   * need. A command that fewer have committed could be lost with the disks of as many VMs as may be
+   * lost. The wait is limited, so that a group works with the VMs that there are.
    */
   private boolean awaitsVoters() {
     long waitNanos = VOTER_WAIT_ELECTION_TIMEOUTS * state.timing.electionTimeoutMaxNanos();
@@ -106,6 +105,13 @@
     return !state.log.hasCommands() && !satisfied && state.nowNanos - beganNanos < waitNanos;
   }
 
+  private String describeMissingVoters() {
+    return "expected "
+        + state.membershipPolicy.tolerance().voterCount()
+        + " committed voters that are spread over data centres, found "
+        + new String(state.log.voters().encode(), StandardCharsets.UTF_8);
+  }
+
   /** Adds a read; it is deferred until an entry of this leader's term is committed. */
   void onConfirmLeadership(long requestId) {
     if (state.commitIndex < firstIndexOfTerm) {
--- a/src/test/java/org/cuminrack/quorum/internal/FirstCommandTest.java
+++ b/src/test/java/org/cuminrack/quorum/internal/FirstCommandTest.java
@@ -35,7 +35,13 @@
 
     step(new Event.Propose(1, COMMAND));
 
-    assertThat(effects).contains(new Effect.Fail(1, new ProposalFailure.TooFewVoters("3 of 5")));
+    assertThat(failures()).hasSize(1);
+    Effect.Fail failure = (Effect.Fail) failures().get(0);
+    assertThat(failure.failure())
+        .isEqualTo(
+            new ProposalFailure.TooFewVoters(
+                "expected 5 committed voters that are spread over data centres, found "
+                    + "a=1@dc-a,b=2@dc-b,c=3@dc-c/"));
   }
 
   @Test
