--- a/src/main/java/org/cuminrack/quorum/ReplicaEvents.java
+++ b/src/main/java/org/cuminrack/quorum/ReplicaEvents.java
@@ -15,12 +15,13 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** An election among reachable voters takes less than a second. */
-  private static final Duration QUORUM_MISSING_AFTER = Duration.ofSeconds(2);
+  private static final Duration LEADER_MISSING_AFTER = Duration.ofSeconds(2);
 
   private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(10);
 
   private final MembershipPolicy policy;
-  private long electingSinceNanos;
+  private boolean leaderless;
+  private long leaderlessSinceNanos;
   private long nextWarningNanos;
 
   ReplicaEvents(MembershipPolicy policy) {
@@ -50,16 +51,18 @@
               .with("voters", voters(after)));
     }
     logTolerance(before, after);
-    if (!isElecting(after)) {
+    if (!hasNoLeader(after)) {
+      leaderless = false;
       return;
     }
-    if (!isElecting(before)) {
-      electingSinceNanos = nowNanos;
-      nextWarningNanos = nowNanos + QUORUM_MISSING_AFTER.toNanos();
+    if (!leaderless) {
+      leaderless = true;
+      leaderlessSinceNanos = nowNanos;
+      nextWarningNanos = nowNanos + LEADER_MISSING_AFTER.toNanos();
     }
     if (nowNanos >= nextWarningNanos) {
       nextWarningNanos = nowNanos + REPEAT_INTERVAL.toNanos();
-      warnOfMissingQuorum(after, Duration.ofNanos(nowNanos - electingSinceNanos));
+      warnOfMissingLeader(after, Duration.ofNanos(nowNanos - leaderlessSinceNanos));
     }
   }
 
@@ -81,14 +84,17 @@
             .with("data_centres", after.voters().voterDataCentres()));
   }
 
-  private static boolean isElecting(CoreView view) {
-    return view.role() == Role.PRE_CANDIDATE || view.role() == Role.CANDIDATE;
+  private static boolean hasNoLeader(CoreView view) {
+    return view.leader().isEmpty();
   }
 
-  private static void warnOfMissingQuorum(CoreView view, Duration since) {
+  /** Warns that a voter is not elected, or that a replica that does not vote finds no leader. */
+  private static void warnOfMissingLeader(CoreView view, Duration since) {
+    boolean electing = view.role() == Role.PRE_CANDIDATE || view.role() == Role.CANDIDATE;
     logger.atWarning().log(
         "%s",
-        LogEvent.named("quorum-missing")
+        LogEvent.named(electing ? "quorum-missing" : "group-not-found")
+            .with("role", view.role())
             .with("term", view.term())
             .with("since_ms", since.toMillis())
             .with("voters", voters(view))
