Name what copies are required, and let the voters that answer be read without a change

Wording and a getter without effect, from the review: AnnouncementCopies.reachable held what is required, the two classes treat unknown data centres differently and say so now, and Elections.answeringVoters removed entries while it was asked for a view. No change of behaviour.

--- a/src/main/java/org/cuminrack/fleet/AnnouncementCopies.java
+++ b/src/main/java/org/cuminrack/fleet/AnnouncementCopies.java
@@ -12,13 +12,13 @@
  */
 final class AnnouncementCopies {
   private final ControlVms controlVms;
-  private final LossTolerance reachable;
+  private final LossTolerance required;
   private final List<String> dataCentres = new ArrayList<>();
 
   /** Creates the copies of an announcement that only this VM has. */
   AnnouncementCopies(ControlVms controlVms, LossTolerance tolerance) {
     this.controlVms = controlVms;
-    this.reachable = limit(tolerance, controlVms);
+    this.required = limit(tolerance, controlVms);
     dataCentres.add(controlVms.ownDataCentre());
   }
 
@@ -33,7 +33,10 @@
         Math.min(tolerance.dataCentreLosses(), voterDataCentres.size()));
   }
 
-  /** Returns a voter's data centre; one that is unknown counts as this VM's, so adds none. */
+  /**
+   * Returns a voter's data centre. An unknown one counts as this VM's, so that it is not taken for
+   * another one.
+   */
   private static String dataCentre(ControlVms controlVms, String voter) {
     String dataCentre = controlVms.dataCentreByVoter().getOrDefault(voter, "");
     return dataCentre.isEmpty() ? controlVms.ownDataCentre() : dataCentre;
@@ -46,6 +49,6 @@
 
   /** Returns whether the announcement may be acknowledged. */
   synchronized boolean areEnough() {
-    return reachable.someCopySurvives(dataCentres);
+    return required.someCopySurvives(dataCentres);
   }
 }
--- a/src/main/java/org/cuminrack/quorum/LossTolerance.java
+++ b/src/main/java/org/cuminrack/quorum/LossTolerance.java
@@ -44,7 +44,10 @@
     return votersInLostDataCentres(voterDataCentres) <= (voterDataCentres.size() - 1) / 2;
   }
 
-  /** Returns the number of voters that the loss of data centres takes away at most. */
+  /**
+   * Returns the number of voters that the loss of data centres takes away at most. Voters in unknown
+   * data centres, which are empty, count as if they were in one together.
+   */
   public int votersInLostDataCentres(Collection<String> voterDataCentres) {
     Map<String, Integer> countByDataCentre =
         voterDataCentres.stream()
--- a/src/main/java/org/cuminrack/quorum/internal/Elections.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Elections.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Runs pre-votes and elections. A blank replica, one without a log, neither requests nor grants
@@ -125,8 +126,10 @@
   /** Returns the VMs of the voters that recently replied to a request for a vote. */
   Set<String> answeringVoters() {
     long sinceNanos = state.nowNanos - 2 * state.timing.electionTimeoutMaxNanos();
-    lastReplyNanosByVoter.values().removeIf(replyNanos -> replyNanos < sinceNanos);
-    return Set.copyOf(lastReplyNanosByVoter.keySet());
+    return lastReplyNanosByVoter.entrySet().stream()
+        .filter(reply -> reply.getValue() >= sinceNanos)
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
   }
 
   void onPreVoteReply(ReplicaId from, Message.PreVoteReply reply) {
