Show a replacement of voters until the new ones are committed

What operators would see: the dump says that a lost voter is replaced, losses-tolerated is logged, and the group stops for good when another VM fails in that moment.

Cause: both went by the voters that the leader has appended. The last entry of a replacement is in force where it is appended; until a majority has it, the others still decide with the voters before too.

Change: replacing ends, and losses-tolerated comes, once the voters are committed.

--- a/src/main/java/org/cuminrack/quorum/LossTolerance.java
+++ b/src/main/java/org/cuminrack/quorum/LossTolerance.java
@@ -45,8 +45,8 @@
   }
 
   /**
-   * Returns the number of voters that the loss of data centres takes away at most. Voters in unknown
-   * data centres, which are empty, count as if they were in one together.
+   * Returns the number of voters that the loss of data centres takes away at most. Voters in
+   * unknown data centres, which are empty, count as if they were in one together.
    */
   public int votersInLostDataCentres(Collection<String> voterDataCentres) {
     Map<String, Integer> countByDataCentre =
--- a/src/main/java/org/cuminrack/quorum/QuorumStatus.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumStatus.java
@@ -14,7 +14,7 @@
  * @param dataCentres the voters' data centres by VM name, if known
  * @param votersIndex the index of the entry that set the voters
  * @param learners on the leader, the VMs that have the log and do not vote
- * @param replacing whether voters are being added or replaced
+ * @param replacing whether voters are being added or replaced; until the new ones are committed
  * @param readOnly whether the disk is full
  * @param corruption the data that could not be read at startup; empty if none
  * @param broken the error that stopped the replica; empty while it runs
--- a/src/main/java/org/cuminrack/quorum/ReplicaEvents.java
+++ b/src/main/java/org/cuminrack/quorum/ReplicaEvents.java
@@ -68,9 +68,8 @@
 
   /** Logs whether the voters tolerate the losses that they have to, if this replica leads. */
   private void logTolerance(CoreView before, CoreView after) {
-    boolean changed =
-        before.established() != after.established() || before.votersIndex() != after.votersIndex();
-    if (!after.established() || !changed || after.voters().isJoint()) {
+    boolean changed = !isSettled(before) || before.votersIndex() != after.votersIndex();
+    if (!changed || !isSettled(after)) {
       return;
     }
     boolean satisfied = policy.isSatisfiedBy(after.voters());
@@ -84,6 +83,10 @@
             .with("data_centres", after.voters().voterDataCentres()));
   }
 
+  private static boolean isSettled(CoreView view) {
+    return view.established() && view.votersAreSettled();
+  }
+
   private static boolean hasNoLeader(CoreView view) {
     return view.leader().isEmpty();
   }
--- a/src/main/java/org/cuminrack/quorum/StatusConverter.java
+++ b/src/main/java/org/cuminrack/quorum/StatusConverter.java
@@ -26,7 +26,7 @@
         view.voters() == null ? Map.of() : view.voters().dataCentres(),
         view.votersIndex(),
         view.learners(),
-        view.voters() != null && view.voters().isJoint(),
+        view.voters() != null && !view.votersAreSettled(),
         view.diskFull(),
         corruption,
         failure);
--- a/src/main/java/org/cuminrack/quorum/internal/CoreView.java
+++ b/src/main/java/org/cuminrack/quorum/internal/CoreView.java
@@ -28,4 +28,10 @@
     VoterSet voters,
     long votersIndex,
     Set<String> learners,
-    Set<String> answeringVoters) {}
+    Set<String> answeringVoters) {
+
+  /** Returns whether the voters are committed and no change of them is under way. */
+  public boolean votersAreSettled() {
+    return !voters.isJoint() && votersIndex <= commitIndex;
+  }
+}
