--- a/src/main/java/org/cuminrack/quorum/internal/Progress.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Progress.java
@@ -30,7 +30,7 @@
   long snapshotOffset;
   boolean snapshotPartDue;
 
-  /** The replica's data centre, if it has said hello; empty if unknown. */
+  /** The replica's data centre, from the voter set or its hello; empty if unknown. */
   String dataCentre = "";
 
   Progress(long nextIndex, long nowNanos) {
