Tell gateways what changed in place of tables

Change: gateways and upstreams go by change number, with removals; control addresses go when they differ from those that the gateway knows. Renewals are no change: an answer says that the upstreams told are heard of, and names those whose announcement is late (1.8 s) with its age. A gateway computes the age from what all control VMs say: the one that heard last counts, what a VM said that no longer answers counts little, and an answer counts from the time at which it may have been sent, so that a gateway that was frozen isn't deceived. A control VM says nothing of silence right after it did not run. Gateways are those that any control VM names. One answer names 128 changed upstreams at most. Answers after changes that nobody waits for are delayed by 50 ms (upstreams) or 200 ms (gateways). A gateway of an earlier build still gets tables.

Tests of org.cuminrack.fleet pass. FleetWatcherTest changes only in a constructor's arguments.

--- a/src/main/java/org/cuminrack/fleet/ControlVms.java
+++ b/src/main/java/org/cuminrack/fleet/ControlVms.java
@@ -1,6 +1,7 @@
 package org.cuminrack.fleet;
 
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -30,6 +31,12 @@
     return new TreeSet<>(dataCentreByVoter.keySet());
   }
 
+  /** Returns a number other than 0 that differs if the voters, their index or learners differ. */
+  int fingerprint() {
+    int hash = Objects.hash(votersIndex, dataCentreByVoter.keySet(), learners);
+    return hash == 0 ? 1 : hash;
+  }
+
   /** Returns the addresses of all known control VMs without this one. */
   Set<String> others() {
     Set<String> others = voters();
--- a/src/main/java/org/cuminrack/fleet/FleetCodec.java
+++ b/src/main/java/org/cuminrack/fleet/FleetCodec.java
@@ -1,9 +1,13 @@
 package org.cuminrack.fleet;
 
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.cuminrack.generated.fleet.GatewayData;
+import org.cuminrack.generated.fleet.GatewaySizeData;
+import org.cuminrack.generated.fleet.LateUpstreamData;
 import org.cuminrack.generated.fleet.UpstreamData;
 import org.cuminrack.generated.fleet.UpstreamPhaseData;
+import org.cuminrack.generated.fleet.WatchCall;
 
 /**
  * Converts between the records of this package and the messages of fleet.proto. Monotonic times are
@@ -51,6 +55,37 @@
         nowNanos - TimeUnit.MILLISECONDS.toNanos(data.getAgeMillis()));
   }
 
+  static LateUpstreamData late(UpstreamRecord upstream, long nowNanos) {
+    return LateUpstreamData.newBuilder()
+        .setId(upstream.id())
+        .setBornMillis(upstream.startedMillis())
+        .setAgeMillis(toMillis(nowNanos - upstream.receivedNanos()))
+        .build();
+  }
+
+  static GatewayLoad load(WatchCall call) {
+    GatewaySizeData size = call.getSize();
+    return new GatewayLoad(
+        call.hasSize()
+            ? new GatewaySize(
+                size.getCores(), size.getLinkMbps(), size.getMemoryMb(), size.getDescriptors())
+            : GatewaySize.UNKNOWN,
+        call.hasUse() ? OptionalDouble.of(call.getUse()) : OptionalDouble.empty());
+  }
+
+  static void addLoad(WatchCall.Builder call, GatewayLoad load) {
+    GatewaySize size = load.size();
+    if (size.isStated()) {
+      call.setSize(
+          GatewaySizeData.newBuilder()
+              .setCores(size.cores())
+              .setLinkMbps(size.linkMbps())
+              .setMemoryMb(size.memoryMb())
+              .setDescriptors(size.descriptors()));
+    }
+    load.use().ifPresent(use -> call.setUse((float) use));
+  }
+
   static GatewayData data(GatewayRecord gateway) {
     return GatewayData.newBuilder()
         .setVm(gateway.vm())
--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -7,11 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cuminrack.control.ControlState;
@@ -56,19 +51,26 @@
    */
   private static final Duration SUSPECTS_DELAY = Duration.ofMillis(50);
 
+  /** Delay of responses after a change of upstreams that no caller waits for. */
+  private static final Duration UPSTREAMS_DELAY = Duration.ofMillis(50);
+
+  /** Delay of responses after a change of gateways. Hundreds may start at about the same time. */
+  private static final Duration GATEWAYS_DELAY = Duration.ofMillis(200);
+
   private final UpstreamTable upstreams = new UpstreamTable();
   private final GatewayTable gateways = new GatewayTable();
 
   /** Identifies this run of the process; change numbers start again in each run. */
   private final long bootId = new SecureRandom().nextLong(1, Long.MAX_VALUE);
 
+  private final AnnouncementWatch announcements;
   private final WatchResponses responses;
   private final PendingWatches watches;
+  private final ResponseSchedule schedule;
   private final AnnouncementSharing sharing;
   private final BooleanSupplier stateIsCurrent;
   private final Clock clock;
-  private final AtomicBoolean responseDue = new AtomicBoolean();
-  private ScheduledExecutorService worker;
+  private final Timer timer;
 
   /**
    * Creates a service.
@@ -85,14 +87,29 @@
       Supplier<ControlVms> controlVms,
       LossTolerance tolerance,
       Clock clock) {
+    this(state, wire, stateIsCurrent, controlVms, tolerance, clock, new ExecutorTimer());
+  }
+
+  FleetControl(
+      ControlState state,
+      WireClient wire,
+      BooleanSupplier stateIsCurrent,
+      Supplier<ControlVms> controlVms,
+      LossTolerance tolerance,
+      Clock clock,
+      Timer timer) {
+    this.announcements = new AnnouncementWatch(upstreams, clock.nanoTime());
     this.responses =
-        new WatchResponses(bootId, state, stateIsCurrent, upstreams, gateways, controlVms, clock);
-    this.watches = new PendingWatches(responses::build);
+        new WatchResponses(
+            bootId, state, stateIsCurrent, upstreams, announcements, gateways, controlVms, clock);
+    this.watches = new PendingWatches(responses, timer, clock);
+    this.schedule = new ResponseSchedule(watches::respondToAll, timer, clock);
     this.sharing = new AnnouncementSharing(wire, controlVms, tolerance, clock);
     this.stateIsCurrent = stateIsCurrent;
     this.clock = clock;
+    this.timer = timer;
     state.onRoutingChange(watches::respondToAll);
-    state.onSuspectChange(this::respondSoon);
+    state.onSuspectChange(() -> schedule.respondWithin(SUSPECTS_DELAY));
   }
 
   /** Registers this service's methods with a server; call before the server starts. */
@@ -102,25 +119,15 @@
   }
 
   @Override
-  public synchronized void start() {
-    worker =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "fleet-control");
-              thread.setDaemon(true);
-              return thread;
-            });
-    long millis = SHARE_INTERVAL.toMillis();
-    worker.scheduleWithFixedDelay(
-        this::shareAndRemoveSilent, millis, millis, TimeUnit.MILLISECONDS);
+  public void start() {
+    timer.start();
+    timer.runAfter(SHARE_INTERVAL, this::shareAndRemoveSilent);
+    timer.runAfter(AnnouncementWatch.CHECK_INTERVAL, this::findLateAndExpired);
   }
 
   @Override
-  public synchronized void stop() {
-    if (worker != null) {
-      worker.shutdownNow();
-      worker = null;
-    }
+  public void stop() {
+    timer.stop();
   }
 
   /** Returns the live gateways. */
@@ -128,6 +135,11 @@
     return gateways.live(clock.nanoTime());
   }
 
+  /** Returns the live gateways with what they have said of their load. */
+  public List<LoadedGateway> gatewaysWithLoad() {
+    return gateways.liveWithLoad(clock.nanoTime());
+  }
+
   /** Returns the newest announcement of an upstream. */
   public Optional<UpstreamRecord> upstream(String id) {
     return upstreams.find(id);
@@ -144,10 +156,11 @@
    * many voters that it survives the tolerated losses. A repeat follows one that may not have been.
    */
   public CompletableFuture<Boolean> mergeAnnouncement(UpstreamRecord announced) {
+    long urgentChange = upstreams.lastUrgentChange();
     UpstreamChange change = upstreams.merge(announced);
     if (change == UpstreamChange.ROUTING_CHANGED) {
       logRoutingChange(announced, "announcement");
-      watches.respondToAll();
+      respondToUpstreams(urgentChange);
     } else if (announced.phase() == UpstreamPhase.READY) {
       return CompletableFuture.completedFuture(true);
     }
@@ -156,6 +169,7 @@
 
   private CompletableFuture<byte[]> mergeShared(byte[] payload) {
     long nowNanos = clock.nanoTime();
+    long urgentChange = upstreams.lastUrgentChange();
     boolean routingChanged = false;
     try {
       for (var data : ShareCall.parseFrom(payload).getUpstreamsList()) {
@@ -169,11 +183,19 @@
       return CompletableFuture.failedFuture(e);
     }
     if (routingChanged) {
-      watches.respondToAll();
+      respondToUpstreams(urgentChange);
     }
     return CompletableFuture.completedFuture(EMPTY_REPLY);
   }
 
+  private void respondToUpstreams(long lastUrgentChangeBefore) {
+    if (upstreams.lastUrgentChange() > lastUrgentChangeBefore) {
+      schedule.respondUrgently();
+    } else {
+      schedule.respondWithin(UPSTREAMS_DELAY);
+    }
+  }
+
   private static void logRoutingChange(UpstreamRecord upstream, String source) {
     logger.atInfo().log(
         "%s",
@@ -194,6 +216,22 @@
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.named("fleet-share-failed"));
     }
+    timer.runAfter(SHARE_INTERVAL, this::shareAndRemoveSilent);
+  }
+
+  private void findLateAndExpired() {
+    try {
+      long nowNanos = clock.nanoTime();
+      if (announcements.check(nowNanos)) {
+        schedule.respondWithin(UPSTREAMS_DELAY);
+      }
+      if (gateways.removeExpired(nowNanos)) {
+        schedule.respondWithin(GATEWAYS_DELAY);
+      }
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("%s", LogEvent.named("fleet-check-failed"));
+    }
+    timer.runAfter(AnnouncementWatch.CHECK_INTERVAL, this::findLateAndExpired);
   }
 
   CompletableFuture<byte[]> watch(byte[] payload) {
@@ -203,56 +241,37 @@
     } catch (InvalidProtocolBufferException e) {
       return CompletableFuture.failedFuture(e);
     }
+    long nowNanos = clock.nanoTime();
     GatewayRecord gateway = FleetCodec.gateway(call.getGateway());
-    boolean changed = gateways.recordCall(gateway, clock.nanoTime());
-    if (changed) {
+    if (gateways.recordCall(gateway, FleetCodec.load(call), nowNanos)) {
       logger.atInfo().log(
           "%s",
           LogEvent.named("gateway-seen")
               .with("vm", gateway.vm())
               .with("serving", gateway.serving()));
-      watches.respondToAll();
+      schedule.respondWithin(GATEWAYS_DELAY);
     }
     boolean isForOtherBoot = call.getControlBoot() != bootId;
-    if (isForOtherBoot || responses.hasNewStateFor(call)) {
-      return CompletableFuture.completedFuture(responses.build(call));
+    if (isForOtherBoot || responses.hasNewStateFor(call) || needsAnswerAtOnce(call)) {
+      return CompletableFuture.completedFuture(responses.build(call, nowNanos));
     }
     if (responses.hasNewerSuspects(call)) {
-      respondSoon();
+      schedule.respondWithin(SUSPECTS_DELAY);
     }
-    return awaitChange(call);
+    return watches.add(
+        call, stateIsCurrent.getAsBoolean() ? MAX_WATCH_WAIT : MAX_WATCH_WAIT_NOT_CURRENT);
   }
 
-  /** Responds to all pending calls after a short delay, so that one response has many changes. */
-  private void respondSoon() {
-    ScheduledExecutorService timer;
-    synchronized (this) {
-      timer = worker;
-    }
-    if (timer == null || !responseDue.compareAndSet(false, true)) {
-      return;
-    }
-    try {
-      timer.schedule(this::respondNow, SUSPECTS_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-    } catch (RejectedExecutionException e) {
-      // The service was stopped concurrently; no gateway waits for a response any more.
-    }
-  }
-
-  private void respondNow() {
-    responseDue.set(false);
-    watches.respondToAll();
-  }
-
-  private CompletableFuture<byte[]> awaitChange(WatchCall call) {
-    ScheduledExecutorService timer;
-    synchronized (this) {
-      timer = worker;
-    }
-    if (timer == null) {
-      return CompletableFuture.completedFuture(responses.build(call));
+  /**
+   * Returns whether a call names a state of upstreams that should not last until the next change. A
+   * gateway that knows the fleet from other control VMs waits for the rest of a long table.
+   */
+  private boolean needsAnswerAtOnce(WatchCall call) {
+    if (!call.getChangesOnly()) {
+      return false;
     }
-    Duration maxWait = stateIsCurrent.getAsBoolean() ? MAX_WATCH_WAIT : MAX_WATCH_WAIT_NOT_CURRENT;
-    return watches.add(call, maxWait, timer);
+    return responses.needsFurtherAnswers(call)
+        ? !call.getViewComplete()
+        : responses.hasUrgentChangeFor(call);
   }
 }
--- a/src/main/java/org/cuminrack/fleet/FleetView.java
+++ b/src/main/java/org/cuminrack/fleet/FleetView.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -59,6 +60,11 @@
     }
   }
 
+  /** Returns whether a quorum of control VMs has reported a current state. */
+  boolean isComplete() {
+    return complete;
+  }
+
   /** Returns whether upstreams may not yet have announced themselves to restarted control VMs. */
   public boolean mayLackAnnouncements(long nowNanos) {
     return !complete || nowNanos - completedAtNanos < ANNOUNCEMENT_GRACE_PERIOD.toNanos();
@@ -87,17 +93,20 @@
     return gateways;
   }
 
-  void apply(List<UpstreamRecord> announced, List<GatewayRecord> liveGateways) {
+  void applyAnnounced(List<UpstreamRecord> announced) {
     boolean routingChanged = false;
     for (UpstreamRecord upstream : announced) {
       routingChanged |= upstreams.merge(upstream) == UpstreamChange.ROUTING_CHANGED;
     }
-    gateways = List.copyOf(liveGateways);
     if (routingChanged) {
       listeners.forEach(Runnable::run);
     }
   }
 
+  void applyGateways(Collection<GatewayRecord> liveGateways) {
+    gateways = List.copyOf(liveGateways);
+  }
+
   void apply(RoutingData routing) {
     if (putInForce(routing)) {
       listeners.forEach(Runnable::run);
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -46,8 +45,11 @@
   private static final Duration ABANDON_AFTER = Duration.ofSeconds(10);
 
   private final FleetView view;
-  private final WireClient wire;
+  private final WatchCalls calls;
+  private final Executor delayedExecutor;
+  private final PolledFleet fleet;
   private final Supplier<GatewayRecord> self;
+  private final Supplier<GatewayLoad> load;
   private final Clock clock;
   private final Map<String, ControlPoll> polls = new ConcurrentHashMap<>();
   private volatile Set<String> seeds;
@@ -59,17 +61,40 @@
    *
    * @param seeds wire addresses of some control VMs
    * @param self supplies this gateway's record, sent with each call
+   * @param load supplies what is sent of this gateway's size and use
    */
   public FleetWatcher(
       FleetView view,
       WireClient wire,
       Set<String> seeds,
       Supplier<GatewayRecord> self,
+      Supplier<GatewayLoad> load,
+      Clock clock) {
+    this(
+        view,
+        (address, call) -> wire.call(address, Method.WATCH_FLEET, call.toByteArray(), CALL_TIMEOUT),
+        seeds,
+        self,
+        load,
+        DELAYED_EXECUTOR,
+        clock);
+  }
+
+  FleetWatcher(
+      FleetView view,
+      WatchCalls calls,
+      Set<String> seeds,
+      Supplier<GatewayRecord> self,
+      Supplier<GatewayLoad> load,
+      Executor delayedExecutor,
       Clock clock) {
     this.view = view;
-    this.wire = wire;
+    this.calls = calls;
+    this.delayedExecutor = delayedExecutor;
+    this.fleet = new PolledFleet(view);
     this.seeds = Set.copyOf(seeds);
     this.self = self;
+    this.load = load;
     this.clock = clock;
   }
 
@@ -128,19 +153,20 @@
     if (stopped) {
       return;
     }
-    WatchCall call =
+    WatchCall.Builder call =
         WatchCall.newBuilder()
             .setGateway(FleetCodec.data(self.get()))
             .setSuspectsRevision(view.suspects().revision())
-            .setControlBoot(poll.controlBootId)
-            .setUpstreamChange(poll.lastUpstreamChange)
             .setRoutingRevision(view.routingRevision())
-            .setKnownCurrent(poll.stateCurrent)
-            .build();
-    wire.call(poll.address, Method.WATCH_FLEET, call.toByteArray(), CALL_TIMEOUT)
+            .setViewComplete(view.isComplete());
+    FleetCodec.addLoad(call, load.get());
+    poll.describe(call);
+    long calledNanos = clock.nanoTime();
+    calls
+        .call(poll.address, call.build())
         .whenComplete(
             (outcome, failure) -> {
-              boolean succeeded = failure == null && handleOutcome(poll, outcome);
+              boolean succeeded = failure == null && handleOutcome(poll, outcome, calledNanos);
               if (repeat) {
                 continuePolling(poll, succeeded);
               }
@@ -153,7 +179,7 @@
     } else if (shouldAbandon(poll)) {
       polls.remove(poll.address);
     } else {
-      DELAYED_EXECUTOR.execute(() -> call(poll, true));
+      delayedExecutor.execute(() -> call(poll, true));
     }
   }
 
@@ -166,7 +192,8 @@
     return seeds.contains(poll.address) || voters.addresses().contains(poll.address);
   }
 
-  private boolean handleOutcome(ControlPoll poll, Either<WireFailure, byte[]> outcome) {
+  private boolean handleOutcome(
+      ControlPoll poll, Either<WireFailure, byte[]> outcome, long calledNanos) {
     if (outcome.isLeft()) {
       if (poll.answered) {
         poll.answered = false;
@@ -186,10 +213,15 @@
           "%s", LogEvent.named("control-unreadable").with("control", poll.address));
       return false;
     }
-    poll.recordResponse(response, clock.nanoTime());
+    long nowNanos = clock.nanoTime();
+    boolean gatewaysChanged = poll.recordResponse(response, calledNanos, nowNanos);
     adoptNewestVoters(poll);
     response.getOtherControlAddressesList().forEach(this::watch);
-    apply(poll, response);
+    fleet.apply(response, nowNanos);
+    fleet.updateGateways(pollsTellingGateways(), gatewaysChanged);
+    boolean announcementsChanged =
+        response.getUpstreamsCount() + response.getLateUpstreamsCount() > 0;
+    fleet.updateAnnouncementTimes(polls.values(), announcementsChanged, nowNanos);
     completeOnQuorum();
     return true;
   }
@@ -210,26 +242,13 @@
     }
   }
 
-  private void apply(ControlPoll poll, WatchAnswer response) {
-    long nowNanos = clock.nanoTime();
-    if (response.hasSuspects()) {
-      view.suspects().apply(response.getSuspects());
-    }
-    if (response.hasRouting()) {
-      view.apply(response.getRouting());
-    }
-    view.apply(
-        response.getUpstreamsList().stream()
-            .map(data -> FleetCodec.upstream(data, nowNanos))
-            .toList(),
-        gateways(poll, response));
-  }
-
-  /** Returns an answer's gateways; those that a learner lacks may not have found it yet. */
-  private List<GatewayRecord> gateways(ControlPoll poll, WatchAnswer response) {
-    return isSeedOrVoter(poll)
-        ? response.getGatewaysList().stream().map(FleetCodec::gateway).toList()
-        : view.gateways();
+  /**
+   * Returns the polls whose gateways count; those that a learner lacks may not have found it yet.
+   */
+  private Set<ControlPoll> pollsTellingGateways() {
+    return polls.values().stream()
+        .filter(poll -> poll.answered && isSeedOrVoter(poll))
+        .collect(Collectors.toSet());
   }
 
   /**
--- a/src/main/java/org/cuminrack/fleet/PendingWatches.java
+++ b/src/main/java/org/cuminrack/fleet/PendingWatches.java
@@ -4,37 +4,41 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.cuminrack.generated.fleet.WatchCall;
+import org.cuminrack.time.Clock;
 
 /**
  * Long-poll watch calls of gateways that wait for a change. Thread-safe; no callback runs under the
  * lock.
  */
 final class PendingWatches {
-  private final Function<WatchCall, byte[]> buildResponse;
+  private final WatchResponses responses;
+  private final Timer timer;
+  private final Clock clock;
   private final List<PendingWatch> waiting = new ArrayList<>();
 
   /**
    * Creates an empty collection.
    *
-   * @param buildResponse builds the response to a call when it is completed
+   * @param responses builds the response to a call when it is completed
    */
-  PendingWatches(Function<WatchCall, byte[]> buildResponse) {
-    this.buildResponse = buildResponse;
+  PendingWatches(WatchResponses responses, Timer timer, Clock clock) {
+    this.responses = responses;
+    this.timer = timer;
+    this.clock = clock;
   }
 
   /**
    * Adds a call, which is answered by {@link #respondToAll} or when the maximum wait has passed.
    */
-  CompletableFuture<byte[]> add(WatchCall call, Duration maxWait, ScheduledExecutorService timer) {
-    PendingWatch pending = new PendingWatch(call, new CompletableFuture<>());
+  CompletableFuture<byte[]> add(WatchCall call, Duration maxWait) {
+    PendingWatch pending = new PendingWatch(call, clock.nanoTime(), new CompletableFuture<>());
     synchronized (this) {
       waiting.add(pending);
     }
-    timer.schedule(() -> respondAfterTimeout(pending), maxWait.toMillis(), TimeUnit.MILLISECONDS);
+    if (!timer.runAfter(maxWait, () -> respondAfterTimeout(pending))) {
+      respondAfterTimeout(pending);
+    }
     return pending.reply;
   }
 
@@ -42,7 +46,7 @@
     synchronized (this) {
       waiting.remove(pending);
     }
-    pending.reply.complete(buildResponse.apply(pending.call));
+    respond(pending);
   }
 
   /** Responds to all pending calls. */
@@ -52,8 +56,15 @@
       watches = List.copyOf(waiting);
       waiting.clear();
     }
-    watches.forEach(pending -> pending.reply.complete(buildResponse.apply(pending.call)));
+    watches.forEach(this::respond);
+  }
+
+  private void respond(PendingWatch pending) {
+    if (!pending.reply.isDone()) {
+      pending.reply.complete(responses.build(pending.call, pending.receivedNanos));
+    }
   }
 
-  private record PendingWatch(WatchCall call, CompletableFuture<byte[]> reply) {}
+  private record PendingWatch(
+      WatchCall call, long receivedNanos, CompletableFuture<byte[]> reply) {}
 }
--- a/src/main/java/org/cuminrack/fleet/UpstreamRecord.java
+++ b/src/main/java/org/cuminrack/fleet/UpstreamRecord.java
@@ -25,6 +25,8 @@
     long sequence,
     long coldUntilNanos,
     @JsonProperty("heard_nanos") long receivedNanos) {
+  /** More than announcements of one warm-up differ by because of their way. */
+  private static final Duration COLD_TOLERANCE = Duration.ofMillis(200);
 
   /**
    * Returns whether this announcement replaces another one of the same upstream id: it is of a
@@ -39,6 +41,18 @@
         && (sequence > other.sequence || phase == UpstreamPhase.LEFT);
   }
 
+  /**
+   * Returns whether this announcement names other slots, another data centre or another end of the
+   * warm-up than an earlier one of the same incarnation.
+   */
+  boolean describesOtherCapacity(UpstreamRecord earlier) {
+    long coldNanos = Math.max(0, coldUntilNanos - receivedNanos);
+    long expectedColdNanos = Math.max(0, earlier.coldUntilNanos - receivedNanos);
+    return slots != earlier.slots
+        || !dataCentre.equals(earlier.dataCentre)
+        || Math.abs(coldNanos - expectedColdNanos) > COLD_TOLERANCE.toNanos();
+  }
+
   /** Returns the time since the announcement was received. */
   public Duration age(long nowNanos) {
     return Duration.ofNanos(Math.max(0, nowNanos - receivedNanos));
@@ -51,6 +65,15 @@
 
   /** Returns a copy of this record with another phase. */
   public UpstreamRecord withPhase(UpstreamPhase newPhase) {
+    return with(newPhase, receivedNanos);
+  }
+
+  /** Returns a copy of this record with another time of receipt. */
+  UpstreamRecord withReceived(long newReceivedNanos) {
+    return with(phase, newReceivedNanos);
+  }
+
+  private UpstreamRecord with(UpstreamPhase newPhase, long newReceivedNanos) {
     return new UpstreamRecord(
         id,
         service,
@@ -61,6 +84,6 @@
         startedMillis,
         sequence,
         coldUntilNanos,
-        receivedNanos);
+        newReceivedNanos);
   }
 }
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
+import org.cuminrack.fleet.GatewayLoad;
 import org.cuminrack.fleet.GatewayRecord;
 import org.cuminrack.fleet.SuspectTable;
 import org.cuminrack.gateway.CrashSuspects;
@@ -81,7 +82,12 @@
     WireClient wire = services.add(new WireClient(node.group()));
     watcher =
         new FleetWatcher(
-            view, wire, Set.copyOf(settings.controlSeeds().values()), this::ownRecord, clock);
+            view,
+            wire,
+            Set.copyOf(settings.controlSeeds().values()),
+            this::ownRecord,
+            () -> GatewayLoad.UNKNOWN,
+            clock);
     handler =
         new GatewayHandler(
             view,
--- a/src/test/java/org/cuminrack/fleet/FleetWatcherTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetWatcherTest.java
@@ -157,7 +157,9 @@
   }
 
   private void watch(FakeControlVm... seeds) {
-    watcher = new FleetWatcher(view, wire, addressesOf(seeds), () -> SELF, clock);
+    watcher =
+        new FleetWatcher(
+            view, wire, addressesOf(seeds), () -> SELF, () -> GatewayLoad.UNKNOWN, clock);
     watcher.start();
   }
 
