Tell boards of pools the load, in place of each other gateway

Change: package sharing. The serving gateway that comes first by rendezvous hash keeps the board of a pool of upstreams and adds up what gateways report: loads, requests against limits, leaving upstreams, demand of organisations, pace. One call tells and asks; gateways ask before they place a request and say nothing while they have no load. LoadSharing and its messages are gone. RequestRateLimits learns sums and the number of gateways that are not known; one without requests to count is known by its silence.

Tests changed: SimulatedGateways plays the limits through a real board, with both directions lost; all bounds stay. A gateway without requests learns the end of a limit, or that an upstream leaves, when it asks before its next request; the two tests now let it ask, and the process test checks that also these requests don't reach the leaving upstream.

--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -11,6 +11,7 @@
     HeaderTranslation headers,
     EngineCalls engineCalls,
     UpstreamSelector selector,
+    LoadFreshness freshness,
     UpstreamHealth health,
     RequestRateLimits rateLimits,
     UpstreamNotices notices,
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -9,6 +9,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.log.LogEvent;
@@ -47,6 +48,7 @@
   public GatewayHandler(
       FleetView view,
       LoadTable loads,
+      LoadFreshness freshness,
       RequestRateLimits rateLimits,
       UpstreamNotices notices,
       HeaderTranslation headers,
@@ -64,12 +66,14 @@
             new UpstreamSelector(
                 view,
                 loads,
+                freshness,
                 health,
                 rateLimits,
                 notices,
                 settings.announcementTimeout(),
                 clock,
                 RandomGenerator.getDefault()),
+            freshness,
             health,
             rateLimits,
             notices,
@@ -84,10 +88,7 @@
     view.onChange(context.queue()::retry);
   }
 
-  /**
-   * Retries the reservations of queued generations; called after each load message from another
-   * gateway.
-   */
+  /** Retries the reservations of queued generations; call it after a change of others' load. */
   public void onRemoteLoadChanged() {
     context.queue().retry();
   }
@@ -109,6 +110,11 @@
     return context.queue().size();
   }
 
+  /** Returns the services for which generations wait. */
+  public Set<String> waitingServices() {
+    return context.queue().waitingServices();
+  }
+
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     long arrivedNanos = context.clock().nanoTime();
--- a/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
@@ -62,17 +62,30 @@
     excludedIds.add(upstreamId);
   }
 
+  /** Begins the admission once the load on the service's engines is known. */
+  void begin() {
+    context
+        .freshness()
+        .refresh(call.service().name(), () -> call.io().execute(this::beginUnlessEnded));
+  }
+
+  private void beginUnlessEnded() {
+    if (!call.hasEnded()) {
+      reserveOrQueue();
+    }
+  }
+
   /**
    * Reserves memory at once, or queues the generation for a limited time; fails the call if the
    * service has no available upstream or the maximum wait has passed.
    */
-  void begin() {
+  private void reserveOrQueue() {
     boolean mayLackAnnouncements = context.view().mayLackAnnouncements(context.clock().nanoTime());
     if (!mayLackAnnouncements && !context.selector().hasAvailableUpstream(call.service().name())) {
       call.fail(GatewayFailure.NO_UPSTREAM, Optional.of(RETRY_AFTER_WHEN_NO_UPSTREAM), "");
       return;
     }
-    leaveQueue = context.queue().enter(call.priority(), this::tryReserve);
+    leaveQueue = context.queue().enter(call.service().name(), call.priority(), this::tryReserve);
     if (leaveQueue.isPresent()) {
       long waitMillis =
           (long) (call.route().targetLatency().toMillis() * QUEUE_SHARE_OF_TARGET)
--- a/src/main/java/org/cuminrack/gateway/GenerationQueue.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationQueue.java
@@ -4,7 +4,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 /**
  * Queue of generations that wait for engine memory, ordered by priority and, within a priority, by
@@ -18,16 +20,17 @@
    * Attempts a reservation at once unless entries of the same or a more urgent priority wait;
    * otherwise, or if the attempt fails, adds an entry to the queue.
    *
+   * @param service the service of the generation
    * @param priority 0 is the most urgent
    * @param attempt tries to reserve memory; returns whether it succeeded
    * @return an action that removes the entry from the queue; empty if the attempt succeeded at once
    */
-  synchronized Optional<Runnable> enter(int priority, BooleanSupplier attempt) {
+  synchronized Optional<Runnable> enter(String service, int priority, BooleanSupplier attempt) {
     boolean noneAhead = waiting.stream().allMatch(queued -> queued.priority > priority);
     if (noneAhead && attempt.getAsBoolean()) {
       return Optional.empty();
     }
-    Entry entry = new Entry(priority, ++lastSequence, attempt);
+    Entry entry = new Entry(service, priority, ++lastSequence, attempt);
     waiting.add(entry);
     waiting.sort(
         Comparator.comparingInt((Entry queued) -> queued.priority)
@@ -46,9 +49,16 @@
     }
   }
 
+  /** Returns the services of the waiting entries. */
+  synchronized Set<String> waitingServices() {
+    return waiting.isEmpty()
+        ? Set.of()
+        : waiting.stream().map(Entry::service).collect(Collectors.toUnmodifiableSet());
+  }
+
   synchronized int size() {
     return waiting.size();
   }
 
-  private record Entry(int priority, long sequence, BooleanSupplier attempt) {}
+  private record Entry(String service, int priority, long sequence, BooleanSupplier attempt) {}
 }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -55,7 +55,14 @@
     DisconnectWatcher.begin(call.exchange(), relay::onCallerDisconnected);
     call.runAtDeadline(relay::onDeadline);
     context.retries().recordFirstAttempt(call.service().name());
-    CallStart.unlessSuspended(context, call, relay::send);
+    CallStart.unlessSuspended(context, call, relay::sendFirst);
+  }
+
+  /** Sends the request once the load on the service's upstreams is known. */
+  private void sendFirst() {
+    context
+        .freshness()
+        .refresh(call.service().name(), () -> call.io().execute(this::sendUnlessEnded));
   }
 
   private void send() {
--- a/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
+++ b/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
@@ -19,12 +19,13 @@
 /**
  * Keeps the rates of requests that upstreams name in their answers, over all gateways.
  *
- * <p>Gateways tell each other which limits they have observed and how many requests they have sent
- * within the limit's window. An upstream is chosen only while the requests of all gateways within
- * the window are fewer than the limit allows. Since a request of another gateway is known only
- * after its next message, several gateways could use the same free place at once. So each request
- * is sent to the upstream only with a probability, such that all requests together make up the
- * limit. A gateway that sends no messages is assumed to use an equal share.
+ * <p>Gateways tell boards which limits they have observed and how many requests they have sent
+ * within the limit's window, and learn the sums of the others. An upstream is chosen only while the
+ * requests of all gateways within the window are fewer than the limit allows. Since a request of
+ * another gateway is known only after the next answer of the board, several gateways could use the
+ * same free place at once. So each request is sent to the upstream only with a probability, such
+ * that all requests together make up the limit. A gateway whose requests are not known is assumed
+ * to use an equal share.
  *
  * <p>The answer that was observed last decides, at whichever gateway.
  *
@@ -33,7 +34,7 @@
 public final class RequestRateLimits {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Time without a message after which another gateway's requests are not known any more. */
+  /** Time without an answer of a board after which other gateways' requests are not known. */
   private static final Duration REMOTE_TTL = Duration.ofSeconds(1);
 
   /** How long the end of a limit is told to other gateways. */
@@ -55,7 +56,7 @@
   private final Map<Incarnation, RateLimit> limits = new HashMap<>();
 
   private final LastErrors invalidLimits = new LastErrors();
-  private final Map<String, RemoteGateway> remotes = new HashMap<>();
+  private final Map<String, RemoteShares> remotes = new HashMap<>();
 
   /**
    * Creates an instance that knows no limits.
@@ -69,7 +70,8 @@
     this.random = random;
   }
 
-  private record RemoteGateway(Map<Incarnation, RateLimitShare> shares, long receivedNanos) {}
+  private record RemoteShares(
+      Map<Incarnation, RateLimitShare> shares, int silentGateways, long receivedNanos) {}
 
   /**
    * Records what an answer of an upstream says of its limit: an answer that names none ends the one
@@ -151,16 +153,15 @@
     }
     long nowNanos = clock.nanoTime();
     limit.get().eligible.add(nowNanos);
-    double rate = limit.get().rateOf(partOfGatewaysHeard(nowNanos));
+    double rate = limit.get().rateOf(partOfGatewaysHeard(key, nowNanos));
     Duration window = RateLimit.window(rate);
     int sent = limit.get().sent.count(window, nowNanos);
     int eligible = limit.get().eligible.count(window, nowNanos);
-    for (RemoteGateway remote : remotes.values()) {
-      RateLimitShare share = remote.shares.get(key);
-      if (share != null) {
-        sent += share.sent();
-        eligible += share.eligible();
-      }
+    Optional<RemoteShares> remote = remoteShares(key, nowNanos);
+    if (remote.isPresent()) {
+      RateLimitShare others = remote.get().shares.get(key);
+      sent += others.sent();
+      eligible += others.eligible();
     }
     if (sent >= limit.get().budget(rate, nowNanos)) {
       return false;
@@ -170,12 +171,24 @@
   }
 
   /** Returns the part of all gateways, from 0 to 1, whose requests are known, this one included. */
-  private double partOfGatewaysHeard(long nowNanos) {
+  private double partOfGatewaysHeard(Incarnation upstream, long nowNanos) {
+    int others = otherGateways.get().size();
+    int silent =
+        remoteShares(upstream, nowNanos)
+            .map(remote -> Math.min(others, remote.silentGateways))
+            .orElse(others);
+    double gateways = others + 1;
+    return (gateways - silent) / gateways;
+  }
+
+  private Optional<RemoteShares> remoteShares(Incarnation upstream, long nowNanos) {
     remotes.values().removeIf(remote -> nowNanos - remote.receivedNanos > REMOTE_TTL.toNanos());
-    Set<String> others = otherGateways.get();
-    long silent = others.stream().filter(vm -> !remotes.containsKey(vm)).count();
-    double heard = remotes.size() + 1;
-    return heard / (heard + silent);
+    for (RemoteShares remote : remotes.values()) {
+      if (remote.shares.containsKey(upstream)) {
+        return Optional.of(remote);
+      }
+    }
+    return Optional.empty();
   }
 
   /** Records that a request, a resumed one too, is sent to an upstream. */
@@ -208,12 +221,15 @@
 
   /** Returns what the other gateways need to know; empty while no upstream has named a limit. */
   public synchronized List<RateLimitShare> ownShares() {
+    if (limits.isEmpty()) {
+      return List.of();
+    }
     long nowNanos = clock.nanoTime();
     limits.values().removeIf(limit -> isForgotten(limit, nowNanos));
-    double part = partOfGatewaysHeard(nowNanos);
     List<RateLimitShare> shares = new ArrayList<>();
     limits.forEach(
         (upstream, limit) -> {
+          double part = partOfGatewaysHeard(upstream, nowNanos);
           Duration window = RateLimit.window(limit.rateOf(part));
           shares.add(
               new RateLimitShare(
@@ -232,9 +248,17 @@
   }
 
   /**
-   * Replaces what is known of another gateway's requests, and learns the limits it has observed.
+   * Replaces the sums of all other gateways at some upstreams, and learns the limits that these
+   * have observed.
+   *
+   * @param source names who told it, the pool of the upstreams for example
+   * @param silentGateways the number of other gateways whose requests the sums may lack
    */
-  public synchronized void replaceRemote(String vm, Collection<RateLimitShare> shares) {
+  public synchronized void replaceRemote(
+      String source, Collection<RateLimitShare> shares, int silentGateways) {
+    if (shares.isEmpty() && !remotes.containsKey(source)) {
+      return;
+    }
     long nowNanos = clock.nanoTime();
     Map<Incarnation, RateLimitShare> byUpstream = new HashMap<>();
     for (RateLimitShare share : shares) {
@@ -247,10 +271,10 @@
                 long statedNanos = nowNanos - observation.age().toNanos();
                 RateLimit known = limits.get(upstream);
                 if (known == null || statedNanos - known.statedNanos() > 0) {
-                  update(upstream, observation.requestsPerSecond(), statedNanos, false, vm);
+                  update(upstream, observation.requestsPerSecond(), statedNanos, false, source);
                 }
               });
     }
-    remotes.put(vm, new RemoteGateway(byUpstream, nowNanos));
+    remotes.put(source, new RemoteShares(byUpstream, silentGateways, nowNanos));
   }
 }
--- a/src/main/java/org/cuminrack/gateway/UpstreamLoad.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamLoad.java
@@ -14,12 +14,29 @@
     int requests,
     long reservedTokens,
     @JsonProperty("unread_prompt_tokens") long pendingPrefillTokens) {
-  static final UpstreamLoad NONE = new UpstreamLoad(0, 0, 0);
+  public static final UpstreamLoad NONE = new UpstreamLoad(0, 0, 0);
 
-  UpstreamLoad plus(UpstreamLoad other) {
+  /** Returns the sum of two loads. */
+  public UpstreamLoad plus(UpstreamLoad other) {
     return new UpstreamLoad(
         requests + other.requests,
         reservedTokens + other.reservedTokens,
         pendingPrefillTokens + other.pendingPrefillTokens);
   }
+
+  /** Returns this load without another one. */
+  public UpstreamLoad minus(UpstreamLoad other) {
+    return new UpstreamLoad(
+        requests - other.requests,
+        reservedTokens - other.reservedTokens,
+        pendingPrefillTokens - other.pendingPrefillTokens);
+  }
+
+  /** Returns the higher value of two loads in each respect. */
+  public UpstreamLoad max(UpstreamLoad other) {
+    return new UpstreamLoad(
+        Math.max(requests, other.requests),
+        Math.max(reservedTokens, other.reservedTokens),
+        Math.max(pendingPrefillTokens, other.pendingPrefillTokens));
+  }
 }
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -18,6 +18,7 @@
 final class UpstreamSelector {
   private final FleetView view;
   private final LoadTable loads;
+  private final LoadFreshness freshness;
   private final UpstreamHealth health;
   private final RequestRateLimits rateLimits;
   private final UpstreamNotices notices;
@@ -34,6 +35,7 @@
   UpstreamSelector(
       FleetView view,
       LoadTable loads,
+      LoadFreshness freshness,
       UpstreamHealth health,
       RequestRateLimits rateLimits,
       UpstreamNotices notices,
@@ -42,6 +44,7 @@
       RandomGenerator random) {
     this.view = view;
     this.loads = loads;
+    this.freshness = freshness;
     this.health = health;
     this.rateLimits = rateLimits;
     this.notices = notices;
@@ -191,7 +194,7 @@
 
   private List<Candidate> candidates(String service, Set<String> excludedIds) {
     long nowNanos = clock.nanoTime();
-    return view.upstreams().ofService(service).stream()
+    return current(view.upstreams().ofService(service)).stream()
         .filter(this::isAvailable)
         .filter(upstream -> !excludedIds.contains(upstream.id()))
         .filter(upstream -> !notices.isPaused(upstream))
@@ -200,6 +203,12 @@
         .toList();
   }
 
+  /** Returns the upstreams whose load was asked for lately; all if that holds for none. */
+  private List<UpstreamRecord> current(List<UpstreamRecord> upstreams) {
+    List<UpstreamRecord> current = upstreams.stream().filter(freshness::isCurrent).toList();
+    return current.isEmpty() ? upstreams : current;
+  }
+
   private boolean isAvailable(UpstreamRecord upstream) {
     return upstream.phase() == UpstreamPhase.READY
         && !notices.isLeaving(upstream)
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
 import org.cuminrack.fleet.GatewayRecord;
@@ -18,7 +19,6 @@
 import org.cuminrack.gateway.GatewayCounters;
 import org.cuminrack.gateway.GatewayHandler;
 import org.cuminrack.gateway.GatewaySettings;
-import org.cuminrack.gateway.LoadSharing;
 import org.cuminrack.gateway.LoadTable;
 import org.cuminrack.gateway.ReplicatedSuspectTrials;
 import org.cuminrack.gateway.RequestRateLimits;
@@ -40,6 +40,9 @@
 import org.cuminrack.settings.GatewayNodeSettings;
 import org.cuminrack.settings.NodeSettings;
 import org.cuminrack.settings.SettingsFile;
+import org.cuminrack.sharing.BoardSharing;
+import org.cuminrack.sharing.SharedTables;
+import org.cuminrack.sharing.SharingCounters;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.WireClient;
 import org.cuminrack.wire.WireServer;
@@ -66,6 +69,7 @@
   private final LoadTable loads;
   private final RequestRateLimits rateLimits;
   private final UpstreamNotices notices;
+  private final BoardSharing sharing;
   private final GatewayHandler handler;
   private final FleetWatcher watcher;
   private volatile boolean stopping;
@@ -82,10 +86,20 @@
     watcher =
         new FleetWatcher(
             view, wire, Set.copyOf(settings.controlSeeds().values()), this::ownRecord, clock);
+    sharing =
+        new BoardSharing(
+            node.vm(),
+            SharedTables.withoutPaces(loads, rateLimits, notices, new DemandTable(clock)),
+            view,
+            wire,
+            this::onOthersLoadChanged,
+            this::waitingServices,
+            clock);
     handler =
         new GatewayHandler(
             view,
             loads,
+            sharing,
             rateLimits,
             notices,
             new PlatformHeaders(),
@@ -94,9 +108,6 @@
             suspects(new ControlClient(wire, watcher::controlAddresses, clock)),
             new RequestTimers(metrics),
             clock);
-    LoadSharing sharing =
-        new LoadSharing(
-            node.vm(), loads, rateLimits, notices, view, wire, handler::onRemoteLoadChanged);
     WireServer server = new WireServer(node.wireAddress(), node.group());
     sharing.register(server);
     services.add(server);
@@ -115,6 +126,14 @@
         new HttpServer(settings.callerAddress(), handler, MAX_BODY_BYTES, settings.ioThreads()));
   }
 
+  private void onOthersLoadChanged() {
+    handler.onRemoteLoadChanged();
+  }
+
+  private Set<String> waitingServices() {
+    return handler.waitingServices();
+  }
+
   private Set<String> otherGateways() {
     return view.gateways().stream()
         .map(GatewayRecord::vm)
@@ -228,6 +247,8 @@
         .with("gateways", view::gateways)
         .with("upstreams", () -> view.upstreams().all())
         .with("own_load", loads::ownLoads)
+        .with("boards", sharing::boardsByPool)
+        .with("own_boards", sharing::ownBoards)
         .with("rate_limits", rateLimits::ownShares)
         .with("leaving", notices::ownLeaving)
         .with("paused_ms", notices::pauseMillisById)
@@ -241,6 +262,11 @@
       metrics.counter(
           "cuminrack.gateway." + name, handler.counters(), counters -> counters.get(kind));
     }
+    for (SharingCounters.Kind kind : SharingCounters.Kind.values()) {
+      String name = kind.name().toLowerCase(Locale.ROOT).replace('_', '.');
+      metrics.counter(
+          "cuminrack.board." + name, sharing.counters(), counters -> counters.get(kind));
+    }
     return metrics
         .gauge("cuminrack.gateway.running", handler.counters(), GatewayCounters::running)
         .gauge("cuminrack.gateway.waiting", handler, GatewayHandler::queuedGenerations)
--- a/src/main/java/org/cuminrack/wire/Method.java
+++ b/src/main/java/org/cuminrack/wire/Method.java
@@ -46,8 +46,8 @@
   WATCH_FLEET(50),
   /** Shares upstreams' announcements between control VMs (fleet.proto). */
   SHARE_UPSTREAMS(51),
-  /** Shares a gateway's running requests per upstream with another gateway (fleet.proto). */
-  SHARE_LOAD(52),
+  /** Tells the board of a pool a gateway's load, and returns that of the others (board.proto). */
+  BOARD(53),
   /** Returns the state of a process, as text (control.proto). */
   DUMP(40);
 
--- a/src/test/java/org/cuminrack/gateway/GenerationQueueTest.java
+++ b/src/test/java/org/cuminrack/gateway/GenerationQueueTest.java
@@ -63,6 +63,7 @@
 
   private Optional<Runnable> enter(String name, int priority) {
     return queue.enter(
+        "chat",
         priority,
         () -> {
           if (freeSlots == 0) {
--- a/src/test/java/org/cuminrack/gateway/RequestRateLimitsTest.java
+++ b/src/test/java/org/cuminrack/gateway/RequestRateLimitsTest.java
@@ -158,8 +158,9 @@
     gateways.endLimit(1);
     gateways.play(Duration.ofMillis(200), 0, 0);
 
-    for (RequestRateLimits gateway : gateways.all()) {
-      assertThat(gateway.isLimited(UPSTREAM)).isFalse();
+    for (int i = 0; i < 3; i++) {
+      gateways.refresh(i);
+      assertThat(gateways.get(i).isLimited(UPSTREAM)).isFalse();
     }
   }
 
--- a/src/test/java/org/cuminrack/gateway/SimulatedGateways.java
+++ b/src/test/java/org/cuminrack/gateway/SimulatedGateways.java
@@ -13,20 +13,36 @@
 import java.util.Set;
 import org.cuminrack.fleet.UpstreamPhase;
 import org.cuminrack.fleet.UpstreamRecord;
+import org.cuminrack.generated.board.BoardAnswer;
+import org.cuminrack.generated.board.BoardCall;
+import org.cuminrack.sharing.Board;
+import org.cuminrack.sharing.BoardCodec;
 import org.cuminrack.time.ManualClock;
 
-/** The rate limits of several gateways, which send requests to one upstream that names a limit. */
+/**
+ * The rate limits of several gateways with one board, which send requests to one upstream that
+ * names a limit. A gateway reports after a request and at intervals, and asks before a request.
+ */
 final class SimulatedGateways {
   static final UpstreamRecord UPSTREAM = upstream("i-1", 100);
 
   private static final Duration STEP = Duration.ofMillis(10);
-  private static final Duration MESSAGE_INTERVAL = Duration.ofMillis(50);
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
+  private static final Duration MAX_AGE = Duration.ofMillis(50);
 
   private final ManualClock clock = new ManualClock();
   private final Random random = new Random(24);
   private final List<RequestRateLimits> gateways = new ArrayList<>();
   private final List<Set<String>> known = new ArrayList<>();
   private final Deque<Runnable> underWay = new ArrayDeque<>();
+  private final List<Long> answeredNanos = new ArrayList<>();
+  private final List<Long> reportedNanos = new ArrayList<>();
+
+  /** The gateways whose last report had requests to count. */
+  private final Set<Integer> reportedUse = new HashSet<>();
+
+  private Board board;
+  private long lastCall;
   private OptionalDouble named = OptionalDouble.empty();
 
   /** The times of the requests that the upstream got. */
@@ -44,19 +60,17 @@
     return gateways.get(index);
   }
 
-  List<RequestRateLimits> all() {
-    return gateways;
-  }
-
   /** Replaces a gateway by one that knows nothing. */
   void restart(int index) {
     gateways.set(index, create(index));
+    answeredNanos.set(index, Long.MIN_VALUE / 2);
   }
 
   /** Lets the upstream name no limit any more, in an answer to one gateway first. */
   void endLimit(int gateway) {
     named = OptionalDouble.empty();
     answer(gateways.get(gateway));
+    underWay.add(() -> callBoard(gateway));
   }
 
   /** Starts gateways that know each other. */
@@ -71,7 +85,12 @@
         }
       }
       gateways.add(create(i));
+      answeredNanos.add(Long.MIN_VALUE / 2);
+      reportedNanos.add(Long.MIN_VALUE / 2);
     }
+    Set<String> names = new HashSet<>(known.get(0));
+    names.add("gateway-0");
+    board = Board.ofFirstPool("shop", 1, () -> names, clock);
   }
 
   private RequestRateLimits create(int index) {
@@ -82,6 +101,7 @@
   void name(int gateway, double requestsPerSecond) {
     named = OptionalDouble.of(requestsPerSecond);
     answer(gateways.get(gateway));
+    underWay.add(() -> callBoard(gateway));
   }
 
   private void answer(RequestRateLimits gateway) {
@@ -102,33 +122,67 @@
       while (!underWay.isEmpty()) {
         underWay.removeFirst().run();
       }
-      if (step % MESSAGE_INTERVAL.dividedBy(STEP) == 0) {
-        exchangeMessages();
+      for (int i = 0; i < gateways.size(); i++) {
+        if (clock.nanoTime() - reportedNanos.get(i) >= REPORT_INTERVAL.toNanos()
+            && (usesLimits(gateways.get(i)) || reportedUse.contains(i))) {
+          callBoard(i);
+        }
       }
       double expected = requestsPerSecond * STEP.toMillis() / 1_000;
       int arrivals = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
       for (int i = 0; i < arrivals; i++) {
         int at = random.nextDouble() < shareOfFirst ? 0 : random.nextInt(gateways.size());
         RequestRateLimits gateway = gateways.get(at);
+        refresh(at);
         if (gateway.allows(UPSTREAM)) {
           gateway.recordSent(UPSTREAM);
           underWay.add(() -> answer(gateway));
+          underWay.add(() -> callBoard(at));
           sentMillis.add(clock.nanoTime() / 1_000_000);
         }
       }
     }
   }
 
-  private void exchangeMessages() {
-    for (int from = 0; from < gateways.size(); from++) {
-      List<RateLimitShare> shares = gateways.get(from).ownShares();
-      for (int to = 0; to < gateways.size(); to++) {
-        if (from != to && random.nextDouble() >= lostMessages) {
-          RequestRateLimits receiver = gateways.get(to);
-          String sender = "gateway-" + from;
-          underWay.add(() -> receiver.replaceRemote(sender, shares));
-        }
-      }
+  /** Lets a gateway ask the board unless it knows the others' requests, as before a request. */
+  void refresh(int gateway) {
+    if (clock.nanoTime() - answeredNanos.get(gateway) > MAX_AGE.toNanos()) {
+      callBoard(gateway);
+    }
+  }
+
+  private static boolean usesLimits(RequestRateLimits gateway) {
+    return gateway.ownShares().stream().anyMatch(share -> share.sent() + share.eligible() > 0);
+  }
+
+  /** Tells the board a gateway's shares and learns those of the others; either may be lost. */
+  private void callBoard(int index) {
+    reportedNanos.set(index, clock.nanoTime());
+    if (usesLimits(gateways.get(index))) {
+      reportedUse.add(index);
+    } else {
+      reportedUse.remove(index);
+    }
+    BoardCall.Builder call =
+        BoardCall.newBuilder()
+            .setVm("gateway-" + index)
+            .setGatewayRun(1)
+            .setNumber(++lastCall)
+            .setService("shop");
+    gateways.get(index).ownShares().forEach(share -> call.addLimits(BoardCodec.data(share)));
+    if (random.nextDouble() < lostMessages) {
+      return;
+    }
+    BoardAnswer answer = board.handle(call.build());
+    if (random.nextDouble() < lostMessages) {
+      return;
     }
+    answeredNanos.set(index, clock.nanoTime());
+    gateways
+        .get(index)
+        .replaceRemote(
+            "shop/0",
+            answer.getLimitsList().stream().map(BoardCodec::share).toList(),
+            answer.getSilentGateways());
   }
 }
--- a/src/test/java/org/cuminrack/platform/LeavingUpstreamTest.java
+++ b/src/test/java/org/cuminrack/platform/LeavingUpstreamTest.java
@@ -80,12 +80,16 @@
     for (int i = 0; shop.arrivals.isEmpty(); i++) {
       cluster.call("gateway-1", "a-" + i, "GET", "/read/" + i);
     }
+    int before = shop.arrivals.size();
+    for (int i = 0; i < 20; i++) {
+      cluster.call("gateway-1", "b-" + i, "GET", "/read/b-" + i);
+    }
     for (String other : List.of("gateway-2", "gateway-3")) {
+      cluster.call(other, "c-" + other, "GET", "/read/" + other);
       PlatformFixture.await(
           other + " to learn that the upstream leaves",
           () -> cluster.process(other).logText().contains("event=upstream-leaving upstream=s1-1"));
     }
-    int before = shop.arrivals.size();
 
     List<CallerLoad.Outcome> outcomes = send("GET", "/read/");
 
