Choose upstreams by their pace and data centre, and engines by prefill time

Cause: placement took all upstreams of a service for equally fast and equally near, and an engine took prompts until a fixed number of tokens was pending. Change: the stated load is read into StatedLoad; PaceTable learns each start's slowdown from durations of plain requests, prefills and event gaps, and from other gateways; it counts only for services whose upstreams state their pace, with enough samples, and if the difference exceeds a tenth of the target. Of nearly equal upstreams those in the gateway's data centre come first. An engine is full by the expected prefill time against the shortest target of the service. The log line request-placed, the dump and the metrics show it. GenerationAdmission passes its route and logs the facts (two lines). Tests: PlacementTest passes its work as a parameter; its bounds are the same.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -23,6 +23,7 @@
   private final EventSplitter splitter;
   private final BoundedBody refusalBody;
   private final GenerationStop stop = new GenerationStop();
+  private final StreamTimings timings;
   private UpstreamExchange exchange;
   private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
   private ResponseHead responseHead;
@@ -45,6 +46,9 @@
     this.resumedFrom = resumedFrom;
     this.listener = listener;
     this.refusalBody = new BoundedBody(context.bounds().maxResponseBytes());
+    this.timings =
+        new StreamTimings(
+            context.paces(), context.clock(), reservation.upstream(), reservation.prefillTokens());
     this.splitter = new EventSplitter(MAX_EVENT_BYTES, this::eventReceived);
   }
 
@@ -103,6 +107,7 @@
   }
 
   void suspend() {
+    timings.readingPaused();
     exchange.suspend();
   }
 
@@ -132,6 +137,7 @@
     UpstreamRecord upstream = reservation.upstream();
     sent = isResumed() ? call.mayResumeOn(upstream) : call.maySendTo(upstream);
     if (sent) {
+      timings.requestSent();
       suspectDispatch =
           Optional.of(
               isResumed()
@@ -166,6 +172,7 @@
   }
 
   private void eventReceived(String id, byte[] bytes) {
+    timings.eventReceived();
     suspectDispatch.ifPresent(SuspectDispatch::outputReceived);
     listener.event(id, bytes);
   }
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -14,6 +14,7 @@
     UpstreamHealth health,
     RequestRateLimits rateLimits,
     UpstreamNotices notices,
+    UpstreamPaces paces,
     RetryBudgets retries,
     CrashSuspects suspects,
     GenerationQueue queue,
@@ -27,5 +28,6 @@
   void recordAnswer(UpstreamRecord upstream, ResponseHead head) {
     rateLimits.recordAnswer(upstream, head);
     notices.recordAnswer(upstream, head);
+    paces.recordAnswer(upstream, head);
   }
 }
--- a/src/main/java/org/cuminrack/gateway/GatewayCounters.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCounters.java
@@ -33,7 +33,9 @@
     /** Dispatches that another upstream than the intended one refused. */
     MISDIRECTED_SENDS,
     /** Retries that were not made because the retry budget was exhausted. */
-    RETRIES_DENIED
+    RETRIES_DENIED,
+    /** Requests placed on an upstream in another data centre than the gateway. */
+    CROSSING_SENDS
   }
 
   GatewayCounters() {
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.pace.PaceTable;
 import org.cuminrack.relay.BodyReader;
 import org.cuminrack.relay.IoContext;
 import org.cuminrack.relay.RelayBounds;
@@ -54,8 +55,11 @@
       GatewaySettings settings,
       CrashSuspects suspects,
       RequestMetrics requestMetrics,
+      PaceTable paceTable,
       Clock clock) {
     UpstreamHealth health = new UpstreamHealth(clock);
+    UpstreamPaces paces = new UpstreamPaces(paceTable);
+    GatewayCounters counters = new GatewayCounters();
     context =
         new GatewayContext(
             view,
@@ -67,17 +71,20 @@
                 health,
                 rateLimits,
                 notices,
-                settings.announcementTimeout(),
+                paces,
+                counters,
+                settings,
                 clock,
                 RandomGenerator.getDefault()),
             health,
             rateLimits,
             notices,
+            paces,
             new RetryBudgets(settings, () -> view.gateways().size()),
             suspects,
             new GenerationQueue(),
             new StopAdmission(clock),
-            new GatewayCounters(),
+            counters,
             requestMetrics,
             RelayBounds.defaults().withConnectTimeout(CONNECT_TIMEOUT),
             clock);
--- a/src/main/java/org/cuminrack/gateway/GatewaySettings.java
+++ b/src/main/java/org/cuminrack/gateway/GatewaySettings.java
@@ -8,5 +8,7 @@
  * @param retryShare retries that all gateways together may make, as a share of requests
  * @param retrySlack retries that are allowed in addition
  * @param announcementTimeout time without an announcement after which an upstream is avoided
+ * @param dataCentre the data centre of the gateway
  */
-public record GatewaySettings(double retryShare, double retrySlack, Duration announcementTimeout) {}
+public record GatewaySettings(
+    double retryShare, double retrySlack, Duration announcementTimeout, String dataCentre) {}
--- a/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
@@ -98,7 +98,9 @@
   /** Called under the queue's lock, on any thread. */
   private boolean tryReserve() {
     Optional<Reservation> reservation =
-        context.selector().reserveGeneration(call.service().name(), engine, need, excludedIds);
+        context
+            .selector()
+            .reserveGeneration(call.service().name(), engine, need, call.route(), excludedIds);
     reservation.ifPresent(reserved -> call.io().execute(() -> handleReserved(reserved)));
     return reservation.isPresent();
   }
@@ -133,8 +135,7 @@
 
   private void logPlacement(Reservation reservation, Optional<Reservation> backup) {
     UpstreamLoad load = reservation.loadBefore();
-    logger.atInfo().log(
-        "%s",
+    LogEvent event =
         LogEvent.named("request-placed")
             .with("request", call.head().attemptId())
             .with("upstream", reservation.upstream().id())
@@ -144,7 +145,9 @@
             .with("unread_tokens", load.pendingPrefillTokens())
             .with("needed_tokens", need.expectedTokens())
             .with("copy", backup.map(reserved -> reserved.upstream().id()).orElse("none"))
-            .with("queued_ms", call.age().toMillis()));
+            .with("queued_ms", call.age().toMillis());
+    reservation.facts().ifPresent(facts -> facts.addTo(event));
+    logger.atInfo().log("%s", event);
   }
 
   private void onQueueTimeout() {
--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -1,5 +1,6 @@
 package org.cuminrack.gateway;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -13,12 +14,14 @@
  * <p>Plain services are limited by slots: the upstream with the fewest requests per slot is chosen.
  * Engines are limited by memory, batch slots and prefill: the engine with the smallest share of
  * reserved memory is chosen, or none if the generation fits on no engine. Recent failures and, on
- * engines, pending prefill count as additional load.
+ * engines, pending prefill count as additional load. Where upstreams differ in pace by more than
+ * callers would not notice, the expected time decides. Of nearly equal upstreams, those in the
+ * gateway's data centre are preferred.
  */
 public final class Placement {
   /**
-   * Requests per slot at which a plain upstream is full; further requests would wait in the
-   * upstream's queue for longer than their target latency.
+   * Requests per slot at which a plain upstream of the usual pace is full; further requests would
+   * wait in the upstream's queue for longer than their target latency.
    */
   private static final int MAX_PLAIN_REQUESTS_PER_SLOT = 3;
 
@@ -29,11 +32,34 @@
    */
   private static final double JITTER_WEIGHT = 0.06;
 
+  /**
+   * The same where upstreams differ in pace, as a share of the target latency: the fastest ones
+   * would otherwise be picked by all gateways that know the same load.
+   */
+  private static final double JITTER_SHARE_OF_TARGET = 0.05;
+
+  private static final double MAX_JITTER_WEIGHT = 0.3;
+
   /**
    * Weight of failures relative to load: added to the load of an upstream that fails every request.
    */
   private static final double FAILURE_WEIGHT = 2.0;
 
+  /** Time that a request takes to another data centre and its response back. */
+  private static final double CROSSING_MILLIS = 2;
+
+  /**
+   * Share of the target latency for which a crossing is not worth its bytes, beside its time; less
+   * than callers notice.
+   */
+  private static final double CROSSING_SHARE_OF_TARGET = 0.03;
+
+  /** A crossing weighs less than one request on an upstream of few slots. */
+  private static final double MAX_CROSSING_WEIGHT = 0.1;
+
+  /** Weight of a crossing if the usual duration of requests is not known. */
+  private static final double DEFAULT_CROSSING_WEIGHT = 0.03;
+
   /**
    * Maximum share of an engine's memory that may be reserved; the rest is a margin for reservations
    * of other gateways that this one does not know of yet.
@@ -50,37 +76,47 @@
   private static final double PENDING_PREFILL_WEIGHT = 3.0;
 
   /**
-   * Pending prefill tokens at which an engine gets no more generations: about one second of prefill
-   * for an engine under load, which prefills about 7 tokens per millisecond (chunks of 112 tokens
-   * in steps of 16 ms). Further generations wait in the gateway's queue, which is ordered by
-   * priority.
+   * Share of the target gap up to which the expected gap between events does not count; the rest is
+   * for the times at which an engine is slower than on average.
    */
-  private static final long MAX_PENDING_PREFILL_TOKENS = 7_000;
+  private static final double MAX_GAP_SHARE = 0.5;
 
   private Placement() {}
 
   /** Returns the upstream for a plain request; empty if all upstreams are full. */
-  public static Optional<Candidate> forPlainRequest(List<Candidate> candidates) {
+  public static Optional<Candidate> forPlainRequest(List<Candidate> candidates, PlainWork work) {
+    double targetMillis = work.targetLatency().toMillis();
+    CandidatePaces paces =
+        work.usualMillis().isPresent()
+            ? CandidatePaces.of(candidates, work.usualMillis().getAsDouble(), targetMillis)
+            : CandidatePaces.EQUAL;
     return candidates.stream()
         .filter(
             candidate ->
-                candidate.load().requests() < MAX_PLAIN_REQUESTS_PER_SLOT * slots(candidate))
-        .min(avoidedLast().thenComparing(Comparator.comparingDouble(Placement::plainScore)));
+                candidate.load().requests() * paces.slowdown(candidate)
+                    < MAX_PLAIN_REQUESTS_PER_SLOT * candidate.slots())
+        .min(
+            avoidedLast()
+                .thenComparing(
+                    Comparator.comparingDouble(candidate -> plainScore(candidate, paces, work))));
   }
 
   /**
-   * Returns the engine for a generation that is expected to need this many tokens of memory; empty
-   * if it fits on no engine.
+   * Returns the engine for a generation; empty if it fits on no engine, or all that it fits on have
+   * too much prefill pending.
    */
   public static Optional<Candidate> forGeneration(
-      List<Candidate> candidates, EngineSpec engine, long tokens) {
+      List<Candidate> candidates, EngineSpec engine, PrefillWork work) {
+    CandidatePaces paces = PrefillTime.paces(candidates, work);
     return candidates.stream()
-        .filter(fits(engine, tokens, engine.memoryTokens() * USABLE_MEMORY_SHARE))
-        .filter(candidate -> candidate.load().pendingPrefillTokens() < MAX_PENDING_PREFILL_TOKENS)
+        .filter(fits(engine, work.expectedTokens(), engine.memoryTokens() * USABLE_MEMORY_SHARE))
+        .filter(candidate -> !PrefillTime.isFull(candidate, paces, work))
         .min(
             avoidedLast()
+                .thenComparing(candidate -> PrefillTime.missesTargets(candidate, paces, work))
                 .thenComparing(
-                    Comparator.comparingDouble(candidate -> engineScore(candidate, engine))));
+                    Comparator.comparingDouble(
+                        candidate -> engineScore(candidate, engine, paces, work))));
   }
 
   /**
@@ -125,9 +161,57 @@
     return Comparator.comparing(Candidate::avoided);
   }
 
-  private static double plainScore(Candidate candidate) {
-    double load = (double) candidate.load().requests() / slots(candidate);
-    return load + FAILURE_WEIGHT * candidate.failureShare() + JITTER_WEIGHT * candidate.jitter();
+  /** Returns the expected completion time, less that on an idle upstream, in usual durations. */
+  private static double plainScore(Candidate candidate, CandidatePaces paces, PlainWork work) {
+    double requestsPerSlot = (double) candidate.load().requests() / candidate.slots();
+    double slowdown = paces.slowdown(candidate);
+    double load = slowdown == 1 ? requestsPerSlot : (1 + requestsPerSlot) * slowdown - 1;
+    double targetInDurations =
+        work.usualMillis().isPresent()
+            ? work.targetLatency().toMillis() / work.usualMillis().getAsDouble()
+            : 0;
+    return load
+        + FAILURE_WEIGHT * candidate.failureShare()
+        + jitterWeight(paces, targetInDurations) * candidate.jitter()
+        + (candidate.isFar() ? plainCrossingWeight(work) : 0);
+  }
+
+  private static double jitterWeight(CandidatePaces paces, double targetInDurations) {
+    return paces.areCounted()
+        ? Math.max(
+            JITTER_WEIGHT, Math.min(MAX_JITTER_WEIGHT, JITTER_SHARE_OF_TARGET * targetInDurations))
+        : JITTER_WEIGHT;
+  }
+
+  private static double plainCrossingWeight(PlainWork work) {
+    return work.usualMillis().isPresent()
+        ? Math.min(
+            MAX_CROSSING_WEIGHT,
+            crossingMillis(work.targetLatency()) / work.usualMillis().getAsDouble())
+        : DEFAULT_CROSSING_WEIGHT;
+  }
+
+  private static double crossingMillis(Duration targetLatency) {
+    return CROSSING_MILLIS + CROSSING_SHARE_OF_TARGET * targetLatency.toMillis();
+  }
+
+  /** Returns the load of an engine that counts when a generation is placed there. */
+  private static double engineScore(
+      Candidate candidate, EngineSpec engine, CandidatePaces paces, PrefillWork work) {
+    double slowdown = paces.slowdown(candidate);
+    // The wait for the generation's own prompt differs only by the pace.
+    double extraPrefillTokens =
+        candidate.load().pendingPrefillTokens() * (slowdown - 1)
+            + work.promptTokens() * (slowdown - 1);
+    double crossingTokens =
+        candidate.isFar() ? PrefillTime.tokensWithin(crossingMillis(work.shortestTarget())) : 0;
+    double gapOverrun =
+        paces.areCounted() ? Math.max(0, work.gapShare() * slowdown - MAX_GAP_SHARE) : 0;
+    return engineScore(candidate, engine)
+        + PENDING_PREFILL_WEIGHT * extraPrefillTokens / engine.memoryTokens()
+        + gapOverrun
+        + Math.min(
+            MAX_CROSSING_WEIGHT, PENDING_PREFILL_WEIGHT * crossingTokens / engine.memoryTokens());
   }
 
   private static double engineScore(Candidate candidate, EngineSpec engine) {
@@ -139,8 +223,4 @@
         + FAILURE_WEIGHT * candidate.failureShare()
         + JITTER_WEIGHT * candidate.jitter();
   }
-
-  private static int slots(Candidate candidate) {
-    return Math.max(1, candidate.upstream().slots());
-  }
 }
--- a/src/main/java/org/cuminrack/gateway/PlainDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/PlainDispatch.java
@@ -24,6 +24,8 @@
   private HeaderMap headers;
   private int status;
   private boolean sent;
+  private long sentNanos;
+  private long answeredNanos;
 
   PlainDispatch(
       GatewayContext context, GatewayCall call, Reservation reservation, Listener listener) {
@@ -103,6 +105,13 @@
   /** Records that the upstream has answered as it should. */
   void recordSuccess() {
     context.health().recordSuccess(reservation.upstream().id());
+    context
+        .paces()
+        .recordPlain(
+            reservation.upstream(),
+            call.route().name(),
+            reservation.loadBefore().requests(),
+            Duration.ofNanos(answeredNanos - sentNanos));
   }
 
   private void recordFailure() {
@@ -113,6 +122,7 @@
   public boolean maySend() {
     sent = call.maySendTo(reservation.upstream());
     if (sent) {
+      sentNanos = context.clock().nanoTime();
       suspectDispatch = Optional.of(call.suspicion().registerDispatch(reservation.upstream()));
     }
     return sent;
@@ -149,6 +159,7 @@
 
   @Override
   public void completed() {
+    answeredNanos = context.clock().nanoTime();
     if (responseHead.notExecuted()) {
       onComplete();
       return;
--- /dev/null
+++ b/src/main/java/org/cuminrack/gateway/PrefillTime.java
@@ -0,0 +1,78 @@
+package org.cuminrack.gateway;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * The expected time until an engine has prefilled a prompt, and which engines are quick enough. An
+ * engine prefills prompts one after the other, so a prompt waits for all those ahead of it.
+ */
+final class PrefillTime {
+  /** Prefill of an engine under load: chunks of 112 tokens in steps of 16 ms. */
+  private static final double TOKENS_PER_MILLI = 7;
+
+  /**
+   * Share of the shortest target latency for which prompts may be pending ahead of another one; the
+   * rest is for its own prefill.
+   */
+  private static final double MAX_AHEAD_SHARE_OF_TARGET = 2.0 / 3;
+
+  /**
+   * Multiple of the shortest target latency from which a generation can wait, so that its prompt
+   * counts as one that is ahead of those which can't.
+   */
+  private static final double PATIENT_TARGET_MULTIPLE = 2;
+
+  private PrefillTime() {}
+
+  /** Returns the tokens that an engine of the usual pace prefills within a time. */
+  static double tokensWithin(double millis) {
+    return millis * TOKENS_PER_MILLI;
+  }
+
+  /** Compares the paces of engines by the prefill of a prompt. */
+  static CandidatePaces paces(List<Candidate> candidates, PrefillWork work) {
+    return CandidatePaces.of(
+        candidates,
+        work.promptTokens() / TOKENS_PER_MILLI,
+        (double) work.targetLatency().toMillis());
+  }
+
+  /** Returns the expected time to the first output of a generation on an engine. */
+  static Duration toFirstOutput(Candidate candidate, CandidatePaces paces, PrefillWork work) {
+    return Duration.ofMillis(Math.round(firstOutputMillis(candidate, paces, work)));
+  }
+
+  private static double firstOutputMillis(
+      Candidate candidate, CandidatePaces paces, PrefillWork work) {
+    return aheadMillis(candidate, paces)
+        + work.promptTokens() / TOKENS_PER_MILLI * paces.slowdown(candidate);
+  }
+
+  private static double aheadMillis(Candidate candidate, CandidatePaces paces) {
+    return candidate.load().pendingPrefillTokens() / TOKENS_PER_MILLI * paces.slowdown(candidate);
+  }
+
+  /** Returns whether the prompts ahead leave an engine too little time for further ones. */
+  static boolean isFull(Candidate candidate, CandidatePaces paces, PrefillWork work) {
+    return aheadMillis(candidate, paces) >= maxAheadMillis(work);
+  }
+
+  /**
+   * Returns whether a generation would miss its target on an engine or, if it can wait, make others
+   * miss theirs.
+   */
+  static boolean missesTargets(Candidate candidate, CandidatePaces paces, PrefillWork work) {
+    double limitMillis = isPatient(work) ? maxAheadMillis(work) : work.targetLatency().toMillis();
+    return firstOutputMillis(candidate, paces, work) > limitMillis;
+  }
+
+  private static double maxAheadMillis(PrefillWork work) {
+    return MAX_AHEAD_SHARE_OF_TARGET * work.shortestTarget().toMillis();
+  }
+
+  private static boolean isPatient(PrefillWork work) {
+    return work.targetLatency().toMillis()
+        >= PATIENT_TARGET_MULTIPLE * work.shortestTarget().toMillis();
+  }
+}
--- a/src/main/java/org/cuminrack/gateway/ResponseHead.java
+++ b/src/main/java/org/cuminrack/gateway/ResponseHead.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.cuminrack.pace.StatedLoad;
 
 /**
  * Facts read from the head of an upstream's response.
@@ -16,6 +17,8 @@
  * @param leaving whether the upstream states that it leaves
  * @param pause how long the upstream, which has turned the request away, wants no request from this
  *     gateway; empty if it names no time; an error text if it names one that is invalid
+ * @param load the load that the upstream states; empty if it states none; an error text if it
+ *     states one that is invalid
  */
 public record ResponseHead(
     boolean matchesRequest,
@@ -23,4 +26,5 @@
     boolean misdirected,
     Either<String, OptionalDouble> requestsPerSecond,
     boolean leaving,
-    Either<String, Optional<Duration>> pause) {}
+    Either<String, Optional<Duration>> pause,
+    Either<String, Optional<StatedLoad>> load) {}
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -11,6 +12,7 @@
 import org.cuminrack.fleet.UpstreamPhase;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.routing.EngineSpec;
+import org.cuminrack.routing.HttpRoute;
 import org.cuminrack.routing.ServiceSpec;
 import org.cuminrack.time.Clock;
 
@@ -25,19 +27,21 @@
   private final Clock clock;
   private final RandomGenerator random;
   private final WarmUpRateLimiter warmUpRateLimiter;
+  private final UpstreamPaces paces;
+  private final GatewayCounters counters;
+  private final String dataCentre;
+  private final ServiceRoutes serviceRoutes = new ServiceRoutes();
 
-  /**
-   * Creates a selector.
-   *
-   * @param announcementTimeout time without an announcement after which an upstream is avoided
-   */
+  /** Creates a selector. */
   UpstreamSelector(
       FleetView view,
       LoadTable loads,
       UpstreamHealth health,
       RequestRateLimits rateLimits,
       UpstreamNotices notices,
-      Duration announcementTimeout,
+      UpstreamPaces paces,
+      GatewayCounters counters,
+      GatewaySettings settings,
       Clock clock,
       RandomGenerator random) {
     this.view = view;
@@ -45,7 +49,10 @@
     this.health = health;
     this.rateLimits = rateLimits;
     this.notices = notices;
-    this.announcementTimeout = announcementTimeout;
+    this.paces = paces;
+    this.counters = counters;
+    this.announcementTimeout = settings.announcementTimeout();
+    this.dataCentre = settings.dataCentre();
     this.clock = clock;
     this.random = random;
     this.warmUpRateLimiter = new WarmUpRateLimiter(random);
@@ -53,19 +60,73 @@
 
   /** Reserves a slot for a plain request; empty if all upstreams are full. */
   synchronized Optional<Reservation> reservePlain(String service, Set<String> excludedIds) {
-    return choose(candidates(service, excludedIds), Placement::forPlainRequest)
+    PlainWork work = plainWork(service);
+    return choose(
+            candidates(service, excludedIds),
+            candidates -> Placement.forPlainRequest(candidates, work))
         .map(this::recordChoice)
         .map(upstream -> Reservation.forPlainRequest(loads, upstream));
   }
 
-  /** Reserves memory for a generation; empty if it fits on no engine. */
+  /**
+   * Reserves memory for a generation; empty if it fits on no engine, or too much prefill is pending
+   * on all.
+   */
   synchronized Optional<Reservation> reserveGeneration(
-      String service, EngineSpec engine, MemoryNeed need, Set<String> excludedIds) {
-    return choose(
-            candidates(service, excludedIds),
-            candidates -> Placement.forGeneration(candidates, engine, need.expectedTokens()))
-        .map(this::recordChoice)
-        .map(upstream -> Reservation.forGeneration(loads, upstream, need));
+      String service,
+      EngineSpec engine,
+      MemoryNeed need,
+      HttpRoute route,
+      Set<String> excludedIds) {
+    PrefillWork work = prefillWork(service, need, route);
+    List<Candidate> candidates = candidates(service, excludedIds);
+    return choose(candidates, remaining -> Placement.forGeneration(remaining, engine, work))
+        .map(
+            chosen -> {
+              PlacementFacts facts = facts(chosen, candidates, work);
+              return Reservation.forGeneration(loads, recordChoice(chosen), need, facts);
+            });
+  }
+
+  private PlainWork plainWork(String service) {
+    return serviceRoutes
+        .shortestTarget(view.routing(), service, false)
+        .map(
+            route ->
+                new PlainWork(route.targetLatency(), paces.usualPlainMillis(service, route.name())))
+        .orElse(PlainWork.UNKNOWN);
+  }
+
+  private PrefillWork prefillWork(String service, MemoryNeed need, HttpRoute route) {
+    Duration shortestTarget =
+        serviceRoutes
+            .shortestTarget(view.routing(), service, true)
+            .map(HttpRoute::targetLatency)
+            .orElse(route.targetLatency());
+    OptionalDouble usualGapMillis = paces.usualGapMillis(service);
+    double gapShare =
+        usualGapMillis.isPresent()
+            ? route
+                .targetEventGap()
+                .map(target -> usualGapMillis.getAsDouble() / Math.max(1, target.toMillis()))
+                .orElse(0.0)
+            : 0;
+    return new PrefillWork(
+        need.promptTokens(),
+        need.expectedTokens(),
+        route.targetLatency(),
+        shortestTarget,
+        gapShare);
+  }
+
+  private static PlacementFacts facts(
+      Candidate chosen, List<Candidate> candidates, PrefillWork work) {
+    CandidatePaces candidatePaces = PrefillTime.paces(candidates, work);
+    return new PlacementFacts(
+        chosen.upstream().dataCentre(),
+        DataCentreChoice.of(chosen, candidates),
+        chosen.pace(),
+        PrefillTime.toFirstOutput(chosen, candidatePaces, work).toMillis());
   }
 
   /**
@@ -108,6 +169,9 @@
 
   private UpstreamRecord recordChoice(Candidate candidate) {
     rateLimits.recordSent(candidate.upstream());
+    if (candidate.isFar()) {
+      counters.add(GatewayCounters.Kind.CROSSING_SENDS);
+    }
     return recordWarmUpChoice(candidate);
   }
 
@@ -222,6 +286,8 @@
         loads.total(upstream.id()),
         silent || health.isAvoided(upstream.id()),
         health.failureShare(upstream.id()),
-        random.nextDouble());
+        random.nextDouble(),
+        paces.pace(upstream),
+        !upstream.dataCentre().equals(dataCentre));
   }
 }
--- /dev/null
+++ b/src/main/java/org/cuminrack/pace/StatedLoad.java
@@ -0,0 +1,14 @@
+package org.cuminrack.pace;
+
+import java.util.OptionalDouble;
+
+/**
+ * The load that an upstream states in a response.
+ *
+ * @param running requests that it runs, 0 or more
+ * @param waiting requests that wait there, 0 or more
+ * @param slots requests that it can run at once, 1 or more
+ * @param slowdown how long work takes there at this moment, as a multiple of what is usual; empty
+ *     if it does not state it
+ */
+public record StatedLoad(int running, int waiting, int slots, OptionalDouble slowdown) {}
--- a/src/main/java/org/cuminrack/platform/PlatformHeaders.java
+++ b/src/main/java/org/cuminrack/platform/PlatformHeaders.java
@@ -19,6 +19,7 @@
 import org.cuminrack.gateway.ResponseHead;
 import org.cuminrack.gateway.ResumePoint;
 import org.cuminrack.gateway.UpstreamRequestHead;
+import org.cuminrack.pace.StatedLoad;
 
 /** Reads and writes the platform's headers of requests and responses. */
 public final class PlatformHeaders implements HeaderTranslation {
@@ -35,6 +36,7 @@
   private static final HttpString NOT_EXECUTED = new HttpString("Not-Executed");
   private static final HttpString SERVER_LIMIT = new HttpString("Server-Limit");
   private static final HttpString SERVER_LEAVING = new HttpString("Server-Leaving");
+  private static final HttpString SERVER_LOAD = new HttpString("Server-Load");
   private static final String IS_LEAVING = "1";
 
   /**
@@ -172,7 +174,15 @@
         status == STATUS_MISDIRECTED_REQUEST,
         requestsPerSecond(headers),
         isLeaving(headers),
-        status == STATUS_SERVICE_UNAVAILABLE ? pause(headers) : Either.right(Optional.empty()));
+        status == STATUS_SERVICE_UNAVAILABLE ? pause(headers) : Either.right(Optional.empty()),
+        load(headers));
+  }
+
+  private static Either<String, Optional<StatedLoad>> load(HeaderMap headers) {
+    String text = headers.getFirst(SERVER_LOAD);
+    return text == null
+        ? Either.right(Optional.empty())
+        : StatedLoadHeader.parse(text).map(Optional::of);
   }
 
   private static boolean isLeaving(HeaderMap headers) {
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -31,6 +31,7 @@
 import org.cuminrack.member.CrashReports;
 import org.cuminrack.member.ReplicatedCrashReports;
 import org.cuminrack.metrics.Metrics;
+import org.cuminrack.pace.PaceTable;
 import org.cuminrack.platform.PlatformEngineCalls;
 import org.cuminrack.platform.PlatformHeaders;
 import org.cuminrack.platform.ReadyEndpoint;
@@ -66,6 +67,7 @@
   private final LoadTable loads;
   private final RequestRateLimits rateLimits;
   private final UpstreamNotices notices;
+  private final PaceTable paces;
   private final GatewayHandler handler;
   private final FleetWatcher watcher;
   private volatile boolean stopping;
@@ -77,6 +79,7 @@
     loads = new LoadTable(clock);
     rateLimits = new RequestRateLimits(this::otherGateways, clock, RandomGenerator.getDefault());
     notices = new UpstreamNotices(clock);
+    paces = new PaceTable(clock);
     Metrics metrics = services.add(new Metrics());
     WireClient wire = services.add(new WireClient(node.group()));
     watcher =
@@ -93,6 +96,7 @@
             gatewaySettings(settings),
             suspects(new ControlClient(wire, watcher::controlAddresses, clock)),
             new RequestTimers(metrics),
+            paces,
             clock);
     LoadSharing sharing =
         new LoadSharing(
@@ -135,7 +139,10 @@
 
   private static GatewaySettings gatewaySettings(GatewayNodeSettings settings) {
     return new GatewaySettings(
-        settings.retryPercent() / PERCENT, settings.retrySlack(), settings.announcementTimeout());
+        settings.retryPercent() / PERCENT,
+        settings.retrySlack(),
+        settings.announcementTimeout(),
+        settings.node().dataCentre());
   }
 
   private GatewayRecord ownRecord() {
@@ -231,6 +238,7 @@
         .with("rate_limits", rateLimits::ownShares)
         .with("leaving", notices::ownLeaving)
         .with("paused_ms", notices::pauseMillisById)
+        .with("pace", paces::paceById)
         .with("suspects", () -> view.suspects().size())
         .with("waiting", handler::queuedGenerations);
   }
--- a/src/test/java/org/cuminrack/gateway/PlacementTest.java
+++ b/src/test/java/org/cuminrack/gateway/PlacementTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -14,34 +16,40 @@
 
 class PlacementTest {
   private static final EngineSpec ENGINE = new EngineSpec(24, 34_000, 4, true, true);
+  private static final Duration TARGET = Duration.ofMillis(1_500);
+  private static final PrefillWork WORK = new PrefillWork(3_000, 4_000, TARGET, TARGET, 0);
+  private static final PlainWork PLAIN =
+      new PlainWork(Duration.ofMillis(300), OptionalDouble.of(60));
 
   @Test
   void shouldSendAPlainRequestToTheLeastLoadedUpstream() {
     assertThat(
-            Placement.forPlainRequest(List.of(plain("a", 3), plain("b", 1), plain("c", 2)))
+            Placement.forPlainRequest(List.of(plain("a", 3), plain("b", 1), plain("c", 2)), PLAIN)
                 .map(candidate -> candidate.upstream().id()))
         .hasValue("b");
   }
 
   @Test
   void shouldRefuseAPlainRequestIfAllUpstreamsAreFull() {
-    assertThat(Placement.forPlainRequest(List.of(plain("a", 18), plain("b", 18)))).isEmpty();
+    assertThat(Placement.forPlainRequest(List.of(plain("a", 18), plain("b", 18)), PLAIN)).isEmpty();
   }
 
   @Test
   void shouldChooseAnAvoidedUpstreamOnlyIfThereIsNoOther() {
     Candidate avoided = new Candidate(upstream("a"), load(0, 0, 0), true, 0, 0);
 
-    assertThat(Placement.forPlainRequest(List.of(avoided, plain("b", 5))).get().upstream().id())
+    assertThat(
+            Placement.forPlainRequest(List.of(avoided, plain("b", 5)), PLAIN).get().upstream().id())
         .isEqualTo("b");
-    assertThat(Placement.forPlainRequest(List.of(avoided)).get().upstream().id()).isEqualTo("a");
+    assertThat(Placement.forPlainRequest(List.of(avoided), PLAIN).get().upstream().id())
+        .isEqualTo("a");
   }
 
   @Test
   void shouldSendAGenerationToTheEngineWithTheMostFreeMemory() {
     assertThat(
             Placement.forGeneration(
-                    List.of(engine("a", 20_000, 0), engine("b", 9_000, 0)), ENGINE, 4_000)
+                    List.of(engine("a", 20_000, 0), engine("b", 9_000, 0)), ENGINE, WORK)
                 .get()
                 .upstream()
                 .id())
@@ -50,7 +58,7 @@
 
   @Test
   void shouldRefuseAGenerationThatFitsOnNoEngine() {
-    assertThat(Placement.forGeneration(List.of(engine("a", 31_000, 0)), ENGINE, 4_000)).isEmpty();
+    assertThat(Placement.forGeneration(List.of(engine("a", 31_000, 0)), ENGINE, WORK)).isEmpty();
   }
 
   @Test
@@ -59,7 +67,7 @@
     Candidate fuller = engine("b", 16_000, 0);
 
     assertThat(
-            Placement.forGeneration(List.of(prefilling, fuller), ENGINE, 4_000)
+            Placement.forGeneration(List.of(prefilling, fuller), ENGINE, WORK)
                 .get()
                 .upstream()
                 .id())
@@ -68,8 +76,7 @@
 
   @Test
   void shouldChooseNoEngineWithTooMuchPendingPrefill() {
-    assertThat(Placement.forGeneration(List.of(engine("a", 9_000, 7_000)), ENGINE, 4_000))
-        .isEmpty();
+    assertThat(Placement.forGeneration(List.of(engine("a", 9_000, 7_000)), ENGINE, WORK)).isEmpty();
   }
 
   @Test
@@ -99,7 +106,7 @@
           Stream.of("a", "b", "c", "d")
               .map(id -> new Candidate(upstream(id), load(0, 0, 0), false, 0, random.nextDouble()))
               .toList();
-      chosen.add(Placement.forGeneration(equal, ENGINE, 4_000).get().upstream().id());
+      chosen.add(Placement.forGeneration(equal, ENGINE, WORK).get().upstream().id());
     }
 
     assertThat(chosen).containsExactly("a", "b", "c", "d");
@@ -110,7 +117,7 @@
     Candidate full = new Candidate(upstream("full"), load(4, 16_000, 0), false, 0, 0);
     Candidate free = new Candidate(upstream("free"), load(2, 8_000, 0), false, 0, 1);
 
-    assertThat(Placement.forGeneration(List.of(full, free), ENGINE, 4_000).get().upstream().id())
+    assertThat(Placement.forGeneration(List.of(full, free), ENGINE, WORK).get().upstream().id())
         .isEqualTo("free");
   }
 
--- a/src/test/java/org/cuminrack/gateway/RequestRateLimitsTest.java
+++ b/src/test/java/org/cuminrack/gateway/RequestRateLimitsTest.java
@@ -291,6 +291,7 @@
         misdirected,
         requestsPerSecond,
         false,
+        Either.right(Optional.empty()),
         Either.right(Optional.empty()));
   }
 }
--- a/src/test/java/org/cuminrack/gateway/RetryBudgetsTest.java
+++ b/src/test/java/org/cuminrack/gateway/RetryBudgetsTest.java
@@ -15,7 +15,7 @@
   private int listedGateways = GATEWAYS;
   private final RetryBudgets budgets =
       new RetryBudgets(
-          new GatewaySettings(0.1, SLACK, Duration.ofSeconds(4)), () -> listedGateways);
+          new GatewaySettings(0.1, SLACK, Duration.ofSeconds(4), "dc-a"), () -> listedGateways);
 
   @Test
   void shouldStartWithAnEqualShareOfTheSlack() {
--- a/src/test/java/org/cuminrack/gateway/SimulatedGateways.java
+++ b/src/test/java/org/cuminrack/gateway/SimulatedGateways.java
@@ -88,7 +88,13 @@
     gateway.recordAnswer(
         UPSTREAM,
         new ResponseHead(
-            true, false, false, Either.right(named), false, Either.right(Optional.empty())));
+            true,
+            false,
+            false,
+            Either.right(named),
+            false,
+            Either.right(Optional.empty()),
+            Either.right(Optional.empty())));
   }
 
   /**
--- a/src/test/java/org/cuminrack/gateway/UpstreamNoticesTest.java
+++ b/src/test/java/org/cuminrack/gateway/UpstreamNoticesTest.java
@@ -124,6 +124,12 @@
       boolean leaving,
       Either<String, Optional<Duration>> pause) {
     return new ResponseHead(
-        matchesRequest, true, misdirected, Either.right(OptionalDouble.empty()), leaving, pause);
+        matchesRequest,
+        true,
+        misdirected,
+        Either.right(OptionalDouble.empty()),
+        leaving,
+        pause,
+        Either.right(Optional.empty()));
   }
 }
--- a/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
+++ b/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
@@ -133,6 +133,7 @@
                 true,
                 Either.right(OptionalDouble.empty()),
                 false,
+                Either.right(Optional.empty()),
                 Either.right(Optional.empty())));
   }
 
