Draw plain upstreams by the expected time where their paces differ

Cause: with load figures that are late, all gateways chose the same fastest upstream until the figures changed. Change: an upstream is drawn with a probability by the inverse square of its expected time; a crossing counts as long as it takes and what callers don't notice. Choices among equally fast upstreams are not drawn. The test's figures that stop, lie or are absurd found that a NaN passed to PaceTable would spoil an estimate; StatedLoad now rejects it.

--- a/src/main/java/org/cuminrack/gateway/CandidatePaces.java
+++ b/src/main/java/org/cuminrack/gateway/CandidatePaces.java
@@ -16,12 +16,6 @@
   /** Weight of samples below which the pace of an upstream is not known. */
   private static final double MIN_SAMPLES = 3;
 
-  /**
-   * Share of choices in which an upstream counts as no slower than usual, so that requests tell
-   * when it is fast again.
-   */
-  private static final double PROBE_SHARE = 0.02;
-
   /**
    * Compares the paces of candidates.
    *
@@ -46,8 +40,6 @@
     if (!areCounted || candidate.pace().samples() < MIN_SAMPLES) {
       return 1;
     }
-    double slowdown = candidate.pace().slowdown();
-    boolean isProbe = slowdown > 1 && candidate.jitter() < PROBE_SHARE;
-    return isProbe ? 1 : slowdown;
+    return candidate.pace().slowdown();
   }
 }
--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -15,8 +15,10 @@
  * Engines are limited by memory, batch slots and prefill: the engine with the smallest share of
  * reserved memory is chosen, or none if the generation fits on no engine. Recent failures and, on
  * engines, pending prefill count as additional load. Where upstreams differ in pace by more than
- * callers would not notice, the expected time decides. Of nearly equal upstreams, those in the
- * gateway's data centre are preferred.
+ * callers would not notice, plain upstreams are drawn with a probability that falls with the square
+ * of the expected time: gateways that know the same, late figures would all choose the same best
+ * one, and a slow one keeps a share that tells when it is fast again. Of nearly equal upstreams,
+ * those in the gateway's data centre are preferred.
  */
 public final class Placement {
   /**
@@ -32,19 +34,14 @@
    */
   private static final double JITTER_WEIGHT = 0.06;
 
-  /**
-   * The same where upstreams differ in pace, as a share of the target latency: the fastest ones
-   * would otherwise be picked by all gateways that know the same load.
-   */
-  private static final double JITTER_SHARE_OF_TARGET = 0.05;
-
-  private static final double MAX_JITTER_WEIGHT = 0.3;
-
   /**
    * Weight of failures relative to load: added to the load of an upstream that fails every request.
    */
   private static final double FAILURE_WEIGHT = 2.0;
 
+  /** The same in expected durations, where the expected time decides. */
+  private static final double FAILURE_DURATIONS = 10;
+
   /** Time that a request takes to another data centre and its response back. */
   private static final double CROSSING_MILLIS = 2;
 
@@ -81,6 +78,12 @@
    */
   private static final double MAX_GAP_SHARE = 0.5;
 
+  /**
+   * Share of choices in which an engine counts as usually fast, so that generations tell when a
+   * slow one is fast again.
+   */
+  private static final double PROBE_SHARE = 0.02;
+
   private Placement() {}
 
   /** Returns the upstream for a plain request; empty if all upstreams are full. */
@@ -161,50 +164,56 @@
     return Comparator.comparing(Candidate::avoided);
   }
 
-  /** Returns the expected completion time, less that on an idle upstream, in usual durations. */
   private static double plainScore(Candidate candidate, CandidatePaces paces, PlainWork work) {
     double requestsPerSlot = (double) candidate.load().requests() / candidate.slots();
-    double slowdown = paces.slowdown(candidate);
-    double load = slowdown == 1 ? requestsPerSlot : (1 + requestsPerSlot) * slowdown - 1;
-    double targetInDurations =
-        work.usualMillis().isPresent()
-            ? work.targetLatency().toMillis() / work.usualMillis().getAsDouble()
+    if (!paces.areCounted()) {
+      return requestsPerSlot
+          + FAILURE_WEIGHT * candidate.failureShare()
+          + JITTER_WEIGHT * candidate.jitter()
+          + (candidate.isFar() ? plainCrossingWeight(work) : 0);
+    }
+    double crossing =
+        candidate.isFar()
+            ? crossingMillis(work.targetLatency(), CandidatePaces.UNNOTICED_SHARE_OF_TARGET)
+                / work.usualMillis().getAsDouble()
             : 0;
-    return load
-        + FAILURE_WEIGHT * candidate.failureShare()
-        + jitterWeight(paces, targetInDurations) * candidate.jitter()
-        + (candidate.isFar() ? plainCrossingWeight(work) : 0);
-  }
-
-  private static double jitterWeight(CandidatePaces paces, double targetInDurations) {
-    return paces.areCounted()
-        ? Math.max(
-            JITTER_WEIGHT, Math.min(MAX_JITTER_WEIGHT, JITTER_SHARE_OF_TARGET * targetInDurations))
-        : JITTER_WEIGHT;
+    double expectedDurations =
+        (1 + requestsPerSlot) * paces.slowdown(candidate)
+            + FAILURE_DURATIONS * candidate.failureShare()
+            + crossing;
+    // Of such scores, each is the smallest with a probability by its inverse square.
+    return expectedDurations
+        * expectedDurations
+        * -Math.log(Math.max(candidate.jitter(), Double.MIN_NORMAL));
   }
 
   private static double plainCrossingWeight(PlainWork work) {
     return work.usualMillis().isPresent()
         ? Math.min(
             MAX_CROSSING_WEIGHT,
-            crossingMillis(work.targetLatency()) / work.usualMillis().getAsDouble())
+            crossingMillis(work.targetLatency(), CROSSING_SHARE_OF_TARGET)
+                / work.usualMillis().getAsDouble())
         : DEFAULT_CROSSING_WEIGHT;
   }
 
-  private static double crossingMillis(Duration targetLatency) {
-    return CROSSING_MILLIS + CROSSING_SHARE_OF_TARGET * targetLatency.toMillis();
+  private static double crossingMillis(Duration targetLatency, double shareOfTarget) {
+    return CROSSING_MILLIS + shareOfTarget * targetLatency.toMillis();
   }
 
   /** Returns the load of an engine that counts when a generation is placed there. */
   private static double engineScore(
       Candidate candidate, EngineSpec engine, CandidatePaces paces, PrefillWork work) {
-    double slowdown = paces.slowdown(candidate);
+    boolean isProbe = candidate.jitter() < PROBE_SHARE;
+    double slowdown = isProbe ? 1 : paces.slowdown(candidate);
     // The wait for the generation's own prompt differs only by the pace.
     double extraPrefillTokens =
         candidate.load().pendingPrefillTokens() * (slowdown - 1)
             + work.promptTokens() * (slowdown - 1);
     double crossingTokens =
-        candidate.isFar() ? PrefillTime.tokensWithin(crossingMillis(work.shortestTarget())) : 0;
+        candidate.isFar()
+            ? PrefillTime.tokensWithin(
+                crossingMillis(work.shortestTarget(), CROSSING_SHARE_OF_TARGET))
+            : 0;
     double gapOverrun =
         paces.areCounted() ? Math.max(0, work.gapShare() * slowdown - MAX_GAP_SHARE) : 0;
     return engineScore(candidate, engine)
--- a/src/main/java/org/cuminrack/pace/StatedLoad.java
+++ b/src/main/java/org/cuminrack/pace/StatedLoad.java
@@ -11,4 +11,15 @@
  * @param slowdown how long work takes there at this moment, as a multiple of what is usual; empty
  *     if it does not state it
  */
-public record StatedLoad(int running, int waiting, int slots, OptionalDouble slowdown) {}
+public record StatedLoad(int running, int waiting, int slots, OptionalDouble slowdown) {
+  public StatedLoad {
+    if (slowdown.isPresent() && !isPlausible(slowdown.getAsDouble())) {
+      throw new IllegalArgumentException(
+          "slowdown: expected a number above 0, found " + slowdown.getAsDouble());
+    }
+  }
+
+  private static boolean isPlausible(double slowdown) {
+    return slowdown > 0 && Double.isFinite(slowdown);
+  }
+}
