--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -15,6 +15,7 @@
     UpstreamHealth health,
     RequestRateLimits rateLimits,
     UpstreamNotices notices,
+    UpstreamPaces paces,
     RetryBudgets retries,
     CrashSuspects suspects,
     GenerationQueue queue,
@@ -28,5 +29,6 @@
   void recordAnswer(UpstreamRecord upstream, ResponseHead head) {
     rateLimits.recordAnswer(upstream, head);
     notices.recordAnswer(upstream, head);
+    paces.recordAnswer(upstream, head);
   }
 }
