Decide who gets a place in weighted max-min shares

Change: org.cuminrack.fairshare.ServiceQueue, without I/O and with the clock passed in. Priority first, then the claimant that holds least for its weight over all gateways (DemandTable), late requests after those on time, callers that came back as told before new ones of their claimant. Free room is left to better claims elsewhere for at most 200 ms, so a lost message costs no capacity. An organisation or priority that is served less than 0.35 times as often as all comes first, since pure max-min leaves an organisation with a third of all requests almost nothing. Room is kept for a large request that smaller ones overtake. The wait is estimated by Little's law from the releases observed here and from what waits before, corrected by real waits.

--- /dev/null
+++ b/src/main/java/org/cuminrack/fairshare/ServiceQueue.java
@@ -0,0 +1,365 @@
+package org.cuminrack.fairshare;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.ToDoubleFunction;
+import org.cuminrack.time.Clock;
+
+/**
+ * Decides which requests of one service get a place at this gateway, and which wait or are refused.
+ * Urgent priorities come first; within a priority, the claimant that holds least for its weight
+ * over all gateways. Thread-safe. Lock order: this queue before any lock that a {@link Placing}
+ * acquires.
+ *
+ * <p>A request leaves free room to better claims at other gateways, but only for a moment: if the
+ * room stays free, they can't use it.
+ */
+public final class ServiceQueue {
+  /** Requests that may wait; each keeps its body in memory. */
+  private static final int MAX_WAITING = 200;
+
+  /** Attempts to place a request that may fail in one pass over the queue. */
+  private static final int MAX_FAILED_ATTEMPTS = 4;
+
+  /** Longest time that room is left to better claims at other gateways; two of their retries. */
+  private static final long MAX_YIELD_NANOS = 200_000_000;
+
+  /** Time since the last refusal for which the service counts as overloaded. */
+  private static final long OVERLOAD_MEMORY_NANOS = 1_000_000_000;
+
+  private static final long REVIEW_INTERVAL_NANOS = 100_000_000;
+
+  /** A waiting request is refused early only if the estimate exceeds its time by this factor. */
+  private static final double REVIEW_MARGIN = 1.5;
+
+  private final DemandTable table;
+  private final String service;
+  private final ToDoubleFunction<String> weights;
+  private final Clock clock;
+  private final DemandLedger ledger;
+  private final WaitEstimates estimates = new WaitEstimates();
+  private final ServedRatios served = new ServedRatios();
+  private final PlacedSizes placedSizes = new PlacedSizes();
+  private final List<QueueEntry> waiting = new ArrayList<>();
+  private volatile int size;
+  private long lastSequence;
+  private long lastReviewNanos;
+  private OptionalLong lastRefusedNanos = OptionalLong.empty();
+
+  /**
+   * Creates a queue.
+   *
+   * @param weights the weight of an organisation, more than 0
+   */
+  public ServiceQueue(
+      String service, DemandTable table, ToDoubleFunction<String> weights, Clock clock) {
+    this.service = service;
+    this.table = table;
+    this.weights = weights;
+    this.clock = clock;
+    this.ledger = new DemandLedger(service, table);
+    this.lastReviewNanos = clock.nanoTime();
+  }
+
+  /**
+   * Places a request at once unless better claims wait or there is no room; otherwise queues it, or
+   * refuses it if no place is expected to come in time.
+   */
+  public synchronized QueueEntry enter(ShareRequest request, Placing placing) {
+    long nowNanos = clock.nanoTime();
+    QueueEntry entry = new QueueEntry(this, request, placing, ++lastSequence, nowNanos);
+    served.recordAsked(request.claimant(), nowNanos);
+    ServiceShares shares = shares();
+    ShareOrder order = new ShareOrder(shares, served, nowNanos);
+    entry.share = shares.shareOf(request.claimant());
+    boolean firstHere = waiting.stream().allMatch(other -> order.compare(other, entry) > 0);
+    if (firstHere && !yields(entry, shares, order, nowNanos) && placing.tryPlace()) {
+      place(entry, shares, nowNanos);
+      return entry;
+    }
+    UnitsAhead ahead = new UnitsAhead();
+    waiting.stream().filter(other -> order.compare(other, entry) < 0).forEach(ahead::add);
+    estimates.recordEntry(entry, rawEstimate(entry, ahead, shares, order));
+    estimates
+        .raw(request.units(), unitsInUse(entry, shares))
+        .ifPresent(perPlace -> entry.perPlaceNanos = perPlace);
+    long usefulNanos = usefulUntilNanos(entry, nowNanos) - nowNanos;
+    if (entry.estimateNanos > usefulNanos || usefulNanos <= 0 || waiting.size() >= MAX_WAITING) {
+      entry.state = QueueEntry.State.REFUSED;
+      lastRefusedNanos = OptionalLong.of(nowNanos);
+      return entry;
+    }
+    waiting.add(entry);
+    size = waiting.size();
+    ledger.startWaiting(request);
+    return entry;
+  }
+
+  /**
+   * Returns the time until which a place is waited for. While requests are refused, it is only as
+   * long as a place is early enough for the target: those that are on time precede late ones, so
+   * that these would wait in vain.
+   */
+  private long usefulUntilNanos(QueueEntry entry, long nowNanos) {
+    boolean overloaded =
+        lastRefusedNanos.isPresent()
+            && nowNanos - lastRefusedNanos.getAsLong() < OVERLOAD_MEMORY_NANOS;
+    return overloaded ? entry.request.onTimeUntilNanos() : entry.request.latestNanos();
+  }
+
+  /** Places the waiting requests that there is room for, in order. */
+  public void retry() {
+    if (size == 0) {
+      return;
+    }
+    synchronized (this) {
+      long nowNanos = clock.nanoTime();
+      if (nowNanos - lastReviewNanos >= REVIEW_INTERVAL_NANOS) {
+        lastReviewNanos = nowNanos;
+        reviewAll(nowNanos);
+      }
+      placeWaiting(nowNanos);
+    }
+  }
+
+  public int size() {
+    return size;
+  }
+
+  private void placeWaiting(long nowNanos) {
+    ServiceShares shares = shares();
+    Pass pass = new Pass();
+    boolean placed = true;
+    while (placed && !waiting.isEmpty()) {
+      ShareOrder order = new ShareOrder(shares, served, nowNanos);
+      waiting.sort(order);
+      placed = placeNext(pass, shares, order, nowNanos);
+    }
+  }
+
+  /** Places the first waiting request that fits; returns whether there was one. */
+  private boolean placeNext(Pass pass, ServiceShares shares, ShareOrder order, long nowNanos) {
+    for (QueueEntry entry : waiting) {
+      if (pass.isOver(entry)) {
+        return false;
+      }
+      if (pass.cannotFit(entry)) {
+        holdRoomIfOvertaken(entry, shares, order, nowNanos);
+        continue;
+      }
+      if (yields(entry, shares, order, nowNanos)) {
+        return false;
+      }
+      if (entry.placing.tryPlace()) {
+        entry.share = shares.shareOf(entry.request.claimant());
+        remove(entry);
+        place(entry, shares, nowNanos);
+        return true;
+      }
+      holdRoomIfOvertaken(entry, shares, order, nowNanos);
+      pass.recordFailure(entry);
+    }
+    return false;
+  }
+
+  /** Keeps room for a large request that has waited for some time, before smaller ones take it. */
+  private void holdRoomIfOvertaken(
+      QueueEntry entry, ServiceShares shares, ShareOrder order, long nowNanos) {
+    long onTimeWaitNanos = entry.request.onTimeUntilNanos() - entry.enteredNanos;
+    long waitedNanos = nowNanos - entry.enteredNanos;
+    boolean isNext =
+        waitedNanos >= onTimeWaitNanos / 2 || aheadElsewhere(entry, shares, order).requests() == 0;
+    if (waitedNanos >= onTimeWaitNanos / 4
+        && placedSizes.isLarge(entry.request.units())
+        && isNext
+        && waiting.stream().noneMatch(other -> other.placing.holdsRoom())) {
+      entry.placing.tryHoldRoom();
+    }
+  }
+
+  private void place(QueueEntry entry, ServiceShares shares, long nowNanos) {
+    entry.state = QueueEntry.State.PLACED;
+    entry.placedNanos = nowNanos;
+    entry.queuedNanos = nowNanos - entry.enteredNanos;
+    estimates.recordPlaced(entry);
+    served.recordPlaced(entry.request.claimant(), nowNanos);
+    placedSizes.record(entry.request.units());
+    ledger.addHeld(entry.request.claimant(), entry.request.units());
+    shares.recordHeld(entry.request.claimant(), entry.request.units());
+  }
+
+  /** Returns whether free room is left to better claims at other gateways. */
+  private boolean yields(QueueEntry entry, ServiceShares shares, ShareOrder order, long nowNanos) {
+    ServiceShares.Ahead ahead = aheadElsewhere(entry, shares, order);
+    boolean roomForAll =
+        ahead.requests() == 0
+            || entry.placing.freePlaces(ahead.meanUnits(), ahead.requests() + 1) > ahead.requests();
+    if (roomForAll || entry.placing.freePlaces(entry.request.units(), 1) == 0) {
+      entry.yieldingSinceNanos = -1;
+      return false;
+    }
+    if (entry.yieldingSinceNanos < 0) {
+      entry.yieldingSinceNanos = nowNanos;
+    }
+    long limitNanos =
+        Math.min(MAX_YIELD_NANOS, (entry.request.onTimeUntilNanos() - entry.enteredNanos) / 4);
+    return nowNanos - entry.yieldingSinceNanos < limitNanos;
+  }
+
+  private static ServiceShares.Ahead aheadElsewhere(
+      QueueEntry entry, ServiceShares shares, ShareOrder order) {
+    return order.precedesUrgent(entry)
+        ? ServiceShares.Ahead.NONE
+        : shares.aheadElsewhere(entry.request, order.isOfStarvedOrganisation(entry));
+  }
+
+  /**
+   * Estimates the wait from the releases observed here: the longer of the time until all better
+   * claims are placed, and the time until the claimant's own earlier requests are placed, if it
+   * gets its fair part of the releases.
+   */
+  private OptionalLong rawEstimate(
+      QueueEntry entry, UnitsAhead ahead, ServiceShares shares, ShareOrder order) {
+    Claimant claimant = entry.request.claimant();
+    long units = entry.request.units();
+    long allAhead = ahead.all + aheadElsewhere(entry, shares, order).units();
+    OptionalLong untilAll = estimates.raw(allAhead + units, unitsInUse(entry, shares));
+    if (order.precedesUrgent(entry) || order.isOfStarvedOrganisation(entry)) {
+      return untilAll;
+    }
+    long ownAhead =
+        ahead.of(claimant) + (entry.request.returning() ? 0 : shares.waitingElsewhereOf(claimant));
+    OptionalLong untilOwn = estimates.raw(ownAhead + units, (long) shares.fairUnits(claimant));
+    return untilAll.isPresent() && untilOwn.isPresent()
+        ? OptionalLong.of(Math.max(untilAll.getAsLong(), untilOwn.getAsLong()))
+        : untilAll;
+  }
+
+  private static long unitsInUse(QueueEntry entry, ServiceShares shares) {
+    return Math.max(shares.allHeldUnits(), entry.placing.unitsInUse());
+  }
+
+  private void reviewAll(long nowNanos) {
+    ServiceShares shares = shares();
+    ShareOrder order = new ShareOrder(shares, served, nowNanos);
+    waiting.sort(order);
+    UnitsAhead ahead = new UnitsAhead();
+    for (QueueEntry entry : List.copyOf(waiting)) {
+      OptionalLong raw = rawEstimate(entry, ahead, shares, order);
+      if (isHopeless(entry, raw, nowNanos)) {
+        refuse(entry, nowNanos);
+      } else {
+        ahead.add(entry);
+      }
+    }
+  }
+
+  /** Refuses a waiting request if no place is expected to come in time. */
+  synchronized void review(QueueEntry entry) {
+    if (entry.state == QueueEntry.State.WAITING) {
+      reviewAll(clock.nanoTime());
+    }
+  }
+
+  private boolean isHopeless(QueueEntry entry, OptionalLong raw, long nowNanos) {
+    long remainingNanos = usefulUntilNanos(entry, nowNanos) - nowNanos;
+    boolean isLate = nowNanos >= entry.request.onTimeUntilNanos();
+    if (raw.isEmpty() || remainingNanos <= 0) {
+      return isLate || remainingNanos <= 0;
+    }
+    return estimates.corrected(entry, raw.getAsLong()) > remainingNanos * REVIEW_MARGIN;
+  }
+
+  private void refuse(QueueEntry entry, long nowNanos) {
+    remove(entry);
+    entry.state = QueueEntry.State.REFUSED;
+    lastRefusedNanos = OptionalLong.of(nowNanos);
+    entry.queuedNanos = nowNanos - entry.enteredNanos;
+    estimates.recordRefused(entry);
+    entry.placing.releaseRoom();
+    entry.placing.refused();
+  }
+
+  private void remove(QueueEntry entry) {
+    waiting.remove(entry);
+    size = waiting.size();
+    ledger.stopWaiting(entry.request);
+  }
+
+  /**
+   * Removes a waiting request, or releases what a placed one holds.
+   *
+   * @param served whether the request was served, so that other requests hold theirs as long
+   */
+  void end(QueueEntry entry, boolean served) {
+    synchronized (this) {
+      long nowNanos = clock.nanoTime();
+      if (entry.state == QueueEntry.State.WAITING) {
+        entry.queuedNanos = nowNanos - entry.enteredNanos;
+        remove(entry);
+        entry.placing.releaseRoom();
+      } else if (entry.state == QueueEntry.State.PLACED) {
+        ledger.addHeld(entry.request.claimant(), -entry.request.units());
+        if (served) {
+          estimates.recordRelease(entry, nowNanos - entry.placedNanos);
+        }
+      }
+      entry.state = QueueEntry.State.ENDED;
+    }
+    retry();
+  }
+
+  /** Returns how long a request waited, or has waited so far. Called under the lock. */
+  long queuedNanos(QueueEntry entry) {
+    return entry.state == QueueEntry.State.WAITING
+        ? clock.nanoTime() - entry.enteredNanos
+        : entry.queuedNanos;
+  }
+
+  private ServiceShares shares() {
+    return new ServiceShares(table.own(service), table.others(service), weights);
+  }
+
+  /** What waits here before a request. */
+  private static final class UnitsAhead {
+    private final Map<Claimant, Long> byClaimant = new HashMap<>();
+    private long all;
+
+    void add(QueueEntry entry) {
+      all += entry.request.units();
+      byClaimant.merge(entry.request.claimant(), entry.request.units(), Long::sum);
+    }
+
+    long of(Claimant claimant) {
+      return byClaimant.getOrDefault(claimant, 0L);
+    }
+  }
+
+  /** What has failed in one pass over the queue. */
+  private static final class Pass {
+    private int failures;
+    private long smallestFailedUnits = Long.MAX_VALUE;
+    private int blockedPriority = Integer.MAX_VALUE;
+
+    void recordFailure(QueueEntry entry) {
+      failures++;
+      smallestFailedUnits = Math.min(smallestFailedUnits, entry.request.units());
+      if (!entry.placing.holdsRoom()) {
+        blockedPriority = Math.min(blockedPriority, entry.request.claimant().priority());
+      }
+    }
+
+    /** Returns whether neither this entry nor a later one may be placed. */
+    boolean isOver(QueueEntry entry) {
+      return failures >= MAX_FAILED_ATTEMPTS
+          || entry.request.claimant().priority() > blockedPriority;
+    }
+
+    boolean cannotFit(QueueEntry entry) {
+      return !entry.placing.holdsRoom() && entry.request.units() >= smallestFailedUnits;
+    }
+  }
+}
