Queue generations and plain requests of gateways in fair shares

Plain requests had no queue at all: one that found three requests for each slot was refused. Retry-After was a constant, and who came back after it stood behind new callers.

Change: GenerationAdmission and PlainRelay ask the ServiceQueue of their service for a place. Refused callers get the time at which a place is due for them, spread over callers (ReturnOrder, keyed by organisation and content). request-queued, request-refused and request-placed lines carry organisation, share, estimate and order. A request whose key is withdrawn while it waits is answered 401 and not sent. KeyHolder has a weight, 1 by default. GenerationQueueTest keeps its assertions on the new interface.

Waits beyond 0.65 of the target are new: up to a quarter of the caller's time or three targets, only if the estimate says that a place comes and nothing was refused within a second.

Measured: gateway and routing unit tests, PlatformNamesTest, RoutingDocumentsTest, and the process tests PlainRequestPathTest, GenerationPathTest and PausedUpstreamTest pass, one run each.

--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.cuminrack.fairshare.Claimant;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerExchanges;
@@ -38,6 +39,7 @@
   private int sendCount;
   private String upstreamId = "none";
   private long firstEventMillis = -1;
+  private Runnable onEnd = () -> {};
   private boolean ended;
 
   GatewayCall(
@@ -87,6 +89,26 @@
     return ofOrganisation.orElse(route.priority());
   }
 
+  /** Returns whose claim to the service the request is placed on. */
+  Claimant claimant() {
+    return new Claimant(request.keyHolder().map(KeyHolder::organisation).orElse(""), priority());
+  }
+
+  /** Returns whether the caller's API key, if it needs one, is still in force. */
+  boolean isKeyInForce() {
+    return request.keyHolder().isEmpty()
+        || context
+            .view()
+            .routing()
+            .flatMap(table -> head.apiKey().flatMap(table::holderOf))
+            .isPresent();
+  }
+
+  /** Runs a task once the call has ended, whatever its outcome; replaces an earlier task. */
+  void runAtEnd(Runnable task) {
+    onEnd = task;
+  }
+
   /** Records the time to the first event of the stream. */
   void recordFirstEvent() {
     Duration sinceArrival = age();
@@ -265,6 +287,7 @@
     }
     ended = true;
     suspicion.recordEnd();
+    onEnd.run();
     context.requestMetrics().recordRequest(outcome, age());
     logger.atInfo().log(
         "%s",
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -9,7 +9,9 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.BodyReader;
@@ -47,6 +49,7 @@
   public GatewayHandler(
       FleetView view,
       LoadTable loads,
+      DemandTable demand,
       RequestRateLimits rateLimits,
       UpstreamNotices notices,
       HeaderTranslation headers,
@@ -75,7 +78,7 @@
             notices,
             new RetryBudgets(settings, () -> view.gateways().size()),
             suspects,
-            new GenerationQueue(),
+            new GenerationQueue(demand, weights(view), clock, RandomGenerator.getDefault()),
             new StopAdmission(clock),
             new GatewayCounters(),
             requestMetrics,
@@ -84,6 +87,11 @@
     view.onChange(context.queue()::retry);
   }
 
+  private static ToDoubleFunction<String> weights(FleetView view) {
+    return organisation ->
+        view.routing().map(table -> table.weightOf(organisation)).orElse(KeyHolder.DEFAULT_WEIGHT);
+  }
+
   /**
    * Retries the reservations of queued generations; called after each load message from another
    * gateway.
@@ -104,7 +112,7 @@
     return context.counters();
   }
 
-  /** Returns the number of generations that wait for engine memory. */
+  /** Returns the number of requests that wait for a place. */
   public int queuedGenerations() {
     return context.queue().size();
   }
--- a/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
@@ -12,19 +12,13 @@
 
 /**
  * Admits one generation: reserves engine memory for it and, on a second engine, for its backup.
- * Under overload it waits in a priority queue and is refused once it could no longer meet its
- * target latency. Confined to the call's I/O thread, except the attempts to reserve, which run on
- * any thread.
+ * Under overload it waits in the queue of its service and is refused as soon as no memory is
+ * expected to come free in time. Confined to the call's I/O thread, except the attempts to reserve,
+ * which run on any thread.
  */
 final class GenerationAdmission {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /**
-   * Share of the target latency that a generation may wait for engine memory; the rest is for its
-   * prefill.
-   */
-  private static final double QUEUE_SHARE_OF_TARGET = 0.65;
-
   /** Engines free memory within seconds; an earlier retry would be refused again. */
   private static final Duration RETRY_AFTER_WHEN_FULL = Duration.ofMillis(1500);
 
@@ -37,7 +31,7 @@
   private final MemoryNeed need;
   private final BiConsumer<Reservation, Optional<Reservation>> onReserved;
   private final Set<String> excludedIds = new HashSet<>();
-  private Optional<Runnable> leaveQueue = Optional.empty();
+  private final QueuedCall queued;
 
   /**
    * Creates an admission.
@@ -55,6 +49,7 @@
     this.engine = engine;
     this.need = need;
     this.onReserved = onReserved;
+    this.queued = new QueuedCall(context, call);
   }
 
   /** Excludes an engine from later reservations. */
@@ -63,8 +58,8 @@
   }
 
   /**
-   * Reserves memory at once, or queues the generation for a limited time; fails the call if the
-   * service has no available upstream or the maximum wait has passed.
+   * Reserves memory at once, or queues the generation; fails the call if the service has no
+   * available upstream or no memory is expected to come free in time.
    */
   void begin() {
     boolean mayLackAnnouncements = context.view().mayLackAnnouncements(context.clock().nanoTime());
@@ -72,39 +67,45 @@
       call.fail(GatewayFailure.NO_UPSTREAM, Optional.of(RETRY_AFTER_WHEN_NO_UPSTREAM), "");
       return;
     }
-    leaveQueue = context.queue().enter(call.priority(), this::tryReserve);
-    if (leaveQueue.isPresent()) {
-      long waitMillis =
-          (long) (call.route().targetLatency().toMillis() * QUEUE_SHARE_OF_TARGET)
-              - call.age().toMillis();
-      Optional<Duration> limited = context.selector().retryAfter(call.service().name());
-      if (limited.isPresent() && limited.get().toMillis() > waitMillis) {
-        cancel();
-        call.fail(GatewayFailure.UPSTREAMS_LIMITED, limited, "");
-        return;
+    GenerationPlacing placing =
+        new GenerationPlacing(
+            context,
+            call.service().name(),
+            engine,
+            need,
+            excludedIds,
+            reserved -> call.io().execute(() -> handleReserved(reserved)),
+            () -> call.io().execute(this::refuse));
+    switch (queued.enter(need.expectedTokens(), placing).state()) {
+      case REFUSED -> refuse();
+      case WAITING -> awaitEndOfPause();
+      case PLACED, ENDED -> {
+        // The reservation, or the end of the call, is handled by its own task.
       }
-      // The end of a pause causes no event that would retry the queue; toMillis rounds down.
-      limited.ifPresent(wait -> call.io().after(wait.toMillis() + 1, context.queue()::retry));
-      call.io().after(Math.max(0, waitMillis), this::onQueueTimeout);
     }
   }
 
-  /** Removes the generation from the queue if it is waiting there. */
-  void cancel() {
-    leaveQueue.ifPresent(Runnable::run);
-    leaveQueue = Optional.empty();
+  /** Fails the call if all engines pause for too long; else retries the queue after the pause. */
+  private void awaitEndOfPause() {
+    Optional<Duration> limited = context.selector().retryAfter(call.service().name());
+    if (limited.isEmpty()) {
+      return;
+    }
+    if (limited.get().compareTo(queued.onTimeWait().minus(call.age())) > 0) {
+      cancel();
+      call.fail(GatewayFailure.UPSTREAMS_LIMITED, limited, "");
+      return;
+    }
+    // The end of a pause causes no event that would retry the queue; toMillis rounds down.
+    call.io().after(limited.get().toMillis() + 1, context.queue()::retry);
   }
 
-  /** Called under the queue's lock, on any thread. */
-  private boolean tryReserve() {
-    Optional<Reservation> reservation =
-        context.selector().reserveGeneration(call.service().name(), engine, need, excludedIds);
-    reservation.ifPresent(reserved -> call.io().execute(() -> handleReserved(reserved)));
-    return reservation.isPresent();
+  /** Removes the generation from the queue if it is waiting there, and ends its claim if not. */
+  void cancel() {
+    queued.cancel();
   }
 
   private void handleReserved(Reservation reservation) {
-    leaveQueue = Optional.empty();
     if (call.hasEnded()) {
       reservation.release();
       return;
@@ -115,6 +116,12 @@
       call.fail(GatewayFailure.STOPPING, Optional.of(StopAdmission.RETRY_AFTER), "queued");
       return;
     }
+    if (!call.isKeyInForce()) {
+      reservation.release();
+      context.queue().retry();
+      call.fail(GatewayFailure.KEY_UNKNOWN, Optional.empty(), "withdrawn while queued");
+      return;
+    }
     Optional<Reservation> backup = reserveBackup(reservation.upstream());
     logPlacement(reservation, backup);
     onReserved.accept(reservation, backup);
@@ -133,8 +140,7 @@
 
   private void logPlacement(Reservation reservation, Optional<Reservation> backup) {
     UpstreamLoad load = reservation.loadBefore();
-    logger.atInfo().log(
-        "%s",
+    LogEvent event =
         LogEvent.named("request-placed")
             .with("request", call.head().attemptId())
             .with("upstream", reservation.upstream().id())
@@ -144,13 +150,19 @@
             .with("unread_tokens", load.pendingPrefillTokens())
             .with("needed_tokens", need.expectedTokens())
             .with("copy", backup.map(reserved -> reserved.upstream().id()).orElse("none"))
-            .with("queued_ms", call.age().toMillis()));
+            .with("queued_ms", call.age().toMillis());
+    queued.entry().ifPresent(entry -> queued.addDecision(event, entry));
+    logger.atInfo().log("%s", event);
   }
 
-  private void onQueueTimeout() {
-    if (leaveQueue.isPresent() && !call.hasEnded()) {
-      cancel();
-      call.fail(GatewayFailure.OVERLOADED, Optional.of(RETRY_AFTER_WHEN_FULL), "no engine memory");
+  private void refuse() {
+    if (!call.hasEnded()) {
+      Duration retryAfter =
+          queued
+              .entry()
+              .map(entry -> queued.retryAfter(entry, RETRY_AFTER_WHEN_FULL))
+              .orElse(RETRY_AFTER_WHEN_FULL);
+      call.fail(GatewayFailure.OVERLOADED, Optional.of(retryAfter), "no engine memory");
     }
   }
 }
--- a/src/main/java/org/cuminrack/gateway/GenerationQueue.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationQueue.java
@@ -1,54 +1,50 @@
 package org.cuminrack.gateway;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
-import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
+import org.cuminrack.fairshare.DemandTable;
+import org.cuminrack.fairshare.ReturnOrder;
+import org.cuminrack.fairshare.ServiceQueue;
+import org.cuminrack.time.Clock;
 
-/**
- * Queue of generations that wait for engine memory, ordered by priority and, within a priority, by
- * arrival. Thread-safe. Lock order: this queue before any lock that an attempt acquires.
- */
+/** The queues of all services, and the order in which their refused callers return. Thread-safe. */
 final class GenerationQueue {
-  private final List<Entry> waiting = new ArrayList<>();
-  private long lastSequence;
+  private final DemandTable demand;
+  private final ToDoubleFunction<String> weights;
+  private final Clock clock;
+  private final RandomGenerator random;
+  private final Map<String, ServiceQueue> queues = new ConcurrentHashMap<>();
+  private final Map<String, ReturnOrder> returns = new ConcurrentHashMap<>();
 
   /**
-   * Attempts a reservation at once unless entries of the same or a more urgent priority wait;
-   * otherwise, or if the attempt fails, adds an entry to the queue.
+   * Creates the queues.
    *
-   * @param priority 0 is the most urgent
-   * @param attempt tries to reserve memory; returns whether it succeeded
-   * @return an action that removes the entry from the queue; empty if the attempt succeeded at once
+   * @param weights the weight of an organisation, more than 0
    */
-  synchronized Optional<Runnable> enter(int priority, BooleanSupplier attempt) {
-    boolean noneAhead = waiting.stream().allMatch(queued -> queued.priority > priority);
-    if (noneAhead && attempt.getAsBoolean()) {
-      return Optional.empty();
-    }
-    Entry entry = new Entry(priority, ++lastSequence, attempt);
-    waiting.add(entry);
-    waiting.sort(
-        Comparator.comparingInt((Entry queued) -> queued.priority)
-            .thenComparingLong(queued -> queued.sequence));
-    return Optional.of(() -> leave(entry));
+  GenerationQueue(
+      DemandTable demand, ToDoubleFunction<String> weights, Clock clock, RandomGenerator random) {
+    this.demand = demand;
+    this.weights = weights;
+    this.clock = clock;
+    this.random = random;
   }
 
-  private synchronized void leave(Entry entry) {
-    waiting.remove(entry);
+  ServiceQueue of(String service) {
+    return queues.computeIfAbsent(service, name -> new ServiceQueue(name, demand, weights, clock));
   }
 
-  /** Attempts the reservations of the waiting entries in order, until one fails. */
-  synchronized void retry() {
-    while (!waiting.isEmpty() && waiting.get(0).attempt.getAsBoolean()) {
-      waiting.remove(0);
-    }
+  ReturnOrder returns(String service) {
+    return returns.computeIfAbsent(service, name -> new ReturnOrder(clock, random));
   }
 
-  synchronized int size() {
-    return waiting.size();
+  /** Places waiting requests that there is room for; costs little if none waits. */
+  void retry() {
+    queues.values().forEach(ServiceQueue::retry);
   }
 
-  private record Entry(int priority, long sequence, BooleanSupplier attempt) {}
+  int size() {
+    return queues.values().stream().mapToInt(ServiceQueue::size).sum();
+  }
 }
--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -62,9 +62,7 @@
   /** Returns the upstream for a plain request; empty if all upstreams are full. */
   public static Optional<Candidate> forPlainRequest(List<Candidate> candidates) {
     return candidates.stream()
-        .filter(
-            candidate ->
-                candidate.load().requests() < MAX_PLAIN_REQUESTS_PER_SLOT * slots(candidate))
+        .filter(candidate -> candidate.load().requests() < maxPlainRequests(candidate))
         .min(avoidedLast().thenComparing(Comparator.comparingDouble(Placement::plainScore)));
   }
 
@@ -76,7 +74,7 @@
       List<Candidate> candidates, EngineSpec engine, long tokens) {
     return candidates.stream()
         .filter(fits(engine, tokens, engine.memoryTokens() * USABLE_MEMORY_SHARE))
-        .filter(candidate -> candidate.load().pendingPrefillTokens() < MAX_PENDING_PREFILL_TOKENS)
+        .filter(candidate -> mayPrefillMore(candidate.load()))
         .min(
             avoidedLast()
                 .thenComparing(
@@ -115,6 +113,21 @@
         .min(Comparator.comparingDouble(candidate -> engineScore(candidate, engine)));
   }
 
+  /** Returns the tokens of an engine's memory that may be reserved. */
+  static long usableTokens(EngineSpec engine) {
+    return (long) (engine.memoryTokens() * USABLE_MEMORY_SHARE);
+  }
+
+  /** Returns whether an engine with this load may get another prompt. */
+  static boolean mayPrefillMore(UpstreamLoad load) {
+    return load.pendingPrefillTokens() < MAX_PENDING_PREFILL_TOKENS;
+  }
+
+  /** Returns the requests at which a plain upstream is full. */
+  static int maxPlainRequests(Candidate candidate) {
+    return MAX_PLAIN_REQUESTS_PER_SLOT * slots(candidate);
+  }
+
   private static Predicate<Candidate> fits(EngineSpec engine, long tokens, double usableTokens) {
     return candidate ->
         candidate.load().requests() < engine.batchSlots()
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.cuminrack.fairshare.QueueEntry;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.DisconnectWatcher;
 
@@ -38,6 +39,7 @@
 
   private final GatewayContext context;
   private final GatewayCall call;
+  private final QueuedCall queued;
   private final Set<String> triedIds = new HashSet<>();
   private PlainDispatch current;
   private int unsentDispatches;
@@ -48,6 +50,7 @@
   private PlainRelay(GatewayContext context, GatewayCall call) {
     this.context = context;
     this.call = call;
+    this.queued = new QueuedCall(context, call);
   }
 
   static void begin(GatewayContext context, GatewayCall call) {
@@ -59,28 +62,73 @@
   }
 
   private void send() {
-    Optional<Reservation> reservation =
-        context.selector().reservePlain(call.service().name(), triedIds);
-    if (reservation.isEmpty() && !triedIds.isEmpty()) {
-      reservation = context.selector().reservePlain(call.service().name(), Set.of());
-    }
-    if (reservation.isEmpty()) {
-      Optional<Duration> retryAfter = context.selector().retryAfter(call.service().name());
-      if (retryAfter.isPresent()) {
-        refuse(GatewayFailure.UPSTREAMS_LIMITED, retryAfter.get(), "");
-        return;
-      }
-      boolean hasAvailableUpstream = context.selector().hasAvailableUpstream(call.service().name());
-      if (mayBecomeAvailable(hasAvailableUpstream) && hasTimeToWait()) {
-        call.io().after(UPSTREAMS_POLL_INTERVAL.toMillis(), this::sendUnlessEnded);
-        return;
-      }
-      refuse(hasAvailableUpstream ? GatewayFailure.OVERLOADED : GatewayFailure.NO_UPSTREAM, "");
+    String service = call.service().name();
+    PlainPlacing placing =
+        new PlainPlacing(
+            context.selector(),
+            service,
+            triedIds,
+            reserved -> call.io().execute(() -> dispatch(reserved)),
+            () -> call.io().execute(this::onNotPlaced));
+    QueueEntry.State state = queued.enter(1, placing).state();
+    if (state == QueueEntry.State.PLACED || state == QueueEntry.State.ENDED) {
+      return;
+    }
+    Optional<Duration> retryAfter = context.selector().retryAfter(service);
+    boolean hasAvailableUpstream = context.selector().hasAvailableUpstream(service);
+    if (retryAfter.isPresent()) {
+      queued.cancel();
+      refuse(GatewayFailure.UPSTREAMS_LIMITED, retryAfter.get(), "");
+    } else if (state == QueueEntry.State.REFUSED) {
+      onNotPlaced();
+    } else if (hasAvailableUpstream || mayBecomeAvailable(false)) {
+      retryWhileQueued();
+    } else {
+      queued.cancel();
+      refuse(GatewayFailure.NO_UPSTREAM, "");
+    }
+  }
+
+  /** Retries the queue while the request waits there; other gateways release slots, too. */
+  private void retryWhileQueued() {
+    boolean waits =
+        queued.entry().filter(entry -> entry.state() == QueueEntry.State.WAITING).isPresent();
+    if (waits && !call.hasEnded()) {
+      context.queue().of(call.service().name()).retry();
+      call.io().after(UPSTREAMS_POLL_INTERVAL.toMillis(), this::retryWhileQueued);
+    }
+  }
+
+  private void dispatch(Reservation reservation) {
+    if (call.hasEnded()) {
+      reservation.release();
+      context.queue().retry();
+    } else if (!call.isKeyInForce()) {
+      reservation.release();
+      context.queue().retry();
+      call.fail(GatewayFailure.KEY_UNKNOWN, Optional.empty(), "withdrawn while queued");
+    } else {
+      triedIds.add(reservation.upstream().id());
+      current = new PlainDispatch(context, call, reservation, this);
+      current.open(retryDelay());
+    }
+  }
+
+  /** Refuses the request, unless an upstream may take it soon that doesn't now. */
+  private void onNotPlaced() {
+    if (call.hasEnded()) {
       return;
     }
-    triedIds.add(reservation.get().upstream().id());
-    current = new PlainDispatch(context, call, reservation.get(), this);
-    current.open(retryDelay());
+    boolean hasAvailableUpstream = context.selector().hasAvailableUpstream(call.service().name());
+    if (mayBecomeAvailable(hasAvailableUpstream) && hasTimeToWait()) {
+      call.io().after(UPSTREAMS_POLL_INTERVAL.toMillis(), this::sendUnlessEnded);
+    } else if (hasAvailableUpstream) {
+      Duration retryAfter =
+          queued.entry().map(entry -> queued.retryAfter(entry, RETRY_AFTER)).orElse(RETRY_AFTER);
+      refuse(GatewayFailure.OVERLOADED, retryAfter, "");
+    } else {
+      refuse(GatewayFailure.NO_UPSTREAM, "");
+    }
   }
 
   /** Returns the time after which an unanswered request is retried; empty if it may not be. */
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -93,6 +93,51 @@
         .map(upstream -> Reservation.forMemoryCopy(loads, upstream, need));
   }
 
+  /**
+   * Keeps memory that is released on some engine for a generation that fits on none; empty if
+   * enough is kept already.
+   */
+  synchronized Optional<Reservation> holdRoom(
+      String service, EngineSpec engine, MemoryNeed need, Set<String> excludedIds) {
+    return RoomHold.choose(candidates(service, excludedIds), engine, need.expectedTokens())
+        .map(candidate -> Reservation.forMemoryCopy(loads, candidate.upstream(), need));
+  }
+
+  /** Turns kept memory into the reservation of a generation; empty if it isn't free yet. */
+  synchronized Optional<Reservation> useHeldRoom(
+      Reservation held, EngineSpec engine, MemoryNeed need) {
+    UpstreamRecord upstream = held.upstream();
+    boolean usable =
+        maySendTo(upstream)
+            && RoomHold.isFree(loads.total(upstream.id()), engine)
+            && isWithinWarmUpRate(upstream, clock.nanoTime())
+            && rateLimits.allows(upstream);
+    if (!usable) {
+      return Optional.empty();
+    }
+    held.release();
+    rateLimits.recordSent(upstream);
+    warmUpRateLimiter.recordRequest(upstream, clock.nanoTime());
+    return Optional.of(Reservation.forGeneration(loads, upstream, need));
+  }
+
+  /** Counts the generations of this size that fit now, at most the limit. */
+  synchronized int freeGenerationPlaces(String service, EngineSpec engine, long tokens, int limit) {
+    return FreePlaces.forGenerations(candidates(service, Set.of()), engine, tokens, limit);
+  }
+
+  /** Counts the plain requests that fit now, at most the limit. */
+  synchronized int freePlainPlaces(String service, int limit) {
+    return FreePlaces.forPlainRequests(candidates(service, Set.of()), limit);
+  }
+
+  /** Returns the load of all gateways on a service. */
+  UpstreamLoad totalLoad(String service) {
+    return view.upstreams().ofService(service).stream()
+        .map(upstream -> loads.total(upstream.id()))
+        .reduce(UpstreamLoad.NONE, UpstreamLoad::plus);
+  }
+
   /** Returns the best candidate that the limit which it has named, if any, permits now. */
   private Optional<Candidate> choose(
       List<Candidate> candidates, Function<List<Candidate>, Optional<Candidate>> placement) {
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
 import org.cuminrack.fleet.GatewayRecord;
@@ -64,6 +65,7 @@
   private final ServiceStack services = new ServiceStack();
   private final FleetView view = new FleetView(new RoutingDocuments());
   private final LoadTable loads;
+  private final DemandTable demand;
   private final RequestRateLimits rateLimits;
   private final UpstreamNotices notices;
   private final GatewayHandler handler;
@@ -75,6 +77,7 @@
     this.clock = clock;
     NodeSettings node = settings.node();
     loads = new LoadTable(clock);
+    demand = new DemandTable(clock);
     rateLimits = new RequestRateLimits(this::otherGateways, clock, RandomGenerator.getDefault());
     notices = new UpstreamNotices(clock);
     Metrics metrics = services.add(new Metrics());
@@ -86,6 +89,7 @@
         new GatewayHandler(
             view,
             loads,
+            demand,
             rateLimits,
             notices,
             new PlatformHeaders(),
--- a/src/main/java/org/cuminrack/routing/RoutingTable.java
+++ b/src/main/java/org/cuminrack/routing/RoutingTable.java
@@ -14,6 +14,7 @@
   private final Map<String, Map<String, HttpRoute>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services;
   private final Optional<Map<String, KeyHolder>> keys;
+  private final Map<String, Double> weights = new HashMap<>();
   private final CallerLimits limits;
 
   /**
@@ -34,6 +35,11 @@
     this.services = Map.copyOf(services);
     this.keys = keys.map(Map::copyOf);
     this.limits = limits;
+    this.keys.ifPresent(
+        holders ->
+            holders
+                .values()
+                .forEach(holder -> weights.put(holder.organisation(), holder.weight())));
     for (HttpRoute route : routes) {
       routesByHost
           .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
@@ -73,6 +79,11 @@
     return keys.map(holders -> holders.get(key));
   }
 
+  /** Returns the weight of an organisation's share; the default if it is unknown. */
+  public double weightOf(String organisation) {
+    return weights.getOrDefault(organisation, KeyHolder.DEFAULT_WEIGHT);
+  }
+
   /** Returns the route of this host whose prefix is the longest match of the path. */
   public Optional<HttpRoute> route(String host, String path) {
     Map<String, HttpRoute> byPrefix = routesByHost.get(withoutPort(host).toLowerCase(Locale.ROOT));
--- a/src/test/java/org/cuminrack/gateway/GenerationQueueTest.java
+++ b/src/test/java/org/cuminrack/gateway/GenerationQueueTest.java
@@ -2,13 +2,23 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import org.cuminrack.fairshare.Claimant;
+import org.cuminrack.fairshare.DemandTable;
+import org.cuminrack.fairshare.Placing;
+import org.cuminrack.fairshare.QueueEntry;
+import org.cuminrack.fairshare.ShareRequest;
+import org.cuminrack.time.ManualClock;
 import org.junit.jupiter.api.Test;
 
 class GenerationQueueTest {
-  private final GenerationQueue queue = new GenerationQueue();
+  private final ManualClock clock = new ManualClock();
+  private final GenerationQueue queue =
+      new GenerationQueue(new DemandTable(clock), organisation -> 1, clock, new Random(1));
   private final List<String> served = new ArrayList<>();
   private int freeSlots;
 
@@ -61,16 +71,55 @@
     assertThat(queue.size()).isEqualTo(0);
   }
 
+  /** Returns what removes the entry from the queue; empty if it was placed at once. */
   private Optional<Runnable> enter(String name, int priority) {
-    return queue.enter(
-        priority,
-        () -> {
-          if (freeSlots == 0) {
-            return false;
-          }
-          freeSlots--;
-          served.add(name);
-          return true;
-        });
+    long latestNanos = clock.nanoTime() + Duration.ofSeconds(1).toNanos();
+    ShareRequest request =
+        new ShareRequest(new Claimant("", priority), 1, latestNanos, latestNanos, false);
+    QueueEntry entry = queue.of("engines").enter(request, new SlotPlacing(name));
+    return entry.state() == QueueEntry.State.PLACED ? Optional.empty() : Optional.of(entry::end);
+  }
+
+  /** Takes one of the free slots. */
+  private final class SlotPlacing implements Placing {
+    private final String name;
+
+    SlotPlacing(String name) {
+      this.name = name;
+    }
+
+    @Override
+    public boolean tryPlace() {
+      if (freeSlots == 0) {
+        return false;
+      }
+      freeSlots--;
+      served.add(name);
+      return true;
+    }
+
+    @Override
+    public int freePlaces(long units, int limit) {
+      return Math.min(limit, freeSlots);
+    }
+
+    @Override
+    public long unitsInUse() {
+      return served.size();
+    }
+
+    @Override
+    public void tryHoldRoom() {}
+
+    @Override
+    public boolean holdsRoom() {
+      return false;
+    }
+
+    @Override
+    public void releaseRoom() {}
+
+    @Override
+    public void refused() {}
   }
 }
