Refuse plain and long overload at once, show waits, and read weights

Change: while requests are refused, an arriving one is queued only if its place is expected in two thirds of the time. A claimant's fair part of the releases is taken by weight among those that wait. Retries of a queue are at least 5 ms apart unless something was released here. Histograms cuminrack.gateway.queue and cuminrack.gateway.queue.estimate.error by service and priority. An organisation's weight is read from its entry in the document; one that can't be used is logged and counts as 1, as the document is valid without it.

--- a/src/main/java/org/cuminrack/fairshare/ServiceQueue.java
+++ b/src/main/java/org/cuminrack/fairshare/ServiceQueue.java
@@ -1,9 +1,7 @@
 package org.cuminrack.fairshare;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.ToDoubleFunction;
 import org.cuminrack.time.Clock;
@@ -21,19 +19,18 @@
   /** Requests that may wait; each keeps its body in memory. */
   private static final int MAX_WAITING = 200;
 
-  /** Attempts to place a request that may fail in one pass over the queue. */
-  private static final int MAX_FAILED_ATTEMPTS = 4;
-
   /** Longest time that room is left to better claims at other gateways; two of their retries. */
   private static final long MAX_YIELD_NANOS = 200_000_000;
 
   /** Time since the last refusal for which the service counts as overloaded. */
   private static final long OVERLOAD_MEMORY_NANOS = 1_000_000_000;
 
+  private static final long RETRY_INTERVAL_NANOS = 5_000_000;
+
   private static final long REVIEW_INTERVAL_NANOS = 100_000_000;
 
-  /** A waiting request is refused early only if the estimate exceeds its time by this factor. */
-  private static final double REVIEW_MARGIN = 1.5;
+  /** Factor by which estimates are expected to be wrong. */
+  private static final double ESTIMATE_MARGIN = 1.5;
 
   private final DemandTable table;
   private final String service;
@@ -47,6 +44,7 @@
   private volatile int size;
   private long lastSequence;
   private long lastReviewNanos;
+  private long lastRetryNanos;
   private OptionalLong lastRefusedNanos = OptionalLong.empty();
 
   /**
@@ -62,6 +60,7 @@
     this.clock = clock;
     this.ledger = new DemandLedger(service, table);
     this.lastReviewNanos = clock.nanoTime();
+    this.lastRetryNanos = lastReviewNanos - RETRY_INTERVAL_NANOS;
   }
 
   /**
@@ -72,22 +71,18 @@
     long nowNanos = clock.nanoTime();
     QueueEntry entry = new QueueEntry(this, request, placing, ++lastSequence, nowNanos);
     served.recordAsked(request.claimant(), nowNanos);
-    ServiceShares shares = shares();
-    ShareOrder order = new ShareOrder(shares, served, nowNanos);
-    entry.share = shares.shareOf(request.claimant());
-    boolean firstHere = waiting.stream().allMatch(other -> order.compare(other, entry) > 0);
-    if (firstHere && !yields(entry, shares, order, nowNanos) && placing.tryPlace()) {
-      place(entry, shares, nowNanos);
+    QueueView view = view(shares(), nowNanos);
+    entry.share = view.shares().shareOf(request.claimant());
+    boolean firstHere = waiting.stream().allMatch(other -> view.order().compare(other, entry) > 0);
+    if (firstHere && !yields(entry, view, nowNanos) && placing.tryPlace()) {
+      place(entry, view.shares(), nowNanos);
       return entry;
     }
     UnitsAhead ahead = new UnitsAhead();
-    waiting.stream().filter(other -> order.compare(other, entry) < 0).forEach(ahead::add);
-    estimates.recordEntry(entry, rawEstimate(entry, ahead, shares, order));
-    estimates
-        .raw(request.units(), unitsInUse(entry, shares))
-        .ifPresent(perPlace -> entry.perPlaceNanos = perPlace);
-    long usefulNanos = usefulUntilNanos(entry, nowNanos) - nowNanos;
-    if (entry.estimateNanos > usefulNanos || usefulNanos <= 0 || waiting.size() >= MAX_WAITING) {
+    waiting.stream().filter(other -> view.order().compare(other, entry) < 0).forEach(ahead::add);
+    estimates.recordEntry(entry, view.rawEstimate(entry, ahead));
+    view.timePerPlace(entry).ifPresent(perPlace -> entry.perPlaceNanos = perPlace);
+    if (!comesInTime(entry, nowNanos) || waiting.size() >= MAX_WAITING) {
       entry.state = QueueEntry.State.REFUSED;
       lastRefusedNanos = OptionalLong.of(nowNanos);
       return entry;
@@ -98,25 +93,44 @@
     return entry;
   }
 
+  /**
+   * Returns whether an arriving request may expect a place in time. While requests are refused, it
+   * has to come early: requests that arrive later may precede this one.
+   */
+  private boolean comesInTime(QueueEntry entry, long nowNanos) {
+    long usefulNanos = usefulUntilNanos(entry, nowNanos) - nowNanos;
+    double margin = isOverloaded(nowNanos) ? ESTIMATE_MARGIN : 1;
+    return usefulNanos > 0 && entry.estimateNanos * margin <= usefulNanos;
+  }
+
   /**
    * Returns the time until which a place is waited for. While requests are refused, it is only as
    * long as a place is early enough for the target: those that are on time precede late ones, so
    * that these would wait in vain.
    */
   private long usefulUntilNanos(QueueEntry entry, long nowNanos) {
-    boolean overloaded =
-        lastRefusedNanos.isPresent()
-            && nowNanos - lastRefusedNanos.getAsLong() < OVERLOAD_MEMORY_NANOS;
-    return overloaded ? entry.request.onTimeUntilNanos() : entry.request.latestNanos();
+    return isOverloaded(nowNanos) ? entry.request.onTimeUntilNanos() : entry.request.latestNanos();
   }
 
-  /** Places the waiting requests that there is room for, in order. */
+  private boolean isOverloaded(long nowNanos) {
+    return lastRefusedNanos.isPresent()
+        && nowNanos - lastRefusedNanos.getAsLong() < OVERLOAD_MEMORY_NANOS;
+  }
+
+  /**
+   * Places the waiting requests that there is room for, in order. Costs little if none waits, or if
+   * it is called again at once.
+   */
   public void retry() {
-    if (size == 0) {
-      return;
+    if (size > 0) {
+      retry(RETRY_INTERVAL_NANOS);
     }
-    synchronized (this) {
-      long nowNanos = clock.nanoTime();
+  }
+
+  private synchronized void retry(long minIntervalNanos) {
+    long nowNanos = clock.nanoTime();
+    if (nowNanos - lastRetryNanos >= minIntervalNanos) {
+      lastRetryNanos = nowNanos;
       if (nowNanos - lastReviewNanos >= REVIEW_INTERVAL_NANOS) {
         lastReviewNanos = nowNanos;
         reviewAll(nowNanos);
@@ -131,47 +145,46 @@
 
   private void placeWaiting(long nowNanos) {
     ServiceShares shares = shares();
-    Pass pass = new Pass();
+    PlacingPass pass = new PlacingPass();
     boolean placed = true;
     while (placed && !waiting.isEmpty()) {
-      ShareOrder order = new ShareOrder(shares, served, nowNanos);
-      waiting.sort(order);
-      placed = placeNext(pass, shares, order, nowNanos);
+      QueueView view = view(shares, nowNanos);
+      waiting.sort(view.order());
+      placed = placeNext(pass, view, nowNanos);
     }
   }
 
   /** Places the first waiting request that fits; returns whether there was one. */
-  private boolean placeNext(Pass pass, ServiceShares shares, ShareOrder order, long nowNanos) {
+  private boolean placeNext(PlacingPass pass, QueueView view, long nowNanos) {
     for (QueueEntry entry : waiting) {
       if (pass.isOver(entry)) {
         return false;
       }
       if (pass.cannotFit(entry)) {
-        holdRoomIfOvertaken(entry, shares, order, nowNanos);
+        holdRoomIfOvertaken(entry, view, nowNanos);
         continue;
       }
-      if (yields(entry, shares, order, nowNanos)) {
+      if (yields(entry, view, nowNanos)) {
         return false;
       }
       if (entry.placing.tryPlace()) {
-        entry.share = shares.shareOf(entry.request.claimant());
+        entry.share = view.shares().shareOf(entry.request.claimant());
         remove(entry);
-        place(entry, shares, nowNanos);
+        place(entry, view.shares(), nowNanos);
         return true;
       }
-      holdRoomIfOvertaken(entry, shares, order, nowNanos);
+      holdRoomIfOvertaken(entry, view, nowNanos);
       pass.recordFailure(entry);
     }
     return false;
   }
 
   /** Keeps room for a large request that has waited for some time, before smaller ones take it. */
-  private void holdRoomIfOvertaken(
-      QueueEntry entry, ServiceShares shares, ShareOrder order, long nowNanos) {
+  private void holdRoomIfOvertaken(QueueEntry entry, QueueView view, long nowNanos) {
     long onTimeWaitNanos = entry.request.onTimeUntilNanos() - entry.enteredNanos;
     long waitedNanos = nowNanos - entry.enteredNanos;
     boolean isNext =
-        waitedNanos >= onTimeWaitNanos / 2 || aheadElsewhere(entry, shares, order).requests() == 0;
+        waitedNanos >= onTimeWaitNanos / 2 || view.aheadElsewhere(entry).requests() == 0;
     if (waitedNanos >= onTimeWaitNanos / 4
         && placedSizes.isLarge(entry.request.units())
         && isNext
@@ -192,8 +205,8 @@
   }
 
   /** Returns whether free room is left to better claims at other gateways. */
-  private boolean yields(QueueEntry entry, ServiceShares shares, ShareOrder order, long nowNanos) {
-    ServiceShares.Ahead ahead = aheadElsewhere(entry, shares, order);
+  private boolean yields(QueueEntry entry, QueueView view, long nowNanos) {
+    ServiceShares.Ahead ahead = view.aheadElsewhere(entry);
     boolean roomForAll =
         ahead.requests() == 0
             || entry.placing.freePlaces(ahead.meanUnits(), ahead.requests() + 1) > ahead.requests();
@@ -209,46 +222,12 @@
     return nowNanos - entry.yieldingSinceNanos < limitNanos;
   }
 
-  private static ServiceShares.Ahead aheadElsewhere(
-      QueueEntry entry, ServiceShares shares, ShareOrder order) {
-    return order.precedesUrgent(entry)
-        ? ServiceShares.Ahead.NONE
-        : shares.aheadElsewhere(entry.request, order.isOfStarvedOrganisation(entry));
-  }
-
-  /**
-   * Estimates the wait from the releases observed here: the longer of the time until all better
-   * claims are placed, and the time until the claimant's own earlier requests are placed, if it
-   * gets its fair part of the releases.
-   */
-  private OptionalLong rawEstimate(
-      QueueEntry entry, UnitsAhead ahead, ServiceShares shares, ShareOrder order) {
-    Claimant claimant = entry.request.claimant();
-    long units = entry.request.units();
-    long allAhead = ahead.all + aheadElsewhere(entry, shares, order).units();
-    OptionalLong untilAll = estimates.raw(allAhead + units, unitsInUse(entry, shares));
-    if (order.precedesUrgent(entry) || order.isOfStarvedOrganisation(entry)) {
-      return untilAll;
-    }
-    long ownAhead =
-        ahead.of(claimant) + (entry.request.returning() ? 0 : shares.waitingElsewhereOf(claimant));
-    OptionalLong untilOwn = estimates.raw(ownAhead + units, (long) shares.fairUnits(claimant));
-    return untilAll.isPresent() && untilOwn.isPresent()
-        ? OptionalLong.of(Math.max(untilAll.getAsLong(), untilOwn.getAsLong()))
-        : untilAll;
-  }
-
-  private static long unitsInUse(QueueEntry entry, ServiceShares shares) {
-    return Math.max(shares.allHeldUnits(), entry.placing.unitsInUse());
-  }
-
   private void reviewAll(long nowNanos) {
-    ServiceShares shares = shares();
-    ShareOrder order = new ShareOrder(shares, served, nowNanos);
-    waiting.sort(order);
+    QueueView view = view(shares(), nowNanos);
+    waiting.sort(view.order());
     UnitsAhead ahead = new UnitsAhead();
     for (QueueEntry entry : List.copyOf(waiting)) {
-      OptionalLong raw = rawEstimate(entry, ahead, shares, order);
+      OptionalLong raw = view.rawEstimate(entry, ahead);
       if (isHopeless(entry, raw, nowNanos)) {
         refuse(entry, nowNanos);
       } else {
@@ -270,7 +249,7 @@
     if (raw.isEmpty() || remainingNanos <= 0) {
       return isLate || remainingNanos <= 0;
     }
-    return estimates.corrected(entry, raw.getAsLong()) > remainingNanos * REVIEW_MARGIN;
+    return estimates.corrected(entry, raw.getAsLong()) > remainingNanos * ESTIMATE_MARGIN;
   }
 
   private void refuse(QueueEntry entry, long nowNanos) {
@@ -309,7 +288,9 @@
       }
       entry.state = QueueEntry.State.ENDED;
     }
-    retry();
+    if (size > 0) {
+      retry(0);
+    }
   }
 
   /** Returns how long a request waited, or has waited so far. Called under the lock. */
@@ -319,47 +300,11 @@
         : entry.queuedNanos;
   }
 
-  private ServiceShares shares() {
-    return new ServiceShares(table.own(service), table.others(service), weights);
+  private QueueView view(ServiceShares shares, long nowNanos) {
+    return new QueueView(shares, new ShareOrder(shares, served, nowNanos), estimates);
   }
 
-  /** What waits here before a request. */
-  private static final class UnitsAhead {
-    private final Map<Claimant, Long> byClaimant = new HashMap<>();
-    private long all;
-
-    void add(QueueEntry entry) {
-      all += entry.request.units();
-      byClaimant.merge(entry.request.claimant(), entry.request.units(), Long::sum);
-    }
-
-    long of(Claimant claimant) {
-      return byClaimant.getOrDefault(claimant, 0L);
-    }
-  }
-
-  /** What has failed in one pass over the queue. */
-  private static final class Pass {
-    private int failures;
-    private long smallestFailedUnits = Long.MAX_VALUE;
-    private int blockedPriority = Integer.MAX_VALUE;
-
-    void recordFailure(QueueEntry entry) {
-      failures++;
-      smallestFailedUnits = Math.min(smallestFailedUnits, entry.request.units());
-      if (!entry.placing.holdsRoom()) {
-        blockedPriority = Math.min(blockedPriority, entry.request.claimant().priority());
-      }
-    }
-
-    /** Returns whether neither this entry nor a later one may be placed. */
-    boolean isOver(QueueEntry entry) {
-      return failures >= MAX_FAILED_ATTEMPTS
-          || entry.request.claimant().priority() > blockedPriority;
-    }
-
-    boolean cannotFit(QueueEntry entry) {
-      return !entry.placing.holdsRoom() && entry.request.units() >= smallestFailedUnits;
-    }
+  private ServiceShares shares() {
+    return new ServiceShares(table.own(service), table.others(service), weights);
   }
 }
--- a/src/main/java/org/cuminrack/fairshare/ServiceShares.java
+++ b/src/main/java/org/cuminrack/fairshare/ServiceShares.java
@@ -96,21 +96,19 @@
   }
 
   /**
-   * Returns the part of a claimant in what the waiting claimants of its priority hold together, by
-   * its weight: what it would hold if it waited for long.
+   * Returns the part of the released capacity that a claimant gets, by its weight among those of
+   * its priority that wait, from 0 to 1.
    */
-  double fairUnits(Claimant claimant) {
+  double fairPart(Claimant claimant) {
     Set<Claimant> competing = new HashSet<>(waitingClaimants);
     competing.add(claimant);
-    double units = 0;
     double totalWeight = 0;
     for (Claimant each : competing) {
       if (each.priority() == claimant.priority()) {
-        units += heldUnits.getOrDefault(each, 0L);
         totalWeight += weights.applyAsDouble(each.organisation());
       }
     }
-    return units * weights.applyAsDouble(claimant.organisation()) / totalWeight;
+    return weights.applyAsDouble(claimant.organisation()) / totalWeight;
   }
 
   private static Claimant claimantOf(OrganisationDemand demand) {
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -13,6 +13,7 @@
 import org.cuminrack.relay.UpstreamRequest;
 import org.cuminrack.routing.HttpRoute;
 import org.cuminrack.routing.KeyHolder;
+import org.cuminrack.routing.RoutingTable;
 import org.cuminrack.routing.ServiceSpec;
 
 /**
@@ -97,11 +98,11 @@
   /** Returns whether the caller's API key, if it needs one, is still in force. */
   boolean isKeyInForce() {
     return request.keyHolder().isEmpty()
-        || context
-            .view()
-            .routing()
-            .flatMap(table -> head.apiKey().flatMap(table::holderOf))
-            .isPresent();
+        || context.view().routing().map(this::holdsKeyIn).orElse(true);
+  }
+
+  private boolean holdsKeyIn(RoutingTable table) {
+    return !table.requiresApiKeys() || head.apiKey().flatMap(table::holderOf).isPresent();
   }
 
   /** Runs a task once the call has ended, whatever its outcome; replaces an earlier task. */
--- a/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
@@ -123,6 +123,7 @@
       return;
     }
     Optional<Reservation> backup = reserveBackup(reservation.upstream());
+    queued.recordPlaced();
     logPlacement(reservation, backup);
     onReserved.accept(reservation, backup);
   }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -108,6 +108,7 @@
       context.queue().retry();
       call.fail(GatewayFailure.KEY_UNKNOWN, Optional.empty(), "withdrawn while queued");
     } else {
+      queued.recordPlaced();
       triedIds.add(reservation.upstream().id());
       current = new PlainDispatch(context, call, reservation, this);
       current.open(retryDelay());
--- a/src/main/java/org/cuminrack/gateway/QueuedCall.java
+++ b/src/main/java/org/cuminrack/gateway/QueuedCall.java
@@ -101,6 +101,9 @@
    * @param usual the time if nothing is known about when a place comes
    */
   Duration retryAfter(QueueEntry refused, Duration usual) {
+    context
+        .requestMetrics()
+        .recordQueued(call.service().name(), call.priority(), "refused", refused.queuedFor());
     Duration longest = call.remaining().dividedBy(LONGEST_RETURN_PART);
     if (longest.compareTo(usual) < 0) {
       return usual;
@@ -118,6 +121,28 @@
     return retryAfter;
   }
 
+  /** Records how long a placed request waited, and how long it was expected to. */
+  void recordPlaced() {
+    entry
+        .filter(placed -> !placed.queuedFor().isZero())
+        .ifPresent(
+            placed -> {
+              Duration waited = placed.queuedFor();
+              int priority = placed.request().claimant().priority();
+              context
+                  .requestMetrics()
+                  .recordQueued(call.service().name(), priority, "placed", waited);
+              placed
+                  .estimatedWait()
+                  .ifPresent(
+                      estimate ->
+                          context
+                              .requestMetrics()
+                              .recordEstimateError(
+                                  call.service().name(), priority, waited.minus(estimate).abs()));
+            });
+  }
+
   /** Adds what decided on the entry to a log event. */
   LogEvent addDecision(LogEvent event, QueueEntry decided) {
     Claimant claimant = decided.request().claimant();
--- a/src/main/java/org/cuminrack/gateway/RequestMetrics.java
+++ b/src/main/java/org/cuminrack/gateway/RequestMetrics.java
@@ -14,4 +14,14 @@
    * @param outcome one of the outcomes in the {@code request-ended} log event
    */
   void recordRequest(String outcome, Duration duration);
+
+  /**
+   * Records how long a request waited for a place, if it waited or was refused.
+   *
+   * @param outcome {@code placed} or {@code refused}
+   */
+  void recordQueued(String service, int priority, String outcome, Duration waited);
+
+  /** Records by how much the wait of a placed request differed from its estimate. */
+  void recordEstimateError(String service, int priority, Duration error);
 }
--- a/src/main/java/org/cuminrack/platform/RoutingDocuments.java
+++ b/src/main/java/org/cuminrack/platform/RoutingDocuments.java
@@ -1,6 +1,7 @@
 package org.cuminrack.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import org.cuminrack.http.Json;
+import org.cuminrack.log.LogEvent;
 import org.cuminrack.routing.CallerLimits;
 import org.cuminrack.routing.EngineSpec;
 import org.cuminrack.routing.HttpRoute;
@@ -27,6 +29,9 @@
  * whole, with a description of its first error.
  */
 public final class RoutingDocuments implements RoutingDecoder {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final double MIN_WEIGHT = 0.001;
+  private static final double MAX_WEIGHT = 1_000;
   private static final int DEFAULT_MAX_HEADER_BYTES = 16 << 10;
   private static final long DEFAULT_MAX_BODY_BYTES = 4 << 20;
   private static final long DEFAULT_HEADER_TIMEOUT_MS = 3_000;
@@ -150,7 +155,8 @@
     }
     Map<String, KeyHolder> keys = new HashMap<>();
     for (JsonNode tenant : JsonFields.array(root, "tenants")) {
-      KeyHolder holder = new KeyHolder(JsonFields.string(tenant, "name"), priority(tenant));
+      String name = JsonFields.string(tenant, "name");
+      KeyHolder holder = new KeyHolder(name, priority(tenant), weight(tenant, name));
       for (JsonNode key : JsonFields.array(tenant, "api-keys")) {
         JsonFields.require(key.isTextual(), "api-keys", "texts", key);
         boolean isUnique = keys.put(key.textValue(), holder) == null;
@@ -166,6 +172,25 @@
         : OptionalInt.empty();
   }
 
+  /** Returns a tenant's weight; one that can't be used doesn't make the document invalid. */
+  private static double weight(JsonNode tenant, String name) {
+    JsonNode weight = tenant.path("weight");
+    if (weight.isMissingNode() || weight.isNull()) {
+      return KeyHolder.DEFAULT_WEIGHT;
+    }
+    double value = weight.isNumber() ? weight.doubleValue() : Double.NaN;
+    if (value >= MIN_WEIGHT && value <= MAX_WEIGHT) {
+      return value;
+    }
+    logger.atWarning().log(
+        "%s",
+        LogEvent.named("weight-ignored")
+            .with("organisation", name)
+            .with("weight", weight)
+            .with("used", KeyHolder.DEFAULT_WEIGHT));
+    return KeyHolder.DEFAULT_WEIGHT;
+  }
+
   private static CallerLimits limits(JsonNode root) {
     JsonNode limits = root.path("limits");
     return new CallerLimits(
--- a/src/main/java/org/cuminrack/process/RequestTimers.java
+++ b/src/main/java/org/cuminrack/process/RequestTimers.java
@@ -27,4 +27,30 @@
         .computeIfAbsent(outcome, key -> metrics.timer("cuminrack.gateway.request", "outcome", key))
         .record(elapsed);
   }
+
+  @Override
+  public void recordQueued(String service, int priority, String outcome, Duration waited) {
+    metrics
+        .timer(
+            "cuminrack.gateway.queue",
+            "service",
+            service,
+            "priority",
+            Integer.toString(priority),
+            "outcome",
+            outcome)
+        .record(waited);
+  }
+
+  @Override
+  public void recordEstimateError(String service, int priority, Duration error) {
+    metrics
+        .timer(
+            "cuminrack.gateway.queue.estimate.error",
+            "service",
+            service,
+            "priority",
+            Integer.toString(priority))
+        .record(error);
+  }
 }
--- a/src/test/java/org/cuminrack/platform/RoutingDocumentsTest.java
+++ b/src/test/java/org/cuminrack/platform/RoutingDocumentsTest.java
@@ -47,6 +47,24 @@
         .hasSize(2);
   }
 
+  @Test
+  void shouldDecodeTheWeightOfAnOrganisation() {
+    assertThat(weightOfTenantWith("\"weight\":2.5")).isEqualTo(2.5);
+    assertThat(weightOfTenantWith("\"weight\":null")).isEqualTo(1.0);
+  }
+
+  @Test
+  void shouldUseTheDefaultForAWeightThatCannotBeUsed() {
+    for (String weight : new String[] {"0", "-1", "1e99", "\"much\"", "[]"}) {
+      assertThat(weightOfTenantWith("\"weight\":" + weight)).isEqualTo(1.0);
+    }
+  }
+
+  private static double weightOfTenantWith(String field) {
+    String tenant = TENANT.replace("\"priority\":2", field);
+    return decode(document(ROUTE, SERVICE, tenant)).get().weightOf("org-1");
+  }
+
   @Test
   void shouldRejectATruncatedDocument() {
     String complete = document(ROUTE, SERVICE, TENANT);
