Tell refused callers when a place of this gateway is due

Change: returns are spaced by this gateway's own releases and never earlier than the usual time. A refusal without time for the usual delay is logged, too.

--- a/src/main/java/org/cuminrack/fairshare/QueueEntry.java
+++ b/src/main/java/org/cuminrack/fairshare/QueueEntry.java
@@ -20,7 +20,7 @@
 
   long estimateNanos = -1;
 
-  /** The predicted time between two places of this size; 0 if unknown. */
+  /** The predicted time between two places of this size at this gateway; 0 if unknown. */
   long perPlaceNanos;
 
   /** The time since which there has been room that is left to better claims; negative if none. */
@@ -70,7 +70,9 @@
     }
   }
 
-  /** Returns the predicted time between two places of this size; zero if unknown. */
+  /**
+   * Returns the predicted time between two places of this size at this gateway; zero if unknown.
+   */
   public Duration timePerPlace() {
     synchronized (queue) {
       return Duration.ofNanos(perPlaceNanos);
--- a/src/main/java/org/cuminrack/fairshare/QueueView.java
+++ b/src/main/java/org/cuminrack/fairshare/QueueView.java
@@ -51,9 +51,9 @@
     return OptionalLong.of(Math.max(untilAll.getAsLong(), untilOwn));
   }
 
-  /** Estimates the time between two places of an entry's size. */
+  /** Estimates the time between two places of an entry's size among this gateway's releases. */
   OptionalLong timePerPlace(QueueEntry entry) {
-    return estimates.raw(entry.request.units(), unitsInUse(entry));
+    return estimates.raw(entry.request.units(), shares.ownHeldUnits());
   }
 
   /** Returns the capacity in use; news of demand may lack what the loads of upstreams tell. */
--- a/src/main/java/org/cuminrack/fairshare/ReturnOrder.java
+++ b/src/main/java/org/cuminrack/fairshare/ReturnOrder.java
@@ -42,7 +42,7 @@
    *
    * @param key identifies the organisation and content of the request
    * @param untilPlace the predicted time until a place comes free
-   * @param perPlace the predicted time between two places
+   * @param perPlace the predicted time between two places at this gateway
    * @param longest the longest delay that the caller observes
    */
   public synchronized Duration refuse(
--- a/src/main/java/org/cuminrack/fairshare/ServiceShares.java
+++ b/src/main/java/org/cuminrack/fairshare/ServiceShares.java
@@ -20,6 +20,7 @@
   private final Map<Claimant, Long> heldUnits = new HashMap<>();
   private final List<OrganisationDemand> waitingElsewhere;
   private final Set<Claimant> waitingClaimants = new HashSet<>();
+  private final long ownHeldUnits;
   private long allHeldUnits;
 
   ServiceShares(
@@ -27,6 +28,7 @@
       List<OrganisationDemand> others,
       ToDoubleFunction<String> weights) {
     this.weights = weights;
+    ownHeldUnits = own.stream().mapToLong(OrganisationDemand::heldUnits).sum();
     own.forEach(this::addHeld);
     others.forEach(this::addHeld);
     waitingElsewhere = others.stream().filter(demand -> demand.waitingRequests() > 0).toList();
@@ -51,6 +53,11 @@
     return allHeldUnits;
   }
 
+  /** Returns the capacity that requests of this gateway held when the snapshot was made. */
+  long ownHeldUnits() {
+    return ownHeldUnits;
+  }
+
   /** Returns what a claimant holds, divided by its organisation's weight. */
   double holdingPerWeight(Claimant claimant) {
     return heldUnits.getOrDefault(claimant, 0L) / weights.applyAsDouble(claimant.organisation());
--- a/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
@@ -161,7 +161,7 @@
       Duration retryAfter =
           queued
               .entry()
-              .map(entry -> queued.retryAfter(entry, RETRY_AFTER_WHEN_FULL))
+              .map(entry -> queued.refuse(entry, RETRY_AFTER_WHEN_FULL))
               .orElse(RETRY_AFTER_WHEN_FULL);
       call.fail(GatewayFailure.OVERLOADED, Optional.of(retryAfter), "no engine memory");
     }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -125,7 +125,7 @@
       call.io().after(UPSTREAMS_POLL_INTERVAL.toMillis(), this::sendUnlessEnded);
     } else if (hasAvailableUpstream) {
       Duration retryAfter =
-          queued.entry().map(entry -> queued.retryAfter(entry, RETRY_AFTER)).orElse(RETRY_AFTER);
+          queued.entry().map(entry -> queued.refuse(entry, RETRY_AFTER)).orElse(RETRY_AFTER);
       refuse(GatewayFailure.OVERLOADED, retryAfter, "");
     } else {
       refuse(GatewayFailure.NO_UPSTREAM, "");
--- a/src/main/java/org/cuminrack/gateway/QueuedCall.java
+++ b/src/main/java/org/cuminrack/gateway/QueuedCall.java
@@ -96,23 +96,23 @@
   }
 
   /**
-   * Returns after what time the refused caller is to come back.
+   * Records that the request is refused, and returns after what time the caller is to come back.
    *
-   * @param usual the time if nothing is known about when a place comes
+   * @param shortest the shortest useful time, unless the caller has less left
    */
-  Duration retryAfter(QueueEntry refused, Duration usual) {
-    context
-        .requestMetrics()
-        .recordQueued(call.service().name(), call.priority(), "refused", refused.queuedFor());
+  Duration refuse(QueueEntry refused, Duration shortest) {
+    String service = call.service().name();
+    context.requestMetrics().recordQueued(service, call.priority(), "refused", refused.queuedFor());
+    Duration untilPlace =
+        refused.estimatedWait().filter(wait -> wait.compareTo(shortest) > 0).orElse(shortest);
     Duration longest = call.remaining().dividedBy(LONGEST_RETURN_PART);
-    if (longest.compareTo(usual) < 0) {
-      return usual;
-    }
     Duration retryAfter =
-        context
-            .queue()
-            .returns(call.service().name())
-            .refuse(key(), refused.estimatedWait().orElse(usual), refused.timePerPlace(), longest);
+        longest.compareTo(shortest) < 0
+            ? shortest
+            : context
+                .queue()
+                .returns(service)
+                .refuse(key(), untilPlace, refused.timePerPlace(), longest);
     logger.atInfo().log(
         "%s",
         describe("request-refused", refused)
