--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.cuminrack.fairshare.Claimant;
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerExchanges;
@@ -12,6 +13,7 @@
 import org.cuminrack.relay.UpstreamRequest;
 import org.cuminrack.routing.HttpRoute;
 import org.cuminrack.routing.KeyHolder;
+import org.cuminrack.routing.RoutingTable;
 import org.cuminrack.routing.ServiceSpec;
 
 /**
@@ -38,6 +40,7 @@
   private int sendCount;
   private String upstreamId = "none";
   private long firstEventMillis = -1;
+  private Runnable onEnd = () -> {};
   private boolean ended;
 
   GatewayCall(
@@ -87,6 +90,26 @@
     return ofOrganisation.orElse(route.priority());
   }
 
+  /** Returns whose claim to the service the request is placed on. */
+  Claimant claimant() {
+    return new Claimant(request.keyHolder().map(KeyHolder::organisation).orElse(""), priority());
+  }
+
+  /** Returns whether the caller's API key, if it needs one, is still in force. */
+  boolean isKeyInForce() {
+    return request.keyHolder().isEmpty()
+        || context.view().routing().map(this::holdsKeyIn).orElse(true);
+  }
+
+  private boolean holdsKeyIn(RoutingTable table) {
+    return !table.requiresApiKeys() || head.apiKey().flatMap(table::holderOf).isPresent();
+  }
+
+  /** Runs a task once the call has ended, whatever its outcome; replaces an earlier task. */
+  void runAtEnd(Runnable task) {
+    onEnd = task;
+  }
+
   /** Records the time to the first event of the stream. */
   void recordFirstEvent() {
     Duration sinceArrival = age();
@@ -265,6 +288,7 @@
     }
     ended = true;
     suspicion.recordEnd();
+    onEnd.run();
     context.requestMetrics().recordRequest(outcome, age());
     logger.atInfo().log(
         "%s",
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -10,7 +10,9 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.pace.PaceTable;
@@ -50,6 +52,7 @@
       FleetView view,
       LoadTable loads,
       LoadFreshness freshness,
+      DemandTable demand,
       RequestRateLimits rateLimits,
       UpstreamNotices notices,
       HeaderTranslation headers,
@@ -86,7 +89,7 @@
             paces,
             new RetryBudgets(settings, () -> view.gateways().size()),
             suspects,
-            new GenerationQueue(),
+            new GenerationQueue(demand, weights(view), clock, RandomGenerator.getDefault()),
             new StopAdmission(clock),
             counters,
             requestMetrics,
@@ -95,6 +98,11 @@
     view.onChange(context.queue()::retry);
   }
 
+  private static ToDoubleFunction<String> weights(FleetView view) {
+    return organisation ->
+        view.routing().map(table -> table.weightOf(organisation)).orElse(KeyHolder.DEFAULT_WEIGHT);
+  }
+
   /** Retries the reservations of queued generations; call it after a change of others' load. */
   public void onRemoteLoadChanged() {
     context.queue().retry();
@@ -112,7 +120,7 @@
     return context.counters();
   }
 
-  /** Returns the number of generations that wait for engine memory. */
+  /** Returns the number of requests that wait for a place. */
   public int queuedGenerations() {
     return context.queue().size();
   }
--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -97,7 +97,7 @@
         .filter(
             candidate ->
                 candidate.load().requests() * paces.slowdown(candidate)
-                    < MAX_PLAIN_REQUESTS_PER_SLOT * candidate.slots())
+                    < maxPlainRequests(candidate))
         .min(
             avoidedLast()
                 .thenComparing(
@@ -154,6 +154,16 @@
         .min(Comparator.comparingDouble(candidate -> engineScore(candidate, engine)));
   }
 
+  /** Returns the tokens of an engine's memory that may be reserved. */
+  static long usableTokens(EngineSpec engine) {
+    return (long) (engine.memoryTokens() * USABLE_MEMORY_SHARE);
+  }
+
+  /** Returns the requests at which a plain upstream is full. */
+  static int maxPlainRequests(Candidate candidate) {
+    return MAX_PLAIN_REQUESTS_PER_SLOT * candidate.slots();
+  }
+
   private static Predicate<Candidate> fits(EngineSpec engine, long tokens, double usableTokens) {
     return candidate ->
         candidate.load().requests() < engine.batchSlots()
--- a/src/main/java/org/cuminrack/gateway/PrefillTime.java
+++ b/src/main/java/org/cuminrack/gateway/PrefillTime.java
@@ -67,8 +67,17 @@
     return firstOutputMillis(candidate, paces, work) > limitMillis;
   }
 
+  /** Returns whether an engine of the usual pace with this load may get another prompt. */
+  static boolean mayPrefillMore(UpstreamLoad load, Duration shortestTarget) {
+    return load.pendingPrefillTokens() / TOKENS_PER_MILLI < maxAheadMillis(shortestTarget);
+  }
+
   private static double maxAheadMillis(PrefillWork work) {
-    return MAX_AHEAD_SHARE_OF_TARGET * work.shortestTarget().toMillis();
+    return maxAheadMillis(work.shortestTarget());
+  }
+
+  private static double maxAheadMillis(Duration shortestTarget) {
+    return MAX_AHEAD_SHARE_OF_TARGET * shortestTarget.toMillis();
   }
 
   private static boolean isPatient(PrefillWork work) {
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -69,6 +69,7 @@
   private final ServiceStack services = new ServiceStack();
   private final FleetView view = new FleetView(new RoutingDocuments());
   private final LoadTable loads;
+  private final DemandTable demand;
   private final RequestRateLimits rateLimits;
   private final UpstreamNotices notices;
   private final BoardSharing sharing;
@@ -82,6 +83,7 @@
     this.clock = clock;
     NodeSettings node = settings.node();
     loads = new LoadTable(clock);
+    demand = new DemandTable(clock);
     rateLimits = new RequestRateLimits(this::otherGateways, clock, RandomGenerator.getDefault());
     notices = new UpstreamNotices(clock);
     paces = new PaceTable(clock);
@@ -98,7 +100,7 @@
     sharing =
         new BoardSharing(
             node.vm(),
-            new SharedTables(loads, rateLimits, notices, new DemandTable(clock), paces),
+            new SharedTables(loads, rateLimits, notices, demand, paces),
             view,
             wire,
             this::onOthersLoadChanged,
@@ -109,6 +111,7 @@
             view,
             loads,
             sharing,
+            demand,
             rateLimits,
             notices,
             new PlatformHeaders(),
