Keep the load that a former board told for a second at most

Cause: each change of the board kept the higher of the old and new sums for another second, the kept ones included. A board that stalls again and again makes gateways change twice within 0.3 s, so load that has ended could count for as long as that went on.

Change: what is kept from one change stays until its own end, and ends when the same run of the board answers again. Rate limits count the other gateways once a round.

--- a/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
+++ b/src/main/java/org/cuminrack/gateway/RequestRateLimits.java
@@ -153,7 +153,8 @@
     }
     long nowNanos = clock.nanoTime();
     limit.get().eligible.add(nowNanos);
-    double rate = limit.get().rateOf(partOfGatewaysHeard(key, nowNanos));
+    double rate =
+        limit.get().rateOf(partOfGatewaysHeard(key, otherGateways.get().size(), nowNanos));
     Duration window = RateLimit.window(rate);
     int sent = limit.get().sent.count(window, nowNanos);
     int eligible = limit.get().eligible.count(window, nowNanos);
@@ -171,8 +172,7 @@
   }
 
   /** Returns the part of all gateways, from 0 to 1, whose requests are known, this one included. */
-  private double partOfGatewaysHeard(Incarnation upstream, long nowNanos) {
-    int others = otherGateways.get().size();
+  private double partOfGatewaysHeard(Incarnation upstream, int others, long nowNanos) {
     int silent =
         remoteShares(upstream, nowNanos)
             .map(remote -> Math.min(others, remote.silentGateways))
@@ -226,10 +226,11 @@
     }
     long nowNanos = clock.nanoTime();
     limits.values().removeIf(limit -> isForgotten(limit, nowNanos));
+    int others = otherGateways.get().size();
     List<RateLimitShare> shares = new ArrayList<>();
     limits.forEach(
         (upstream, limit) -> {
-          double part = partOfGatewaysHeard(upstream, nowNanos);
+          double part = partOfGatewaysHeard(upstream, others, nowNanos);
           Duration window = RateLimit.window(limit.rateOf(part));
           shares.add(
               new RateLimitShare(
--- a/src/main/java/org/cuminrack/sharing/KnownLoads.java
+++ b/src/main/java/org/cuminrack/sharing/KnownLoads.java
@@ -27,6 +27,7 @@
   private final Clock clock;
   private final Map<String, UpstreamLoad> loads = new HashMap<>();
   private Map<String, UpstreamLoad> previous = Map.of();
+  private long previousRun;
   private long previousUntilNanos;
   private List<OrganisationDemand> demand = List.of();
   private long boardRun;
@@ -58,10 +59,14 @@
     version = 0;
   }
 
+  /** What is kept from an earlier change stays, so that changes in a row don't prolong it. */
   private void keepPrevious() {
-    if (clock.nanoTime() - learnedNanos <= VERSION_TTL.toNanos()) {
-      previous = effective();
-      previousUntilNanos = clock.nanoTime() + PREVIOUS_TTL.toNanos();
+    long nowNanos = clock.nanoTime();
+    boolean hasPrevious = !previous.isEmpty() && previousUntilNanos - nowNanos >= 0;
+    if (!hasPrevious && nowNanos - learnedNanos <= VERSION_TTL.toNanos()) {
+      previous = Map.copyOf(loads);
+      previousRun = boardRun;
+      previousUntilNanos = nowNanos + PREVIOUS_TTL.toNanos();
     }
   }
 
@@ -86,6 +91,9 @@
       }
     }
     boolean changed = answer.getAllLoads() || answer.getLoadsCount() > 0 || !previous.isEmpty();
+    if (answer.getRun() == previousRun) {
+      previous = Map.of();
+    }
     if (changed) {
       tables.loads().replaceRemote(pool.label(), effective());
     } else {
--- a/src/test/java/org/cuminrack/sharing/BoardFailuresTest.java
+++ b/src/test/java/org/cuminrack/sharing/BoardFailuresTest.java
@@ -50,6 +50,45 @@
     }
   }
 
+  @Test
+  void shouldNotKeepEndedLoadWhileABoardIsFrozenAgainAndAgain() {
+    SimulatedGateway first = boards.others().get(0);
+    SimulatedGateway second = boards.others().get(1);
+    String frozenVm = boards.board().vm;
+    first.begin("i-0", 100);
+    second.begin("i-1", 100);
+    boards.run(REPEAT);
+    first.end("i-0", 100);
+    for (int i = 0; i < 10; i++) {
+      boards.frozen.add(frozenVm);
+      boards.run(Duration.ofMillis(300));
+      boards.frozen.remove(frozenVm);
+      boards.run(Duration.ofMillis(300));
+    }
+
+    assertThat(second.requestsOn("i-0")).isEqualTo(0);
+  }
+
+  @Test
+  void shouldUseABoardAgainAfterItWasFrozen() {
+    SimulatedGateway board = boards.board();
+    SimulatedGateway first = boards.others().get(0);
+    SimulatedGateway second = boards.others().get(1);
+    first.begin("i-0", 100);
+    boards.run(REPEAT);
+    boards.frozen.add(board.vm);
+    boards.run(Duration.ofSeconds(5));
+    boards.frozen.remove(board.vm);
+    boards.run(Duration.ofSeconds(5));
+
+    first.begin("i-1", 100);
+    boards.run(QUESTION);
+    second.learnsWithin(QUESTION);
+
+    assertThat(first.clients.boardsByPool()).containsEntry("chat/0", board.vm);
+    assertThat(second.requestsOn("i-1")).isEqualTo(1);
+  }
+
   @Test
   void shouldNotCountTheLoadOfAGatewayThatIsFrozen() {
     SimulatedGateway first = boards.others().get(0);
--- a/src/test/java/org/cuminrack/sharing/SimulatedBoards.java
+++ b/src/test/java/org/cuminrack/sharing/SimulatedBoards.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fleet.GatewayRecord;
 import org.cuminrack.fleet.UpstreamPhase;
@@ -31,6 +32,7 @@
   static final String SERVICE = "chat";
 
   private static final Duration LATENCY = Duration.ofMillis(1);
+  private static final long THAW_CHECK_MILLIS = 10;
   private static final Duration LATE_ANSWER_TIMEOUT = Duration.ofSeconds(1);
 
   final ManualClock clock = new ManualClock();
@@ -160,6 +162,14 @@
     return byVm.get(vm);
   }
 
+  /** Returns the VMs that keep the boards of the first pools of some services. */
+  Map<PoolId, String> boardsOf(int serviceCount) {
+    BoardChoice choice = new BoardChoice(() -> live, clock);
+    return IntStream.range(0, serviceCount)
+        .mapToObj(index -> new PoolId("service-" + index, 0))
+        .collect(Collectors.toMap(pool -> pool, pool -> choice.boardOf(pool).get().vm()));
+  }
+
   /** Returns gateways that don't keep the board. */
   List<SimulatedGateway> others() {
     SimulatedGateway board = board();
@@ -203,16 +213,25 @@
         return;
       }
     }
-    after(
-        latencyMillis,
-        () -> {
-          if (frozen.contains(to)) {
-            after(LATE_ANSWER_TIMEOUT.toMillis(), () -> onResult.accept(Optional.empty()));
-            return;
-          }
-          BoardAnswer answer = byVm.get(to).boards.handle(call);
-          bytes += latencyMillis > 0 ? answer.getSerializedSize() : 0;
-          after(latencyMillis, () -> onResult.accept(Optional.of(answer)));
-        });
+    long expiryNanos = clock.nanoTime() + LATE_ANSWER_TIMEOUT.toNanos();
+    after(latencyMillis, () -> arrive(to, call, onResult, latencyMillis, expiryNanos));
+  }
+
+  /** Lets a call arrive; a frozen gateway answers once it goes on. */
+  private void arrive(
+      String to,
+      BoardCall call,
+      Consumer<Optional<BoardAnswer>> onResult,
+      long latencyMillis,
+      long expiryNanos) {
+    if (!frozen.contains(to)) {
+      BoardAnswer answer = byVm.get(to).boards.handle(call);
+      bytes += latencyMillis > 0 ? answer.getSerializedSize() : 0;
+      after(latencyMillis, () -> onResult.accept(Optional.of(answer)));
+    } else if (clock.nanoTime() < expiryNanos) {
+      after(THAW_CHECK_MILLIS, () -> arrive(to, call, onResult, latencyMillis, expiryNanos));
+    } else {
+      onResult.accept(Optional.empty());
+    }
   }
 }
