Play a board that freezes again and again with requests that ask meanwhile

The test before passed also without the change it is for: the gateway asked too rarely to change its board twice a second.

--- a/src/test/java/org/cuminrack/sharing/BoardFailuresTest.java
+++ b/src/test/java/org/cuminrack/sharing/BoardFailuresTest.java
@@ -59,11 +59,13 @@
     second.begin("i-1", 100);
     boards.run(REPEAT);
     first.end("i-0", 100);
-    for (int i = 0; i < 10; i++) {
-      boards.frozen.add(frozenVm);
-      boards.run(Duration.ofMillis(300));
-      boards.frozen.remove(frozenVm);
-      boards.run(Duration.ofMillis(300));
+    for (int i = 0; i < 100; i++) {
+      if (i % 10 == 0) {
+        boards.frozen.add(frozenVm);
+      } else if (i % 10 == 5) {
+        boards.frozen.remove(frozenVm);
+      }
+      second.learnsWithin(Duration.ofMillis(60));
     }
 
     assertThat(second.requestsOn("i-0")).isEqualTo(0);
