Choose the gateways that an answer of the directory names

Cause: the directory named the first 64 live gateways by name, whoever asked.

Change: org.cuminrack.directory decides. Where the gateways are more than 64 or state different sizes, an answer names each in proportion to its free room, mostly of the caller's data centre; callers leave it from a use of 0.6 on, if others are less used, and 8% always do, so that a lost data centre leaves them a way. Answers hang on the caller and the phase within the life of an answer, so that a caller that asks again gets nearly the same one and callers that share an address together use each gateway. Missing, stale or absurd figures count as the mean use and the median size. Elsewhere the answer is as before.

Size and use are not stated yet.

--- a/src/main/java/org/cuminrack/platform/DirectoryEndpoint.java
+++ b/src/main/java/org/cuminrack/platform/DirectoryEndpoint.java
@@ -4,29 +4,34 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
 import java.time.Duration;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.cuminrack.directory.Caller;
+import org.cuminrack.directory.GatewayChoice;
 import org.cuminrack.fleet.FleetControl;
 import org.cuminrack.fleet.GatewayRecord;
 import org.cuminrack.http.HttpResponses;
+import org.cuminrack.time.Clock;
 
 /** Answers callers' lookups with the addresses of the gateways that accept requests. */
 public final class DirectoryEndpoint implements HttpHandler {
   private static final String RESOLVE_PATH = "/cuminrack/resolve";
-  private static final int MAX_ADDRESSES = 64;
 
   private final FleetControl fleet;
   private final Duration addressTtl;
+  private final Clock clock;
 
   /**
    * Creates a handler.
    *
    * @param addressTtl how long callers may cache a response
    */
-  public DirectoryEndpoint(FleetControl fleet, Duration addressTtl) {
+  public DirectoryEndpoint(FleetControl fleet, Duration addressTtl, Clock clock) {
     this.fleet = fleet;
     this.addressTtl = addressTtl;
+    this.clock = clock;
   }
 
   @Override
@@ -36,10 +41,10 @@
       return;
     }
     List<String> addresses =
-        fleet.gateways().stream()
-            .filter(GatewayRecord::serving)
+        GatewayChoice.choose(
+                fleet.gatewaysWithLoad(), caller(exchange), clock.now().toEpochMilli(), addressTtl)
+            .stream()
             .map(GatewayRecord::callerAddress)
-            .limit(MAX_ADDRESSES)
             .toList();
     if (addresses.isEmpty()) {
       HttpResponses.json(
@@ -51,4 +56,14 @@
     response.put("ttl-s", addressTtl.toSeconds());
     HttpResponses.json(exchange, StatusCodes.OK, response);
   }
+
+  private static Caller caller(HttpServerExchange exchange) {
+    String host = exchange.getSourceAddress().getHostString();
+    return new Caller(query(exchange, "zone"), host + "/" + query(exchange, "name"));
+  }
+
+  private static String query(HttpServerExchange exchange, String name) {
+    Deque<String> values = exchange.getQueryParameters().get(name);
+    return values == null || values.isEmpty() ? "" : values.getFirst();
+  }
 }
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -114,7 +114,7 @@
             1),
         new HttpServer(
             addresses.directoryAddress(),
-            new DirectoryEndpoint(fleet, addresses.addressTtl()),
+            new DirectoryEndpoint(fleet, addresses.addressTtl(), clock),
             MAX_BODY_BYTES,
             1));
   }
