State a gateway's size and use to control VMs

Cause: the directory's decision had no figures to weigh gateways by.

A gateway that states its processors or link tells its size and the used fraction of what it uses most with its watch calls: processor time of the process, bytes of callers' connections and of the wire, open descriptors, heap after the last collection, by samples a second apart. The dump of a control process names each gateway's size and use; cuminrack_gateway_use is a metric.

--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -5,7 +5,9 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -140,6 +142,13 @@
     return gateways.liveWithLoad(clock.nanoTime());
   }
 
+  /** Returns the size and use of each live gateway, by VM name, for the dump. */
+  public Map<String, Object> gatewaysForDump() {
+    Map<String, Object> dump = new TreeMap<>();
+    gatewaysWithLoad().forEach(each -> dump.put(each.gateway().vm(), each.load().toDump()));
+    return dump;
+  }
+
   /** Returns the newest announcement of an upstream. */
   public Optional<UpstreamRecord> upstream(String id) {
     return upstreams.find(id);
--- a/src/main/java/org/cuminrack/http/HttpServer.java
+++ b/src/main/java/org/cuminrack/http/HttpServer.java
@@ -18,7 +18,8 @@
   private final HttpHandler handler;
   private final long maxBodyBytes;
   private final int ioThreads;
-  private Undertow undertow;
+  private boolean countsBytes;
+  private volatile Undertow undertow;
 
   public HttpServer(InetSocketAddress address, HttpHandler handler, long maxBodyBytes) {
     this(address, handler, maxBodyBytes, DEFAULT_IO_THREADS);
@@ -33,6 +34,24 @@
     this.ioThreads = ioThreads;
   }
 
+  /** Makes this server count the bytes of its connections; call before the start. */
+  public HttpServer countingBytes() {
+    countsBytes = true;
+    return this;
+  }
+
+  /** Returns the bytes received and sent since the start; 0 if they are not counted. */
+  public long transferredBytes() {
+    Undertow running = undertow;
+    if (running == null || !countsBytes) {
+      return 0;
+    }
+    return running.getListenerInfo().stream()
+        .map(Undertow.ListenerInfo::getConnectorStatistics)
+        .mapToLong(counted -> counted.getBytesReceived() + counted.getBytesSent())
+        .sum();
+  }
+
   @Override
   public void start() {
     undertow =
@@ -40,6 +59,7 @@
             .addHttpListener(address.getPort(), address.getHostString(), handler)
             .setIoThreads(ioThreads)
             .setWorkerThreads(WORKER_THREADS)
+            .setServerOption(UndertowOptions.ENABLE_STATISTICS, countsBytes)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -72,17 +72,15 @@
     renewals.register(server);
     server.serve(Method.QUORUM_MESSAGE, log.handler());
     control.register(server);
+    StateDump dump = dump(log, state);
     List<HttpServer> fleetServers =
         settings
             .fleet()
-            .map(fleet -> addFleet(fleet, log, state, wire, server, clock))
+            .map(fleet -> addFleet(fleet, log, state, wire, server, dump, clock))
             .orElse(List.of());
     ControlClient leaderClient = new ControlClient(wire, () -> addressByVm(log), clock);
     ProcessApi api =
-        new ProcessApi(
-            dump(log, state),
-            metrics(metrics, log, state),
-            new OperatorApi(leaderClient).handler());
+        new ProcessApi(dump, metrics(metrics, log, state), new OperatorApi(leaderClient).handler());
     // The wire server starts before the HTTP servers: after an outage of all control VMs, no
     // request
     // can be served until the quorum has elected a leader over the wire.
@@ -98,12 +96,14 @@
       ControlState state,
       WireClient wire,
       WireServer server,
+      StateDump dump,
       Clock clock) {
     FleetControl fleet =
         services.add(
             new FleetControl(
                 state, wire, log::isCurrent, () -> controlVms(log), settings.tolerance(), clock));
     fleet.register(server);
+    dump.with("gateways", fleet::gatewaysForDump);
     RoutingControl routing = new RoutingControl(log, state, clock);
     int controlPort = addresses.controlAddress().getPort();
     return List.of(
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -12,7 +12,6 @@
 import java.util.stream.Collectors;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
-import org.cuminrack.fleet.GatewayLoad;
 import org.cuminrack.fleet.GatewayRecord;
 import org.cuminrack.fleet.SuspectTable;
 import org.cuminrack.gateway.CrashSuspects;
@@ -44,6 +43,7 @@
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.WireClient;
 import org.cuminrack.wire.WireServer;
+import org.cuminrack.wire.WireTraffic;
 import org.cuminrack.yaml.YamlError;
 
 /** A gateway VM's process: relays callers' requests to upstreams. */
@@ -69,6 +69,8 @@
   private final UpstreamNotices notices;
   private final GatewayHandler handler;
   private final FleetWatcher watcher;
+  private final GatewayUse use;
+  private final HttpServer callerServer;
   private volatile boolean stopping;
 
   public GatewayProcess(GatewayNodeSettings settings, Clock clock) {
@@ -78,6 +80,7 @@
     loads = new LoadTable(clock);
     rateLimits = new RequestRateLimits(this::otherGateways, clock, RandomGenerator.getDefault());
     notices = new UpstreamNotices(clock);
+    use = new GatewayUse(settings.size(), this::transferredBytes, clock);
     Metrics metrics = services.add(new Metrics());
     WireClient wire = services.add(new WireClient(node.group()));
     watcher =
@@ -86,7 +89,7 @@
             wire,
             Set.copyOf(settings.controlSeeds().values()),
             this::ownRecord,
-            () -> GatewayLoad.UNKNOWN,
+            use::load,
             clock);
     handler =
         new GatewayHandler(
@@ -117,8 +120,14 @@
             new ProcessApi(dump(), metrics(metrics), exchange -> exchange.setStatusCode(404)),
             MAX_BODY_BYTES,
             1));
-    services.add(
-        new HttpServer(settings.callerAddress(), handler, MAX_BODY_BYTES, settings.ioThreads()));
+    HttpServer callers =
+        new HttpServer(settings.callerAddress(), handler, MAX_BODY_BYTES, settings.ioThreads());
+    callerServer = services.add(settings.size().isStated() ? callers.countingBytes() : callers);
+  }
+
+  /** What callers send goes on to upstreams, and what they get came from there. */
+  private long transferredBytes() {
+    return callerServer.transferredBytes() + WireTraffic.writtenBytes();
   }
 
   private Set<String> otherGateways() {
@@ -232,6 +241,7 @@
         .with("evacuated", view::evacuatedDataCentres)
         .with("control", watcher::answeredByAddress)
         .with("gateways", view::gateways)
+        .with("own_room", () -> use.load().toDump())
         .with("upstreams", () -> view.upstreams().all())
         .with("own_load", loads::ownLoads)
         .with("rate_limits", rateLimits::ownShares)
@@ -250,6 +260,7 @@
     return metrics
         .gauge("cuminrack.gateway.running", handler.counters(), GatewayCounters::running)
         .gauge("cuminrack.gateway.waiting", handler, GatewayHandler::queuedGenerations)
+        .gauge("cuminrack.gateway.use", use, measured -> measured.load().use().orElse(0))
         .gauge("cuminrack.gateway.suspects", view.suspects(), SuspectTable::size)
         .gauge("cuminrack.gateway.routing.revision", view, FleetView::routingRevision);
   }
--- a/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
+++ b/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import org.cuminrack.fleet.GatewaySize;
 import org.cuminrack.yaml.MappingReader;
 
 /**
@@ -16,6 +17,7 @@
  * @param retryPercent the retry budget of all gateways together, in percent of requests
  * @param retrySlack the number of retries allowed in addition to that percentage
  * @param announcementTimeout the time without an announcement after which an upstream is avoided
+ * @param size what the process may use of its VM
  */
 public record GatewayNodeSettings(
     NodeSettings node,
@@ -26,9 +28,14 @@
     Duration stopTimeout,
     int retryPercent,
     double retrySlack,
-    Duration announcementTimeout) {
+    Duration announcementTimeout,
+    GatewaySize size) {
   private static final int MAX_IO_THREADS = 64;
   private static final int MAX_PORT = 65_535;
+  private static final int MAX_CORES = 1024;
+  private static final int MAX_LINK_MBPS = 1_000_000;
+  private static final int MAX_MEMORY_MB = 100_000_000;
+  private static final int MAX_DESCRIPTORS = 100_000_000;
   private static final Duration DEFAULT_STOP_TIMEOUT = Duration.ofMillis(7500);
   private static final int DEFAULT_RETRY_PERCENT = 10;
   private static final double DEFAULT_RETRY_SLACK = 20;
@@ -47,6 +54,11 @@
         reader.millis("stop_timeout_millis", DEFAULT_STOP_TIMEOUT, 100, 3_600_000),
         reader.number("retry_percent", DEFAULT_RETRY_PERCENT, 0, 100),
         reader.decimal("retry_slack", DEFAULT_RETRY_SLACK, 0, 100_000),
-        reader.millis("upstream_silence_millis", DEFAULT_ANNOUNCEMENT_TIMEOUT, 100, 600_000));
+        reader.millis("upstream_silence_millis", DEFAULT_ANNOUNCEMENT_TIMEOUT, 100, 600_000),
+        new GatewaySize(
+            reader.decimal("cores", 0, 0, MAX_CORES),
+            reader.decimal("link_mbps", 0, 0, MAX_LINK_MBPS),
+            (int) reader.decimal("memory_mb", 0, 0, MAX_MEMORY_MB),
+            (int) reader.decimal("descriptors", 0, 0, MAX_DESCRIPTORS)));
   }
 }
