--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -13,7 +13,6 @@
 import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
-import org.cuminrack.fleet.GatewayLoad;
 import org.cuminrack.fleet.GatewayRecord;
 import org.cuminrack.fleet.SuspectTable;
 import org.cuminrack.gateway.CrashSuspects;
@@ -48,6 +47,7 @@
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.WireClient;
 import org.cuminrack.wire.WireServer;
+import org.cuminrack.wire.WireTraffic;
 import org.cuminrack.yaml.YamlError;
 
 /** A gateway VM's process: relays callers' requests to upstreams. */
@@ -76,6 +76,8 @@
   private final PaceTable paces;
   private final GatewayHandler handler;
   private final FleetWatcher watcher;
+  private final GatewayUse use;
+  private final HttpServer callerServer;
   private volatile boolean stopping;
 
   public GatewayProcess(GatewayNodeSettings settings, Clock clock) {
@@ -87,6 +89,7 @@
     rateLimits = new RequestRateLimits(this::otherGateways, clock, RandomGenerator.getDefault());
     notices = new UpstreamNotices(clock);
     paces = new PaceTable(clock);
+    use = new GatewayUse(settings.size(), this::transferredBytes, clock);
     Metrics metrics = services.add(new Metrics());
     WireClient wire = services.add(new WireClient(node.group()));
     watcher =
@@ -95,7 +98,7 @@
             wire,
             Set.copyOf(settings.controlSeeds().values()),
             this::ownRecord,
-            () -> GatewayLoad.UNKNOWN,
+            use::load,
             clock);
     sharing =
         new BoardSharing(
@@ -135,8 +138,14 @@
             new ProcessApi(dump(), metrics(metrics), exchange -> exchange.setStatusCode(404)),
             MAX_BODY_BYTES,
             1));
-    services.add(
-        new HttpServer(settings.callerAddress(), handler, MAX_BODY_BYTES, settings.ioThreads()));
+    HttpServer callers =
+        new HttpServer(settings.callerAddress(), handler, MAX_BODY_BYTES, settings.ioThreads());
+    callerServer = services.add(settings.size().isStated() ? callers.countingBytes() : callers);
+  }
+
+  /** What callers send goes on to upstreams, and what they get came from there. */
+  private long transferredBytes() {
+    return callerServer.transferredBytes() + WireTraffic.writtenBytes();
   }
 
   private void onOthersLoadChanged() {
@@ -261,6 +270,7 @@
         .with("evacuated", view::evacuatedDataCentres)
         .with("control", watcher::answeredByAddress)
         .with("gateways", view::gateways)
+        .with("own_room", () -> use.load().toDump())
         .with("upstreams", () -> view.upstreams().all())
         .with("own_load", loads::ownLoads)
         .with("boards", sharing::boardsByPool)
@@ -287,6 +297,7 @@
     return metrics
         .gauge("cuminrack.gateway.running", handler.counters(), GatewayCounters::running)
         .gauge("cuminrack.gateway.waiting", handler, GatewayHandler::queuedGenerations)
+        .gauge("cuminrack.gateway.use", use, measured -> measured.load().use().orElse(0))
         .gauge("cuminrack.gateway.suspects", view.suspects(), SuspectTable::size)
         .gauge("cuminrack.gateway.routing.revision", view, FleetView::routingRevision);
   }
