--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -116,7 +116,7 @@
         .filter(candidate -> !PrefillTime.isFull(candidate, paces, work))
         .min(
             avoidedLast()
-                .thenComparing(candidate -> PrefillTime.missesTargets(candidate, paces, work))
+                .thenComparing(candidate -> PrefillTime.missesTarget(candidate, paces, work))
                 .thenComparing(
                     Comparator.comparingDouble(
                         candidate -> engineScore(candidate, engine, paces, work))));
--- a/src/main/java/org/cuminrack/gateway/PrefillTime.java
+++ b/src/main/java/org/cuminrack/gateway/PrefillTime.java
@@ -17,12 +17,6 @@
    */
   private static final double MAX_AHEAD_SHARE_OF_TARGET = 2.0 / 3;
 
-  /**
-   * Multiple of the shortest target latency from which a generation can wait, so that its prompt
-   * counts as one that is ahead of those which can't.
-   */
-  private static final double PATIENT_TARGET_MULTIPLE = 2;
-
   private PrefillTime() {}
 
   /** Returns the tokens that an engine of the usual pace prefills within a time. */
@@ -58,21 +52,12 @@
     return aheadMillis(candidate, paces) >= maxAheadMillis(work);
   }
 
-  /**
-   * Returns whether a generation would miss its target on an engine or, if it can wait, make others
-   * miss theirs.
-   */
-  static boolean missesTargets(Candidate candidate, CandidatePaces paces, PrefillWork work) {
-    double limitMillis = isPatient(work) ? maxAheadMillis(work) : work.targetLatency().toMillis();
-    return firstOutputMillis(candidate, paces, work) > limitMillis;
+  /** Returns whether a generation would miss its target on an engine. */
+  static boolean missesTarget(Candidate candidate, CandidatePaces paces, PrefillWork work) {
+    return firstOutputMillis(candidate, paces, work) > work.targetLatency().toMillis();
   }
 
   private static double maxAheadMillis(PrefillWork work) {
     return MAX_AHEAD_SHARE_OF_TARGET * work.shortestTarget().toMillis();
   }
-
-  private static boolean isPatient(PrefillWork work) {
-    return work.targetLatency().toMillis()
-        >= PATIENT_TARGET_MULTIPLE * work.shortestTarget().toMillis();
-  }
 }
