--- a/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
+++ b/src/test/java/org/cuminrack/platform/PlatformHeadersTest.java
@@ -13,6 +13,7 @@
 import org.cuminrack.gateway.ResponseHead;
 import org.cuminrack.gateway.ResumePoint;
 import org.cuminrack.gateway.UpstreamRequestHead;
+import org.cuminrack.pace.StatedLoad;
 import org.junit.jupiter.api.Test;
 
 class PlatformHeadersTest {
@@ -137,6 +138,16 @@
                 Either.right(Optional.empty())));
   }
 
+  @Test
+  void shouldReadTheLoadThatAnUpstreamStates() {
+    HeaderMap stated = map("Attempt-Id", "9c41", "Server-Load", "3,1,8,250");
+
+    assertThat(headers.readResponse(200, stated, "9c41").load().get())
+        .hasValue(new StatedLoad(3, 1, 8, OptionalDouble.of(2.5)));
+    HeaderMap absurd = map("Attempt-Id", "9c41", "Server-Load", "3,1,8,NaN");
+    assertThat(headers.readResponse(200, absurd, "9c41").load().isLeft()).isTrue();
+  }
+
   @Test
   void shouldReadThatAnUpstreamLeavesFromAnyAnswer() {
     for (int status : new int[] {200, 404, 500, 503}) {
