Give the played engines a queue of their own

Cause: the order of waiting prompts was compared with GenerationQueue, which now also needs the demand of organisations and estimates waits, so the comparison would show both at once. Change: ArrivalQueue in the test folder, with the order by priority and arrival that the queue had.

--- a/src/test/java/org/cuminrack/gateway/PlayedEngines.java
+++ b/src/test/java/org/cuminrack/gateway/PlayedEngines.java
@@ -84,7 +84,7 @@
   private final double load;
   private final Random random = new Random(46);
   private final Random jitter = new Random(47);
-  private final GenerationQueue queue = new GenerationQueue();
+  private final ArrivalQueue queue = new ArrivalQueue();
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private final List<Engine> engines = new ArrayList<>();
   private final Map<String, Prompt> running = new HashMap<>();
