--- a/src/test/java/org/cuminrack/directory/CallersOfGateways.java
+++ b/src/test/java/org/cuminrack/directory/CallersOfGateways.java
@@ -17,8 +17,8 @@
 import org.cuminrack.fleet.LoadedGateway;
 
 /**
- * Callers that choose at random among the gateways of an answer and keep it for 5 or 15 s, second
- * by second. Loads are expected values.
+ * Callers that choose at random among the gateways of an answer and keep it for one life of answers
+ * or three, and up to 200 ms longer, second by second. Loads are expected values.
  */
 final class CallersOfGateways {
   static final GatewaySize SMALL = new GatewaySize(0.27, 5.25, 266, 2212);
