Never take a fast plain upstream for full later than a usual one

Cause: the bound of requests per slot was divided by the pace, so that a fast upstream got up to six requests per slot, beyond what its own queue may hold. Evidence: reading; by arithmetic the new case of PacePlacementTest chose the fast upstream before (not run without the change). Change: only a slow upstream's bound differs from the usual three. Result: 143 tests of gateway and pace pass.

--- a/src/main/java/org/cuminrack/gateway/Placement.java
+++ b/src/main/java/org/cuminrack/gateway/Placement.java
@@ -23,7 +23,8 @@
 public final class Placement {
   /**
    * Requests per slot at which a plain upstream of the usual pace is full; further requests would
-   * wait in the upstream's queue for longer than their target latency.
+   * wait in the upstream's queue for longer than their target latency. A slow one is full sooner; a
+   * fast one is not full later, since the length of its queue is not known.
    */
   private static final int MAX_PLAIN_REQUESTS_PER_SLOT = 3;
 
@@ -96,7 +97,7 @@
     return candidates.stream()
         .filter(
             candidate ->
-                candidate.load().requests() * paces.slowdown(candidate)
+                candidate.load().requests() * Math.max(1, paces.slowdown(candidate))
                     < MAX_PLAIN_REQUESTS_PER_SLOT * candidate.slots())
         .min(
             avoidedLast()
--- a/src/test/java/org/cuminrack/gateway/PacePlacementTest.java
+++ b/src/test/java/org/cuminrack/gateway/PacePlacementTest.java
@@ -105,6 +105,13 @@
     }
   }
 
+  @Test
+  void shouldTakeASlowUpstreamForFullSoonerAndAFastOneNotLater() {
+    List<Candidate> candidates = List.of(plain("slow", 11, 1.7, 0.5), plain("fast", 18, 0.5, 0.5));
+
+    assertThat(chosen(Placement.forPlainRequest(candidates, PLAIN))).isEqualTo("none");
+  }
+
   @Test
   void shouldPreferAnEngineThatPrefillsSooner() {
     List<Candidate> candidates =
