Give a board more time for its first answer, and load its classes before

Cause: in process tests (3 gateways, logs of RequestRateLimitTest and LeavingUpstreamTest) the first calls to a board took longer than 100 ms while its process was new: gateways turned to the next board and back within the first second after the first request; none was silent after that.

Change: 300 ms for a gateway that has not answered yet; a call is played through a board at the start of the process, before the first one comes.

--- a/src/main/java/org/cuminrack/sharing/BoardChoice.java
+++ b/src/main/java/org/cuminrack/sharing/BoardChoice.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.cuminrack.fleet.GatewayRecord;
 import org.cuminrack.time.Clock;
@@ -17,9 +19,16 @@
   /** Longer than a pause of a process, shorter than control takes to notice most losses. */
   private static final Duration AVOIDED_TIME = Duration.ofSeconds(3);
 
+  /** Some round trips; a board on a gateway that waits for processor time answers by then. */
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
+
+  /** The first call to a board needs a connection, and its process may just have started. */
+  private static final Duration FIRST_ANSWER_TIMEOUT = Duration.ofMillis(300);
+
   private final Supplier<List<GatewayRecord>> gateways;
   private final Clock clock;
   private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
+  private final Set<String> answeredVms = new HashSet<>();
 
   /**
    * Creates a choice.
@@ -58,6 +67,12 @@
 
   /** Uses a gateway again because it has answered. */
   void recordAnswer(String vm) {
+    answeredVms.add(vm);
     avoidedUntilNanos.remove(vm);
   }
+
+  /** Returns the time after which a gateway that keeps a board counts as silent. */
+  Duration answerTimeout(String vm) {
+    return answeredVms.contains(vm) ? ANSWER_TIMEOUT : FIRST_ANSWER_TIMEOUT;
+  }
 }
--- a/src/main/java/org/cuminrack/sharing/BoardSharing.java
+++ b/src/main/java/org/cuminrack/sharing/BoardSharing.java
@@ -48,6 +48,7 @@
   private final String vm;
   private final WireClient wire;
   private final Supplier<Set<String>> waitingServices;
+  private final Clock clock;
   private final Boards boards;
   private final PoolClients clients;
   private final SharedTables tables;
@@ -79,6 +80,7 @@
     this.tables = tables;
     this.wire = wire;
     this.waitingServices = waitingServices;
+    this.clock = clock;
     RandomGenerator random = RandomGenerator.getDefault();
     boards = new Boards(() -> liveGateways(view), clock, random);
     clients =
@@ -127,6 +129,7 @@
               thread.setDaemon(true);
               return thread;
             });
+    BoardPreload.run(clock);
     tables.loads().onOwnChange(this::ownLoadChanged);
     worker.scheduleWithFixedDelay(
         loggingFailures(this::tick),
--- a/src/main/java/org/cuminrack/sharing/PoolClient.java
+++ b/src/main/java/org/cuminrack/sharing/PoolClient.java
@@ -18,9 +18,6 @@
 final class PoolClient {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Some round trips; a board on a gateway that waits for processor time answers by then. */
-  static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
-
   /** Half of the time after which a board's counts are not known any more. */
   private static final Duration COUNTS_INTERVAL = Duration.ofMillis(250);
 
@@ -115,7 +112,8 @@
   void tick(OwnState current, boolean mayBeStalled) {
     long nowNanos = clock.nanoTime();
     if (inFlight != null) {
-      if (!mayBeStalled && nowNanos - inFlight.sentNanos > ANSWER_TIMEOUT.toNanos()) {
+      Duration timeout = context.choice().answerTimeout(inFlight.board.vm());
+      if (!mayBeStalled && nowNanos - inFlight.sentNanos > timeout.toNanos()) {
         context.counters().add(SharingCounters.Kind.TIMEOUTS);
         fail(inFlight, "timeout");
       }
