Roll out a version of a service on the gateways' path

Gateways learn the stage with the routing: the new version gets the share that it has earned, memory copies stay off it, generations are moved off a version that is being replaced, an excluded one gets nothing. The operator's two calls are in platform.RolloutEndpoints. Without an order nothing changes: upstreams of several versions are used alike.

--- a/src/main/java/org/cuminrack/control/ControlState.java
+++ b/src/main/java/org/cuminrack/control/ControlState.java
@@ -88,6 +88,9 @@
       case TRIAL -> tables.suspects.tryAgain(command.getTrial(), timeMillis);
       case PUT_ROUTING -> tables.routing.put(index, command.getPutRouting());
       case SET_EVACUATION -> setEvacuation(index, command.getSetEvacuation());
+      case START_ROLLOUT ->
+          tables.routing.startRollout(index, command.getStartRollout(), timeMillis);
+      case ADVANCE_ROLLOUT -> tables.routing.advanceRollout(index, command.getAdvanceRollout());
       default -> revisionResult(index);
     };
   }
@@ -224,15 +227,12 @@
     return tables.ledger.size();
   }
 
-  /** Returns the current routing document and the evacuated data centres. */
+  /** Returns the current routing document, the evacuated data centres and the roll-outs. */
   public synchronized RoutingData routing() {
     return tables.routing.data();
   }
 
-  /**
-   * Sets a listener that runs on the log's thread after the routing document or an evacuation
-   * changed.
-   */
+  /** Sets a listener that runs on the log's thread after {@link #routing} changed. */
   public void onRoutingChange(Runnable listener) {
     routingListener = listener;
   }
--- a/src/main/java/org/cuminrack/control/RoutingState.java
+++ b/src/main/java/org/cuminrack/control/RoutingState.java
@@ -4,13 +4,19 @@
 import java.util.TreeSet;
 import org.cuminrack.generated.control.PutRouting;
 import org.cuminrack.generated.control.PutRoutingResult;
+import org.cuminrack.generated.control.RevisionResult;
 import org.cuminrack.generated.control.RoutingData;
 import org.cuminrack.generated.control.RoutingVerdict;
 import org.cuminrack.generated.control.SetEvacuation;
+import org.cuminrack.generated.rollout.AdvanceRollout;
+import org.cuminrack.generated.rollout.StartResult;
+import org.cuminrack.generated.rollout.StartRollout;
+import org.cuminrack.generated.rollout.StartVerdictData;
 
-/** The current routing document and the evacuated data centres. Not thread-safe. */
+/** The current routing document, the evacuated data centres and roll-outs. Not thread-safe. */
 final class RoutingState {
   private final TreeSet<String> evacuated = new TreeSet<>();
+  private final RolloutState rollouts = new RolloutState();
 
   /** Log index of the last change. */
   private long revision;
@@ -53,12 +59,30 @@
     }
   }
 
+  /** Starts a roll-out, if the service has none that is running. */
+  StartResult startRollout(long index, StartRollout order, long nowMillis) {
+    StartResult result = rollouts.start(index, order, nowMillis);
+    if (result.getVerdict() == StartVerdictData.START_ACCEPTED) {
+      revision = index;
+    }
+    return result;
+  }
+
+  /** Sets the stage of a roll-out. */
+  RevisionResult advanceRollout(long index, AdvanceRollout step) {
+    if (rollouts.advance(step)) {
+      revision = index;
+    }
+    return RevisionResult.newBuilder().setRevision(index).build();
+  }
+
   RoutingData data() {
     return RoutingData.newBuilder()
         .setRevision(revision)
         .setVersion(version)
         .setDocument(document)
         .addAllEvacuated(evacuated)
+        .addAllRollouts(rollouts.all())
         .build();
   }
 
@@ -68,5 +92,6 @@
     document = data.getDocument();
     evacuated.clear();
     evacuated.addAll(data.getEvacuatedList());
+    rollouts.restore(data.getRolloutsList());
   }
 }
--- a/src/main/java/org/cuminrack/fleet/FleetCodec.java
+++ b/src/main/java/org/cuminrack/fleet/FleetCodec.java
@@ -30,6 +30,7 @@
         .setSequence(upstream.sequence())
         .setColdLeftMillis(toMillis(upstream.coldUntilNanos() - nowNanos))
         .setAgeMillis(toMillis(nowNanos - upstream.receivedNanos()))
+        .setVersion(upstream.version())
         .build();
   }
 
@@ -48,7 +49,8 @@
         data.getBornMillis(),
         data.getSequence(),
         nowNanos + TimeUnit.MILLISECONDS.toNanos(data.getColdLeftMillis()),
-        nowNanos - TimeUnit.MILLISECONDS.toNanos(data.getAgeMillis()));
+        nowNanos - TimeUnit.MILLISECONDS.toNanos(data.getAgeMillis()),
+        data.getVersion());
   }
 
   static GatewayData data(GatewayRecord gateway) {
--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -5,7 +5,9 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -14,12 +16,15 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.cuminrack.control.ControlState;
 import org.cuminrack.generated.fleet.ShareCall;
 import org.cuminrack.generated.fleet.WatchCall;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.quorum.LossTolerance;
+import org.cuminrack.rollout.VersionCapacity;
+import org.cuminrack.rollout.VersionRollout;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
 import org.cuminrack.wire.WireClient;
@@ -65,6 +70,7 @@
   private final WatchResponses responses;
   private final PendingWatches watches;
   private final AnnouncementSharing sharing;
+  private final ControlState state;
   private final BooleanSupplier stateIsCurrent;
   private final Clock clock;
   private final AtomicBoolean responseDue = new AtomicBoolean();
@@ -89,6 +95,7 @@
         new WatchResponses(bootId, state, stateIsCurrent, upstreams, gateways, controlVms, clock);
     this.watches = new PendingWatches(responses::build);
     this.sharing = new AnnouncementSharing(wire, controlVms, tolerance, clock);
+    this.state = state;
     this.stateIsCurrent = stateIsCurrent;
     this.clock = clock;
     state.onRoutingChange(watches::respondToAll);
@@ -133,6 +140,31 @@
     return upstreams.find(id);
   }
 
+  /** Returns the upstreams of a service that is rolled out which accept requests at full rate. */
+  public VersionCapacity capacity(VersionRollout rollout) {
+    long nowNanos = clock.nanoTime();
+    List<String> evacuated = state.routing().getEvacuatedList();
+    Map<Boolean, List<UpstreamRecord>> byIsNew =
+        upstreams.ofService(rollout.service()).stream()
+            .filter(upstream -> upstream.phase() == UpstreamPhase.READY)
+            .filter(upstream -> !upstream.isCold(nowNanos))
+            .filter(upstream -> !evacuated.contains(upstream.dataCentre()))
+            .collect(Collectors.partitioningBy(upstream -> rollout.isNew(upstream.version())));
+    return new VersionCapacity(
+        byIsNew.get(true).size(), slots(byIsNew.get(true)), slots(byIsNew.get(false)));
+  }
+
+  private static int slots(List<UpstreamRecord> upstreams) {
+    return upstreams.stream().mapToInt(UpstreamRecord::slots).sum();
+  }
+
+  /** Returns the versions of a service's upstreams that have not left. */
+  public Set<String> versions(String service) {
+    return upstreams.ofService(service).stream()
+        .map(UpstreamRecord::version)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns all upstreams, for the dump. */
   public List<UpstreamRecord> upstreams() {
     return upstreams.all();
--- a/src/main/java/org/cuminrack/fleet/FleetView.java
+++ b/src/main/java/org/cuminrack/fleet/FleetView.java
@@ -4,11 +4,15 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
+import org.cuminrack.control.RolloutCodec;
 import org.cuminrack.generated.control.RoutingData;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.rollout.VersionRollout;
 import org.cuminrack.routing.RoutingDecoder;
 import org.cuminrack.routing.RoutingTable;
 
@@ -29,7 +33,7 @@
   private final SuspectTable suspects = new SuspectTable();
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private final RoutingDecoder decoder;
-  private volatile InForce inForce = new InForce(0, Optional.empty(), Set.of());
+  private volatile InForce inForce = new InForce(0, Optional.empty(), Set.of(), Map.of());
   private volatile boolean complete;
   private volatile long completedAtNanos;
   private volatile List<GatewayRecord> gateways = List.of();
@@ -74,6 +78,11 @@
     return inForce.evacuatedDataCentres();
   }
 
+  /** Returns the last roll-out of each service that had one, by service. */
+  public Map<String, VersionRollout> rollouts() {
+    return inForce.rollouts();
+  }
+
   public UpstreamTable upstreams() {
     return upstreams;
   }
@@ -109,14 +118,20 @@
       return false;
     }
     Optional<RoutingTable> table = decode(routing);
-    inForce = new InForce(routing.getRevision(), table, Set.copyOf(routing.getEvacuatedList()));
+    Map<String, VersionRollout> rollouts =
+        routing.getRolloutsList().stream()
+            .map(RolloutCodec::rollout)
+            .collect(Collectors.toUnmodifiableMap(VersionRollout::service, each -> each));
+    inForce =
+        new InForce(routing.getRevision(), table, Set.copyOf(routing.getEvacuatedList()), rollouts);
     logger.atInfo().log(
         "%s",
         LogEvent.named("routing-in-force")
             .with("revision", routing.getRevision())
             .with("version", routing.getVersion())
             .with("routes", table.map(routingTable -> routingTable.routes().size()).orElse(0))
-            .with("evacuated", routing.getEvacuatedList()));
+            .with("evacuated", routing.getEvacuatedList())
+            .with("rollouts", rollouts.values()));
     return true;
   }
 
@@ -140,5 +155,8 @@
   }
 
   private record InForce(
-      long revision, Optional<RoutingTable> table, Set<String> evacuatedDataCentres) {}
+      long revision,
+      Optional<RoutingTable> table,
+      Set<String> evacuatedDataCentres,
+      Map<String, VersionRollout> rollouts) {}
 }
--- a/src/main/java/org/cuminrack/fleet/UpstreamRecord.java
+++ b/src/main/java/org/cuminrack/fleet/UpstreamRecord.java
@@ -13,6 +13,7 @@
  * @param sequence increases with each announcement of one incarnation
  * @param coldUntilNanos when its warm-up ends, on this process's monotonic clock
  * @param receivedNanos when the announcement was received, on this process's monotonic clock
+ * @param version the version of the upstream's software; empty if it states none
  */
 public record UpstreamRecord(
     String id,
@@ -24,7 +25,34 @@
     @JsonProperty("born_millis") long startedMillis,
     long sequence,
     long coldUntilNanos,
-    @JsonProperty("heard_nanos") long receivedNanos) {
+    @JsonProperty("heard_nanos") long receivedNanos,
+    String version) {
+
+  /** Creates a record of an upstream that states no version. */
+  public UpstreamRecord(
+      String id,
+      String service,
+      String address,
+      String dataCentre,
+      int slots,
+      UpstreamPhase phase,
+      long startedMillis,
+      long sequence,
+      long coldUntilNanos,
+      long receivedNanos) {
+    this(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        phase,
+        startedMillis,
+        sequence,
+        coldUntilNanos,
+        receivedNanos,
+        "");
+  }
 
   /**
    * Returns whether this announcement replaces another one of the same upstream id: it is of a
@@ -61,6 +89,7 @@
         startedMillis,
         sequence,
         coldUntilNanos,
-        receivedNanos);
+        receivedNanos,
+        version);
   }
 }
--- a/src/main/java/org/cuminrack/fleet/UpstreamTable.java
+++ b/src/main/java/org/cuminrack/fleet/UpstreamTable.java
@@ -56,7 +56,8 @@
     return before.startedMillis() != after.startedMillis()
         || before.phase() != after.phase()
         || !before.address().equals(after.address())
-        || !before.service().equals(after.service());
+        || !before.service().equals(after.service())
+        || !before.version().equals(after.version());
   }
 
   private void markPredecessorsLeft(UpstreamRecord successor) {
--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -23,6 +23,7 @@
   private final EventSplitter splitter;
   private final BoundedBody refusalBody;
   private final GenerationStop stop = new GenerationStop();
+  private final DispatchOutcome outcome;
   private UpstreamExchange exchange;
   private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
   private ResponseHead responseHead;
@@ -45,6 +46,7 @@
     this.resumedFrom = resumedFrom;
     this.listener = listener;
     this.refusalBody = new BoundedBody(context.bounds().maxResponseBytes());
+    this.outcome = new DispatchOutcome(context, call, reservation.upstream());
     this.splitter = new EventSplitter(MAX_EVENT_BYTES, this::eventReceived);
   }
 
@@ -121,6 +123,7 @@
   void closeKeepingBackup() {
     closed = true;
     suspectDispatch.ifPresent(SuspectDispatch::abandoned);
+    outcome.abandoned();
     if (exchange != null) {
       exchange.close();
     }
@@ -132,6 +135,9 @@
     UpstreamRecord upstream = reservation.upstream();
     sent = isResumed() ? call.mayResumeOn(upstream) : call.maySendTo(upstream);
     if (sent) {
+      if (!isResumed()) {
+        outcome.sent();
+      }
       suspectDispatch =
           Optional.of(
               isResumed()
@@ -167,6 +173,7 @@
 
   private void eventReceived(String id, byte[] bytes) {
     suspectDispatch.ifPresent(SuspectDispatch::outputReceived);
+    outcome.event();
     listener.event(id, bytes);
   }
 
@@ -240,6 +247,7 @@
     }
     context.health().recordSuccess(reservation.upstream().id());
     suspectDispatch.ifPresent(SuspectDispatch::completed);
+    outcome.completed();
     close();
     listener.streamEnded(this);
   }
@@ -247,6 +255,7 @@
   private void onRefused() {
     if (!responseHead.notExecuted()) {
       suspectDispatch.ifPresent(SuspectDispatch::completed);
+      outcome.responded(status);
     }
     close();
     if (responseHead.misdirected()) {
@@ -278,6 +287,7 @@
     }
     Optional<SuspectDispatch> lostDispatch = suspectDispatch;
     suspectDispatch = Optional.empty();
+    outcome.failed();
     closeKeepingBackup();
     call.recordLost(reservation.upstream(), detail);
     call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(this, detail));
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -20,6 +20,7 @@
     StopAdmission stopAdmission,
     GatewayCounters counters,
     RequestMetrics requestMetrics,
+    VersionOutcomes versionOutcomes,
     RelayBounds bounds,
     Clock clock) {
 
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -79,6 +79,7 @@
             new StopAdmission(clock),
             new GatewayCounters(),
             requestMetrics,
+            new VersionOutcomes(view::rollouts, clock),
             RelayBounds.defaults().withConnectTimeout(CONNECT_TIMEOUT),
             clock);
     view.onChange(context.queue()::retry);
@@ -100,6 +101,11 @@
     context.stopAdmission().begin(stopTimeout);
   }
 
+  /** Returns what the versions of services that are rolled out answer. */
+  public VersionOutcomes versionOutcomes() {
+    return context.versionOutcomes();
+  }
+
   public GatewayCounters counters() {
     return context.counters();
   }
--- a/src/main/java/org/cuminrack/gateway/PlainDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/PlainDispatch.java
@@ -17,6 +17,7 @@
   private final Reservation reservation;
   private final Listener listener;
   private final BoundedBody body;
+  private final DispatchOutcome outcome;
   private UpstreamExchange exchange;
   private XnioExecutor.Key slowTimer = () -> false;
   private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
@@ -32,6 +33,7 @@
     this.reservation = reservation;
     this.listener = listener;
     this.body = new BoundedBody(context.bounds().maxResponseBytes());
+    this.outcome = new DispatchOutcome(context, call, reservation.upstream());
   }
 
   /** Receives the end of a dispatch; the dispatch is closed, except in {@link #slow}. */
@@ -66,6 +68,7 @@
   void close() {
     slowTimer.remove();
     suspectDispatch.ifPresent(SuspectDispatch::abandoned);
+    outcome.abandoned();
     reservation.release();
     if (exchange != null) {
       exchange.close();
@@ -113,6 +116,7 @@
   public boolean maySend() {
     sent = call.maySendTo(reservation.upstream());
     if (sent) {
+      outcome.sent();
       suspectDispatch = Optional.of(call.suspicion().registerDispatch(reservation.upstream()));
     }
     return sent;
@@ -160,6 +164,7 @@
   private void onComplete() {
     if (!responseHead.notExecuted()) {
       suspectDispatch.ifPresent(SuspectDispatch::completed);
+      outcome.responded(status);
     }
     close();
     listener.responded(this, responseHead, status);
@@ -173,6 +178,7 @@
   private void lost(String detail) {
     Optional<SuspectDispatch> lostDispatch = suspectDispatch;
     suspectDispatch = Optional.empty();
+    outcome.failed();
     close();
     recordFailure();
     call.recordLost(reservation.upstream(), detail);
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -25,6 +25,7 @@
   private final Clock clock;
   private final RandomGenerator random;
   private final WarmUpRateLimiter warmUpRateLimiter;
+  private final VersionSplit versions;
 
   /**
    * Creates a selector.
@@ -49,6 +50,7 @@
     this.clock = clock;
     this.random = random;
     this.warmUpRateLimiter = new WarmUpRateLimiter(random);
+    this.versions = new VersionSplit(view::rollouts, random);
   }
 
   /** Reserves a slot for a plain request; empty if all upstreams are full. */
@@ -75,7 +77,7 @@
   synchronized Optional<Reservation> reserveBackup(
       String service, EngineSpec engine, MemoryNeed need, String runningOnId) {
     List<Candidate> unlimited =
-        candidates(service, Set.of()).stream()
+        versions.forMemoryCopies(candidates(service, Set.of())).stream()
             .filter(candidate -> !rateLimits.isLimited(candidate.upstream()))
             .toList();
     return Placement.forBackup(unlimited, runningOnId, engine, need.expectedTokens())
@@ -86,7 +88,7 @@
   synchronized Optional<Reservation> reserveMove(
       String service, EngineSpec engine, MemoryNeed need, UpstreamRecord from) {
     return choose(
-            candidates(service, Set.of(from.id())),
+            versions.forMemoryCopies(candidates(service, Set.of(from.id()))),
             candidates ->
                 Placement.forMove(candidates, from.dataCentre(), engine, need.expectedTokens()))
         .map(this::recordWarmUpChoice)
@@ -96,6 +98,13 @@
   /** Returns the best candidate that the limit which it has named, if any, permits now. */
   private Optional<Candidate> choose(
       List<Candidate> candidates, Function<List<Candidate>, Optional<Candidate>> placement) {
+    return versions.inOrder(candidates).stream()
+        .flatMap(group -> chooseAmong(group, placement).stream())
+        .findFirst();
+  }
+
+  private Optional<Candidate> chooseAmong(
+      List<Candidate> candidates, Function<List<Candidate>, Optional<Candidate>> placement) {
     List<Candidate> remaining = new ArrayList<>(candidates);
     while (true) {
       Optional<Candidate> best = placement.apply(remaining);
@@ -108,6 +117,7 @@
 
   private UpstreamRecord recordChoice(Candidate candidate) {
     rateLimits.recordSent(candidate.upstream());
+    versions.recordChoice(candidate.upstream());
     return recordWarmUpChoice(candidate);
   }
 
@@ -167,13 +177,17 @@
         .isPresent();
   }
 
-  /** Returns whether an upstream is draining, has left, has restarted or is no longer known. */
+  /**
+   * Returns whether an upstream is draining, has left, has restarted, is no longer known, or is
+   * being replaced by a new version.
+   */
   boolean isLeaving(UpstreamRecord upstream) {
     return view.upstreams()
         .find(upstream.id())
         .filter(current -> current.startedMillis() == upstream.startedMillis())
         .filter(current -> current.phase() == UpstreamPhase.READY)
         .filter(current -> !notices.isLeaving(current))
+        .filter(current -> !versions.isLeaving(current))
         .isEmpty();
   }
 
@@ -203,6 +217,7 @@
   private boolean isAvailable(UpstreamRecord upstream) {
     return upstream.phase() == UpstreamPhase.READY
         && !notices.isLeaving(upstream)
+        && !versions.isExcluded(upstream)
         && !view.evacuatedDataCentres().contains(upstream.dataCentre());
   }
 
--- a/src/main/java/org/cuminrack/platform/Announcements.java
+++ b/src/main/java/org/cuminrack/platform/Announcements.java
@@ -41,7 +41,8 @@
         // Despite its name, counts the reports of this upstream.
         JsonFields.integer(report, "call-seq"),
         nowNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, coldMillis)),
-        nowNanos);
+        nowNanos,
+        report.path("version").asText(""));
   }
 
   private static String address(String text) {
@@ -88,6 +89,7 @@
             startedMillis,
             latest.sequence(),
             latest.coldUntilNanos(),
-            nowNanos));
+            nowNanos,
+            latest.version()));
   }
 }
--- a/src/main/java/org/cuminrack/platform/ControlEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/ControlEndpoints.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.cuminrack.control.RolloutControl;
 import org.cuminrack.control.RoutingControl;
 import org.cuminrack.fleet.FleetControl;
 import org.cuminrack.fleet.UpstreamRecord;
@@ -28,6 +29,7 @@
   private static final String ROOT = "/cuminrack/";
   private static final String INSTANCES = ROOT + "instances/";
   private static final String EVACUATE = ROOT + "evacuate/";
+  private static final String ROLLOUTS = ROOT + "rollouts/";
   private static final String CONFIG_REPLACE = ROOT + "config/replace";
   private static final String CONFIG_GET = ROOT + "config/get";
 
@@ -35,6 +37,7 @@
   private final FleetControl fleet;
   private final RoutingDocuments documents = new RoutingDocuments();
   private final NamedServices services;
+  private final RolloutEndpoints rollouts;
   private final int controlPort;
   private final Clock clock;
 
@@ -44,10 +47,15 @@
    * @param controlPort the port that serves these endpoints, the same on all control VMs
    */
   public ControlEndpoints(
-      RoutingControl routing, FleetControl fleet, int controlPort, Clock clock) {
+      RoutingControl routing,
+      RolloutControl rollouts,
+      FleetControl fleet,
+      int controlPort,
+      Clock clock) {
     this.routing = routing;
     this.services = new NamedServices(routing::applied);
     this.fleet = fleet;
+    this.rollouts = new RolloutEndpoints(rollouts, fleet, services);
     this.controlPort = controlPort;
     this.clock = clock;
   }
@@ -71,6 +79,10 @@
       sendCurrentDocument(exchange);
     } else if (path.startsWith(EVACUATE)) {
       evacuate(exchange, path.substring(EVACUATE.length()).split("/", -1));
+    } else if (path.startsWith(ROLLOUTS)) {
+      if (checkLeaderOrRedirect(exchange)) {
+        rollouts.handle(exchange, path.substring(ROLLOUTS.length()), body);
+      }
     } else {
       sendError(exchange, StatusCodes.NOT_FOUND, "no call " + path);
     }
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -14,6 +14,9 @@
 import org.cuminrack.control.ControlState;
 import org.cuminrack.control.LeaseSettings;
 import org.cuminrack.control.OperatorApi;
+import org.cuminrack.control.RolloutCodec;
+import org.cuminrack.control.RolloutControl;
+import org.cuminrack.control.RolloutLeader;
 import org.cuminrack.control.RoutingControl;
 import org.cuminrack.control.VoterAddresses;
 import org.cuminrack.control.WireRenewalExchange;
@@ -105,11 +108,15 @@
                 state, wire, log::isCurrent, () -> controlVms(log), settings.tolerance(), clock));
     fleet.register(server);
     RoutingControl routing = new RoutingControl(log, state, clock);
+    RolloutControl rollouts = new RolloutControl(log, state, clock);
+    RolloutLeader rolloutLeader =
+        services.add(new RolloutLeader(log, rollouts, fleet::capacity, clock));
+    rolloutLeader.register(server);
     int controlPort = addresses.controlAddress().getPort();
     return List.of(
         new HttpServer(
             addresses.controlAddress(),
-            new ControlEndpoints(routing, fleet, controlPort, clock),
+            new ControlEndpoints(routing, rollouts, fleet, controlPort, clock),
             MAX_BODY_BYTES,
             1),
         new HttpServer(
@@ -222,6 +229,9 @@
         .with("quorum", log::status)
         .with("revision", state::revision)
         .with("ledger_calls", state::ledgerCalls)
+        .with(
+            "rollouts",
+            () -> state.routing().getRolloutsList().stream().map(RolloutCodec::rollout).toList())
         .with("members", () -> state.members().stream().map(Object::toString).toList());
   }
 
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -22,6 +22,7 @@
 import org.cuminrack.gateway.LoadTable;
 import org.cuminrack.gateway.ReplicatedSuspectTrials;
 import org.cuminrack.gateway.RequestRateLimits;
+import org.cuminrack.gateway.RolloutReports;
 import org.cuminrack.gateway.UpstreamNotices;
 import org.cuminrack.http.HttpServer;
 import org.cuminrack.lifecycle.ManagedService;
@@ -82,6 +83,7 @@
     watcher =
         new FleetWatcher(
             view, wire, Set.copyOf(settings.controlSeeds().values()), this::ownRecord, clock);
+    ControlClient control = new ControlClient(wire, watcher::controlAddresses, clock);
     handler =
         new GatewayHandler(
             view,
@@ -91,7 +93,7 @@
             new PlatformHeaders(),
             new PlatformEngineCalls(),
             gatewaySettings(settings),
-            suspects(new ControlClient(wire, watcher::controlAddresses, clock)),
+            suspects(control),
             new RequestTimers(metrics),
             clock);
     LoadSharing sharing =
@@ -102,6 +104,7 @@
     services.add(server);
     services.add(sharing);
     services.add(watcher);
+    services.add(new RolloutReports(node.vm(), handler.versionOutcomes(), control));
     services.add(
         new HttpServer(
             settings.readyAddress(), new ReadyEndpoint(this::isReady), MAX_BODY_BYTES, 1));
@@ -224,6 +227,7 @@
         .with("ready", this::isReady)
         .with("routing_revision", view::routingRevision)
         .with("evacuated", view::evacuatedDataCentres)
+        .with("rollouts", () -> view.rollouts().values())
         .with("control", watcher::answeredByAddress)
         .with("gateways", view::gateways)
         .with("upstreams", () -> view.upstreams().all())
--- a/src/main/java/org/cuminrack/wire/Method.java
+++ b/src/main/java/org/cuminrack/wire/Method.java
@@ -48,6 +48,8 @@
   SHARE_UPSTREAMS(51),
   /** Shares a gateway's running requests per upstream with another gateway (fleet.proto). */
   SHARE_LOAD(52),
+  /** Reports what the versions of services that are rolled out answered (rollout.proto). */
+  REPORT_ROLLOUT(53),
   /** Returns the state of a process, as text (control.proto). */
   DUMP(40);
 
