--- a/src/test/java/org/cuminrack/platform/PlatformFixture.java
+++ b/src/test/java/org/cuminrack/platform/PlatformFixture.java
@@ -184,6 +184,16 @@
     callUntilAcknowledged("POST", "/instances/" + id + "/heartbeat", report);
   }
 
+  /** Repeats the first heartbeat of an upstream with a version until it is acknowledged. */
+  void announceVersion(String id, String service, String address, String version) {
+    String report =
+        """
+        {"service":"%s","address":"%s","zone":"dc-a","version":"%s","slots":6,"state":"ready",
+         "cold-left-ms":0,"call-seq":1,"born":1786843519001}"""
+            .formatted(service, address, version);
+    callUntilAcknowledged("POST", "/instances/" + id + "/heartbeat", report);
+  }
+
   int statusOf(int port, String path) throws Exception {
     HttpRequest request =
         HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
--- a/src/test/java/org/cuminrack/platform/PlatformNamesTest.java
+++ b/src/test/java/org/cuminrack/platform/PlatformNamesTest.java
@@ -15,9 +15,10 @@
   private static final Path SOURCES = Path.of("src/main/java/org/cuminrack");
   private static final Pattern PLATFORM_NAME =
       Pattern.compile(
-          "cuminrack/(resolve|ready|evacuate|instances|config/)|Attempt-Id|Token-Counts|Length-Hint"
+          "cuminrack/(resolve|ready|evacuate|instances|config/|rollouts/)|Attempt-Id|Token-Counts|Length-Hint"
               + "|Prompt-Prefix|Server-Seal|Server-Load|Not-Executed|Expect-Instance|Deadline-Ms"
-              + "|Kv-(From|Backup|Fetch)|Pin-Ms|path-prefix|kv-capacity|call-seq|cold-left-ms");
+              + "|Kv-(From|Backup|Fetch)|Pin-Ms|path-prefix|kv-capacity|call-seq|cold-left-ms"
+              + "|duration-s|rolled_back");
 
   @Test
   void shouldUsePlatformNamesInTheAdapterOnly() throws IOException {
