Let operators follow, halt and understand a roll-out

Cause: a roll-out could only be asked for by the platform's call, and a generation whose backup lies on an engine that is being replaced stayed there until the end. Tests of the split between versions, of halting, and of an engine whose streams break off.

--- a/src/main/java/org/cuminrack/control/OperatorApi.java
+++ b/src/main/java/org/cuminrack/control/OperatorApi.java
@@ -22,6 +22,7 @@
 import org.cuminrack.generated.control.FetchRequest;
 import org.cuminrack.generated.control.InForceReply;
 import org.cuminrack.generated.control.InForceRequest;
+import org.cuminrack.generated.rollout.HaltRollout;
 import org.cuminrack.http.Json;
 import org.cuminrack.http.JsonBodyHandler;
 import org.cuminrack.http.ProblemDocument;
@@ -48,6 +49,7 @@
   public RoutingHandler handler() {
     return Handlers.routing()
         .post("/v1/changes", JsonBodyHandler.reading(ChangeBody.class, this::change))
+        .post("/v1/rollouts/{service}/halt", this::haltRollout)
         .get("/v1/configuration", this::configuration)
         .get("/v1/in-force", this::inForce)
         .get("/v1/status", this::status);
@@ -66,6 +68,16 @@
         verdict -> respondWithVerdict(exchange, verdict));
   }
 
+  private void haltRollout(HttpServerExchange exchange) {
+    String service = exchange.getQueryParameters().get("service").getFirst();
+    HaltRollout halt = HaltRollout.newBuilder().setService(service).build();
+    respondAfter(
+        exchange,
+        calls.call(Method.HALT_ROLLOUT, halt.toByteArray(), TIMEOUT),
+        HaltRollout.parser(),
+        reply -> respond(exchange, OK, Map.of("halted", service)));
+  }
+
   private static void respondWithVerdict(HttpServerExchange exchange, ChangeVerdict verdict) {
     int status =
         switch (verdict.getVerdict()) {
--- a/src/main/java/org/cuminrack/control/OperatorResponses.java
+++ b/src/main/java/org/cuminrack/control/OperatorResponses.java
@@ -10,6 +10,8 @@
 import org.cuminrack.generated.control.InForceReply;
 import org.cuminrack.generated.control.MemberStatus;
 import org.cuminrack.generated.control.Verdict;
+import org.cuminrack.generated.rollout.RolloutData;
+import org.cuminrack.rollout.VersionRollout;
 
 /** Builds the JSON responses of the operator API, with fields in a fixed order. */
 final class OperatorResponses {
@@ -65,6 +67,10 @@
     body.put(REVISION, reply.getRevision());
     body.put("in_force_revision", reply.getInForceRevision());
     body.put("entries", reply.getMembersList().stream().map(OperatorResponses::entry).toList());
+    if (reply.getRolloutsCount() > 0) {
+      body.put(
+          "rollouts", reply.getRolloutsList().stream().map(OperatorResponses::rollout).toList());
+    }
     return body;
   }
 
@@ -76,6 +82,19 @@
     return body;
   }
 
+  private static Map<String, Object> rollout(RolloutData data) {
+    VersionRollout rollout = RolloutCodec.rollout(data);
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("service", rollout.service());
+    body.put("from", rollout.from().stream().sorted().toList());
+    body.put("to", rollout.to());
+    body.put("stage", rollout.stage().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+    body.put("share", rollout.share());
+    body.put("duration_ms", rollout.durationMillis());
+    body.put("reason", rollout.reason());
+    return body;
+  }
+
   private static Map<String, Object> entry(MemberStatus status) {
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("name", status.getMember().getName());
--- a/src/main/java/org/cuminrack/control/RolloutLeader.java
+++ b/src/main/java/org/cuminrack/control/RolloutLeader.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.cuminrack.generated.rollout.HaltRollout;
 import org.cuminrack.generated.rollout.RolloutFigures;
 import org.cuminrack.generated.rollout.RolloutReport;
 import org.cuminrack.lifecycle.ManagedService;
@@ -55,9 +56,10 @@
     this.clock = clock;
   }
 
-  /** Registers this service's method with a server; call before the server starts. */
+  /** Registers this service's methods with a server; call before the server starts. */
   public void register(WireServer server) {
     server.serve(Method.REPORT_ROLLOUT, this::receive);
+    server.serve(Method.HALT_ROLLOUT, this::halt);
   }
 
   @Override
@@ -103,6 +105,30 @@
     return CompletableFuture.completedFuture(Replies.ok(EMPTY));
   }
 
+  /** Rolls back the running roll-out of a service; refused if there is none. */
+  CompletableFuture<byte[]> halt(byte[] payload) {
+    if (!log.isLeader()) {
+      return CompletableFuture.completedFuture(Replies.notLeader(log.leader()));
+    }
+    String service;
+    try {
+      service = HaltRollout.parseFrom(payload).getService();
+    } catch (InvalidProtocolBufferException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+    Optional<VersionRollout> running =
+        control.applied().stream()
+            .filter(rollout -> rollout.service().equals(service) && rollout.stage().isRunning())
+            .findFirst();
+    if (running.isEmpty()) {
+      return CompletableFuture.completedFuture(
+          Replies.refused("service: expected one that is rolled out, found " + service));
+    }
+    return control
+        .advance(running.get(), RolloutStep.halt())
+        .thenApply(outcome -> outcome.fold(Replies::of, applied -> Replies.ok(EMPTY)));
+  }
+
   private void tickLoggingFailures() {
     try {
       tick();
--- a/src/main/java/org/cuminrack/control/SessionHandlers.java
+++ b/src/main/java/org/cuminrack/control/SessionHandlers.java
@@ -179,6 +179,7 @@
     reply.setRevision(state.revision()).setInForceRevision(inForceRevision());
     reply.setInForce(reply.getInForceRevision() >= request.getRevision());
     reply.setLeader(log.leader()).setTerm(term.get().number());
+    reply.addAllRollouts(state.routing().getRolloutsList());
     for (MemberData member : state.members()) {
       MemberStatus status = status(term.get().leases(), member);
       reply.addMembers(status);
--- a/src/main/java/org/cuminrack/gateway/GenerationMoves.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationMoves.java
@@ -65,7 +65,7 @@
             && moveAttempts < MAX_MOVE_ATTEMPTS
             && engine.movesMemory()
             && context.selector().isLeaving(current.reservation().upstream())
-            && !current.hasUsableBackup();
+            && !hasLastingBackup(current);
     if (!shouldMove) {
       return;
     }
@@ -75,6 +75,15 @@
         .ifPresent(target -> beginMove(current, target));
   }
 
+  /** Returns whether a usable backup exists on an engine that isn't leaving itself. */
+  private boolean hasLastingBackup(EngineDispatch current) {
+    return current.hasUsableBackup()
+        && current
+            .backup()
+            .filter(backup -> !context.selector().isLeaving(backup.upstream()))
+            .isPresent();
+  }
+
   private void beginMove(EngineDispatch current, Reservation target) {
     moveAttempts++;
     // A move with pre-copy asks the engine twice.
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -235,6 +235,12 @@
         .with("members", () -> state.members().stream().map(Object::toString).toList());
   }
 
+  private static long runningRollouts(ControlState state) {
+    return state.routing().getRolloutsList().stream()
+        .filter(rollout -> RolloutCodec.rollout(rollout).stage().isRunning())
+        .count();
+  }
+
   private static Metrics metrics(Metrics metrics, QuorumNode log, ControlState state) {
     return metrics
         .gauge("cuminrack.quorum.leads", log, node -> node.isLeader() ? 1 : 0)
@@ -242,6 +248,7 @@
         .gauge("cuminrack.quorum.commit.index", log, node -> node.status().commitIndex())
         .gauge("cuminrack.control.revision", state, ControlState::revision)
         .gauge("cuminrack.control.members", state, controlState -> controlState.members().size())
+        .gauge("cuminrack.control.rollouts.running", state, ControlProcess::runningRollouts)
         .gauge("cuminrack.control.ledger.calls", state, ControlState::ledgerCalls);
   }
 }
--- a/src/main/java/org/cuminrack/rollout/RolloutStep.java
+++ b/src/main/java/org/cuminrack/rollout/RolloutStep.java
@@ -13,6 +13,11 @@
     return new RolloutStep(stage, share, 0, "");
   }
 
+  /** Returns the step by which an operator ends a roll-out. */
+  public static RolloutStep halt() {
+    return rollBack("halted by an operator");
+  }
+
   static RolloutStep rollBack(String reason) {
     return new RolloutStep(RolloutStage.ROLLED_BACK, 0, 0, reason);
   }
--- a/src/main/java/org/cuminrack/wire/Method.java
+++ b/src/main/java/org/cuminrack/wire/Method.java
@@ -50,6 +50,8 @@
   SHARE_LOAD(52),
   /** Reports what the versions of services that are rolled out answered (rollout.proto). */
   REPORT_ROLLOUT(53),
+  /** Rolls back the running roll-out of a service (rollout.proto). */
+  HALT_ROLLOUT(54),
   /** Returns the state of a process, as text (control.proto). */
   DUMP(40);
 
--- a/src/test/java/org/cuminrack/control/RolloutLeaderTest.java
+++ b/src/test/java/org/cuminrack/control/RolloutLeaderTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.cuminrack.generated.rollout.HaltRollout;
 import org.cuminrack.generated.rollout.RolloutFigures;
 import org.cuminrack.generated.rollout.RolloutReport;
 import org.cuminrack.generated.rollout.RouteFiguresData;
@@ -17,6 +18,7 @@
 import org.cuminrack.rollout.VersionRollout;
 import org.cuminrack.time.ManualClock;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -92,6 +94,16 @@
     assertReplaysTo(RolloutStage.ROLLED_BACK);
   }
 
+  @Test
+  void shouldRollBackIfAnOperatorHaltsIt() {
+    playUntil(RolloutStage.LOAD);
+
+    vms.get("a").leader().halt(HaltRollout.newBuilder().setService("shop").build().toByteArray());
+
+    assertThat(rollout().stage()).isEqualTo(RolloutStage.ROLLED_BACK);
+    assertThat(rollout().reason()).isEqualTo("halted by an operator");
+  }
+
   private void loseLeader() {
     elect("");
     for (int i = 0; i < TICKS_WITHOUT_LEADER; i++) {
--- a/src/test/java/org/cuminrack/platform/RolloutTest.java
+++ b/src/test/java/org/cuminrack/platform/RolloutTest.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.base.Splitter;
 import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,6 +28,7 @@
   private List<FakeUpstream> former;
   private List<FakeUpstream> next;
   private volatile boolean stopped;
+  private volatile String path = "GET /read/";
   private CompletableFuture<Void> load;
 
   @BeforeEach
@@ -51,7 +54,13 @@
     try {
       while (!stopped) {
         int call = calls.incrementAndGet();
-        platform.call("c-" + call, "GET", "/read/" + call, PlatformFixture.KEY);
+        List<String> methodAndPath = Splitter.on(' ').splitToList(path);
+        platform.call(
+            "c-" + call,
+            methodAndPath.get(0),
+            methodAndPath.get(1) + call,
+            PlatformFixture.KEY,
+            "Token-Counts: 900,40");
         Thread.sleep(PAUSE_MILLIS);
       }
     } catch (IOException e) {
@@ -85,6 +94,26 @@
     assertThat(received(next) - receivedBefore).isAtMost(50 + (calls.get() - callsBefore) / 10);
   }
 
+  @Test
+  void shouldRollBackAnEngineThatBreaksStreamsOff() throws Exception {
+    FakeUpstream formerEngine = platform.startUpstream().withScript(FakeUpstream.streaming(1, 4));
+    FakeUpstream nextEngine =
+        platform
+            .startUpstream()
+            .withScript(FakeUpstream.dropConnectionAfter(1, 2, new CountDownLatch(0)));
+    platform.announceVersion("old-engine", "llm", formerEngine.address(), "v1");
+    platform.announceVersion("new-engine", "llm", nextEngine.address(), "v2");
+    path = "POST /plan/";
+    assertThat(order(ORDER.replace("shop", "llm"))).isEqualTo(200);
+
+    PlatformFixture.await(
+        "the state rolled_back",
+        () ->
+            platform.callAsOperator("GET", "/rollouts/llm/get", "").body().contains("rolled_back"));
+
+    awaitNoRequests(List.of(nextEngine));
+  }
+
   @Test
   void shouldAcknowledgeARepeatedOrderAndRejectAnotherOne() throws Exception {
     assertThat(order(ORDER)).isEqualTo(200);
