Grow on proof of a good version, and answer the state in a fixed order

Change: all requests go to the new version once Wald's test says good, without it at the latest time only; Page's bound 8 in place of 9, 5 to hold back; more planned requests before growth, load for at least 1.5 s. The state's fields are a record.

--- a/src/main/java/org/cuminrack/platform/RolloutEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/RolloutEndpoints.java
@@ -110,10 +110,13 @@
     } else {
       VersionRollout rollout = outcome.get().get();
       HttpResponses.json(
-          exchange, StatusCodes.OK, Map.of("state", stateOf(rollout.stage()), "to", rollout.to()));
+          exchange, StatusCodes.OK, new RolloutStatus(stateOf(rollout.stage()), rollout.to()));
     }
   }
 
+  /** The body of an answer; its fields are sent in this order. */
+  private record RolloutStatus(String state, String to) {}
+
   private static String stateOf(RolloutStage stage) {
     return switch (stage) {
       case DONE -> "done";
--- a/src/main/java/org/cuminrack/rollout/BadVersionTest.java
+++ b/src/main/java/org/cuminrack/rollout/BadVersionTest.java
@@ -14,11 +14,11 @@
   private static final double MIN_RATIO = 3;
   private static final double MAX_BAD_SHARE = 0.95;
 
-  /** The bound of the sum for a bad version: a run of good answers exceeds it in e^-9 of cases. */
-  private static final double BAD_BOUND = 9;
+  /** The bound of the sum for a bad version: a run of good answers exceeds it in e^-8 of cases. */
+  private static final double BAD_BOUND = 8;
 
   /** A sum that isn't proof, but above which a version isn't trusted either. */
-  private static final double SUSPECT_BOUND = 6;
+  private static final double SUSPECT_BOUND = 5;
 
   /** The bound of the sum for a good version: a bad one falls below it in 1 of 100 cases. */
   private static final double GOOD_BOUND = Math.log(0.01);
--- a/src/main/java/org/cuminrack/rollout/RolloutDecision.java
+++ b/src/main/java/org/cuminrack/rollout/RolloutDecision.java
@@ -24,16 +24,16 @@
   private static final double LOAD = 0.9;
 
   private static final double MAX_LOAD_SHARE = 0.3;
-  private static final long MIN_LOAD_MILLIS = 1_000;
+  private static final long MIN_LOAD_MILLIS = 1_500;
   private static final long MAX_LOAD_MILLIS = 5_000;
 
   /** The requests planned before growth, as a share of all until the deadline and on top. */
-  private static final double LOAD_PLAN_SHARE = 0.06;
+  private static final double LOAD_PLAN_SHARE = 0.065;
 
-  private static final double LOAD_PLAN_REQUESTS = 25;
+  private static final double LOAD_PLAN_REQUESTS = 32;
 
   /** The same with growth. */
-  private static final double GROWTH_PLAN_SHARE = 0.085;
+  private static final double GROWTH_PLAN_SHARE = 0.08;
 
   private static final double GROWTH_PLAN_REQUESTS = 35;
 
@@ -41,17 +41,11 @@
   private static final double GUARDED_SHARE = 0.02;
 
   private static final double GUARD_SHARE = 0.08;
-  private static final double GUARD_REQUESTS = 35;
+  private static final double GUARD_REQUESTS = 38;
 
   /** A leader waits so long for the reports of all gateways before it lets a version grow. */
   private static final long MIN_LED_MILLIS = 1_200;
 
-  /** The time after FULL within which all gateways apply it and short requests end. */
-  private static final long MIN_DRAIN_MILLIS = 1_000;
-
-  /** Below this number of answers, the version grows at the latest time only. */
-  private static final int MIN_JUDGED = 10;
-
   private RolloutDecision() {}
 
   /**
@@ -166,11 +160,11 @@
     if (ages.sinceOrder() < schedule.fullMillis() || ages.sinceLed() < MIN_LED_MILLIS) {
       return Optional.empty();
     }
-    boolean isLatest = ages.sinceOrder() >= schedule.doneMillis();
+    boolean isLatest = ages.sinceOrder() >= schedule.latestFullMillis();
     if (isLatest && evidence.isSuspect()) {
       return Optional.of(RolloutStep.rollBack("not shown to be good by the deadline"));
     }
-    boolean hasEvidence = evidence.isGood() || evidence.judged() >= MIN_JUDGED || isLatest;
+    boolean hasEvidence = evidence.isGood() || isLatest;
     boolean hasRoom = isLatest ? capacity.isSufficient() : capacity.isFull();
     return hasEvidence && hasRoom && !evidence.isSuspect()
         ? Optional.of(RolloutStep.to(RolloutStage.FULL, 1))
@@ -181,7 +175,7 @@
       Ages ages, RolloutSchedule schedule, VersionEvidence evidence, VersionCapacity capacity) {
     boolean isDue =
         ages.sinceOrder() >= schedule.doneMillis()
-            && ages.sinceStage() >= Math.min(MIN_DRAIN_MILLIS, schedule.deadlineMillis() / 8)
+            && ages.sinceStage() >= schedule.minDrainMillis()
             && capacity.isSufficient();
     if (!isDue) {
       return Optional.empty();
--- a/src/main/java/org/cuminrack/rollout/RolloutSchedule.java
+++ b/src/main/java/org/cuminrack/rollout/RolloutSchedule.java
@@ -17,6 +17,7 @@
   private static final double SHORT_MILLIS = 8_000;
 
   private static final double TRIAL_SHARE = 0.25;
+  private static final long MIN_STAGE_MILLIS = 1_000;
   private static final double MIN_MARGIN_MILLIS = 1_200;
   private static final double MARGIN_SHARE = 0.06;
   private static final double MIN_DRAIN_MILLIS = 1_200;
@@ -42,6 +43,16 @@
         durationMillis);
   }
 
+  /** Returns the time in FULL within which all gateways apply it and short requests end. */
+  long minDrainMillis() {
+    return Math.min(MIN_STAGE_MILLIS, deadlineMillis / 8);
+  }
+
+  /** Returns when FULL begins at the latest, also on little evidence. */
+  long latestFullMillis() {
+    return doneMillis - minDrainMillis();
+  }
+
   private static double bounded(double value, double min, double max) {
     return Math.min(max, Math.max(min, value));
   }
