Name the sums of the sequential test for what they are

Cause: a main class whose name ended in Test. Change: BadVersionSums. Evidence: with faults put in, tests fail: sums that fall below 0 (RolloutDecisionTest, 1 of 11), a random draw in place of earned requests (VersionSplitTest, 1 of 7). Result: 34 tests of rollout, the split and the replicated state run, 0 failed.

--- a/src/main/java/org/cuminrack/rollout/BadVersionTest.java
+++ b/src/main/java/org/cuminrack/rollout/BadVersionSums.java
@@ -9,7 +9,7 @@
  * answers don't hide a version that turns bad late. The test for a good one is Wald's: the sum of
  * all answers.
  */
-final class BadVersionTest {
+final class BadVersionSums {
   private static final double MIN_DIFFERENCE = 0.15;
   private static final double MIN_RATIO = 3;
   private static final double MAX_BAD_SHARE = 0.95;
--- a/src/main/java/org/cuminrack/rollout/VersionEvidence.java
+++ b/src/main/java/org/cuminrack/rollout/VersionEvidence.java
@@ -14,7 +14,7 @@
   private final Map<Counter, RouteFigures> reported = new HashMap<>();
   private final Map<String, RouteBaseline> baselines = new HashMap<>();
   private final Map<String, RouteFigures> unjudged = new HashMap<>();
-  private final Map<String, BadVersionTest> tests = new HashMap<>();
+  private final Map<String, BadVersionSums> tests = new HashMap<>();
   private long sentToNew;
   private long sentToFormer;
   private long maxAgeMillis;
@@ -82,8 +82,8 @@
     test(ALL_ROUTES).add(bad, added.ended(), usualBadShare);
   }
 
-  private BadVersionTest test(String key) {
-    return tests.computeIfAbsent(key, each -> new BadVersionTest());
+  private BadVersionSums test(String key) {
+    return tests.computeIfAbsent(key, each -> new BadVersionSums());
   }
 
   /** Returns where and how often the new version is bad; empty if it isn't shown to be. */
@@ -100,7 +100,7 @@
 
   /** Returns whether some answers speak against the new version, without being proof. */
   public boolean isSuspect() {
-    return tests.values().stream().anyMatch(BadVersionTest::isSuspect);
+    return tests.values().stream().anyMatch(BadVersionSums::isSuspect);
   }
 
   /** Returns whether the new version is shown to be as good as the former ones. */
