--- a/src/main/java/org/cuminrack/fleet/FleetCodec.java
+++ b/src/main/java/org/cuminrack/fleet/FleetCodec.java
@@ -34,6 +34,7 @@
         .setSequence(upstream.sequence())
         .setColdLeftMillis(toMillis(upstream.coldUntilNanos() - nowNanos))
         .setAgeMillis(toMillis(nowNanos - upstream.receivedNanos()))
+        .setVersion(upstream.version())
         .build();
   }
 
@@ -52,7 +53,8 @@
         data.getBornMillis(),
         data.getSequence(),
         nowNanos + TimeUnit.MILLISECONDS.toNanos(data.getColdLeftMillis()),
-        nowNanos - TimeUnit.MILLISECONDS.toNanos(data.getAgeMillis()));
+        nowNanos - TimeUnit.MILLISECONDS.toNanos(data.getAgeMillis()),
+        data.getVersion());
   }
 
   static LateUpstreamData late(UpstreamRecord upstream, long nowNanos) {
--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -7,16 +7,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.cuminrack.control.ControlState;
 import org.cuminrack.generated.fleet.ShareCall;
 import org.cuminrack.generated.fleet.WatchCall;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.quorum.LossTolerance;
+import org.cuminrack.rollout.VersionCapacity;
+import org.cuminrack.rollout.VersionRollout;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
 import org.cuminrack.wire.WireClient;
@@ -70,6 +74,7 @@
   private final PendingWatches watches;
   private final ResponseSchedule schedule;
   private final AnnouncementSharing sharing;
+  private final ControlState state;
   private final BooleanSupplier stateIsCurrent;
   private final Clock clock;
   private final Timer timer;
@@ -107,6 +112,7 @@
     this.watches = new PendingWatches(responses, timer, clock);
     this.schedule = new ResponseSchedule(watches::respondToAll, timer, clock);
     this.sharing = new AnnouncementSharing(wire, controlVms, tolerance, clock);
+    this.state = state;
     this.stateIsCurrent = stateIsCurrent;
     this.clock = clock;
     this.timer = timer;
@@ -154,6 +160,31 @@
     return upstreams.find(id);
   }
 
+  /** Returns the upstreams of a service that is rolled out which accept requests at full rate. */
+  public VersionCapacity capacity(VersionRollout rollout) {
+    long nowNanos = clock.nanoTime();
+    List<String> evacuated = state.routing().getEvacuatedList();
+    Map<Boolean, List<UpstreamRecord>> byIsNew =
+        upstreams.ofService(rollout.service()).stream()
+            .filter(upstream -> upstream.phase() == UpstreamPhase.READY)
+            .filter(upstream -> !upstream.isCold(nowNanos))
+            .filter(upstream -> !evacuated.contains(upstream.dataCentre()))
+            .collect(Collectors.partitioningBy(upstream -> rollout.isNew(upstream.version())));
+    return new VersionCapacity(
+        byIsNew.get(true).size(), slots(byIsNew.get(true)), slots(byIsNew.get(false)));
+  }
+
+  private static int slots(List<UpstreamRecord> upstreams) {
+    return upstreams.stream().mapToInt(UpstreamRecord::slots).sum();
+  }
+
+  /** Returns the versions of a service's upstreams that have not left. */
+  public Set<String> versions(String service) {
+    return upstreams.ofService(service).stream()
+        .map(UpstreamRecord::version)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns all upstreams, for the dump. */
   public List<UpstreamRecord> upstreams() {
     return upstreams.all();
--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -24,6 +24,7 @@
   private final BoundedBody refusalBody;
   private final GenerationStop stop = new GenerationStop();
   private final StreamTimings timings;
+  private final DispatchOutcome outcome;
   private UpstreamExchange exchange;
   private Optional<SuspectDispatch> suspectDispatch = Optional.empty();
   private ResponseHead responseHead;
@@ -49,6 +50,7 @@
     this.timings =
         new StreamTimings(
             context.paces(), context.clock(), reservation.upstream(), reservation.prefillTokens());
+    this.outcome = new DispatchOutcome(context, call, reservation.upstream());
     this.splitter = new EventSplitter(MAX_EVENT_BYTES, this::eventReceived);
   }
 
@@ -126,6 +128,7 @@
   void closeKeepingBackup() {
     closed = true;
     suspectDispatch.ifPresent(SuspectDispatch::abandoned);
+    outcome.abandoned();
     if (exchange != null) {
       exchange.close();
     }
@@ -138,6 +141,9 @@
     sent = isResumed() ? call.mayResumeOn(upstream) : call.maySendTo(upstream);
     if (sent) {
       timings.requestSent();
+      if (!isResumed()) {
+        outcome.sent();
+      }
       suspectDispatch =
           Optional.of(
               isResumed()
@@ -174,6 +180,7 @@
   private void eventReceived(String id, byte[] bytes) {
     timings.eventReceived();
     suspectDispatch.ifPresent(SuspectDispatch::outputReceived);
+    outcome.event();
     listener.event(id, bytes);
   }
 
@@ -247,6 +254,7 @@
     }
     context.health().recordSuccess(reservation.upstream().id());
     suspectDispatch.ifPresent(SuspectDispatch::completed);
+    outcome.completed();
     close();
     listener.streamEnded(this);
   }
@@ -254,6 +262,7 @@
   private void onRefused() {
     if (!responseHead.notExecuted()) {
       suspectDispatch.ifPresent(SuspectDispatch::completed);
+      outcome.responded(status);
     }
     close();
     if (responseHead.misdirected()) {
@@ -285,6 +294,7 @@
     }
     Optional<SuspectDispatch> lostDispatch = suspectDispatch;
     suspectDispatch = Optional.empty();
+    outcome.failed();
     closeKeepingBackup();
     call.recordLost(reservation.upstream(), detail);
     call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(this, detail));
--- a/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
+++ b/src/main/java/org/cuminrack/gateway/UpstreamSelector.java
@@ -32,6 +32,7 @@
   private final GatewayCounters counters;
   private final String dataCentre;
   private final ServiceRoutes serviceRoutes = new ServiceRoutes();
+  private final VersionSplit versions;
 
   /** Creates a selector. */
   UpstreamSelector(
@@ -59,6 +60,7 @@
     this.clock = clock;
     this.random = random;
     this.warmUpRateLimiter = new WarmUpRateLimiter(random);
+    this.versions = new VersionSplit(view::rollouts, random);
   }
 
   /** Reserves a slot for a plain request; empty if all upstreams are full. */
@@ -143,7 +145,7 @@
   synchronized Optional<Reservation> reserveBackup(
       String service, EngineSpec engine, MemoryNeed need, String runningOnId) {
     List<Candidate> unlimited =
-        candidates(service, Set.of()).stream()
+        versions.forMemoryCopies(candidates(service, Set.of())).stream()
             .filter(candidate -> !rateLimits.isLimited(candidate.upstream()))
             .toList();
     return Placement.forBackup(unlimited, runningOnId, engine, need.expectedTokens())
@@ -154,7 +156,7 @@
   synchronized Optional<Reservation> reserveMove(
       String service, EngineSpec engine, MemoryNeed need, UpstreamRecord from) {
     return choose(
-            candidates(service, Set.of(from.id())),
+            versions.forMemoryCopies(candidates(service, Set.of(from.id()))),
             candidates ->
                 Placement.forMove(candidates, from.dataCentre(), engine, need.expectedTokens()))
         .map(this::recordWarmUpChoice)
@@ -214,6 +216,13 @@
   /** Returns the best candidate that the limit which it has named, if any, permits now. */
   private Optional<Candidate> choose(
       List<Candidate> candidates, Function<List<Candidate>, Optional<Candidate>> placement) {
+    return versions.inOrder(candidates).stream()
+        .flatMap(group -> chooseAmong(group, placement).stream())
+        .findFirst();
+  }
+
+  private Optional<Candidate> chooseAmong(
+      List<Candidate> candidates, Function<List<Candidate>, Optional<Candidate>> placement) {
     List<Candidate> remaining = new ArrayList<>(candidates);
     while (true) {
       Optional<Candidate> best = placement.apply(remaining);
@@ -229,6 +238,7 @@
     if (candidate.isFar()) {
       counters.add(GatewayCounters.Kind.CROSSING_SENDS);
     }
+    versions.recordChoice(candidate.upstream());
     return recordWarmUpChoice(candidate);
   }
 
@@ -288,13 +298,17 @@
         .isPresent();
   }
 
-  /** Returns whether an upstream is draining, has left, has restarted or is no longer known. */
+  /**
+   * Returns whether an upstream is draining, has left, has restarted, is no longer known, or is
+   * being replaced by a new version.
+   */
   boolean isLeaving(UpstreamRecord upstream) {
     return view.upstreams()
         .find(upstream.id())
         .filter(current -> current.startedMillis() == upstream.startedMillis())
         .filter(current -> current.phase() == UpstreamPhase.READY)
         .filter(current -> !notices.isLeaving(current))
+        .filter(current -> !versions.isLeaving(current))
         .isEmpty();
   }
 
@@ -330,6 +344,7 @@
   private boolean isAvailable(UpstreamRecord upstream) {
     return upstream.phase() == UpstreamPhase.READY
         && !notices.isLeaving(upstream)
+        && !versions.isExcluded(upstream)
         && !view.evacuatedDataCentres().contains(upstream.dataCentre());
   }
 
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -14,6 +14,9 @@
 import org.cuminrack.control.ControlState;
 import org.cuminrack.control.LeaseSettings;
 import org.cuminrack.control.OperatorApi;
+import org.cuminrack.control.RolloutCodec;
+import org.cuminrack.control.RolloutControl;
+import org.cuminrack.control.RolloutLeader;
 import org.cuminrack.control.RoutingControl;
 import org.cuminrack.control.VoterAddresses;
 import org.cuminrack.control.WireRenewalExchange;
@@ -105,11 +108,15 @@
     fleet.register(server);
     dump.with("gateways", fleet::gatewaysForDump);
     RoutingControl routing = new RoutingControl(log, state, clock);
+    RolloutControl rollouts = new RolloutControl(log, state, clock);
+    RolloutLeader rolloutLeader =
+        services.add(new RolloutLeader(log, rollouts, fleet::capacity, clock));
+    rolloutLeader.register(server);
     int controlPort = addresses.controlAddress().getPort();
     return List.of(
         new HttpServer(
             addresses.controlAddress(),
-            new ControlEndpoints(routing, fleet, controlPort, clock),
+            new ControlEndpoints(routing, rollouts, fleet, controlPort, clock),
             MAX_BODY_BYTES,
             1),
         new HttpServer(
@@ -222,9 +229,18 @@
         .with("quorum", log::status)
         .with("revision", state::revision)
         .with("ledger_calls", state::ledgerCalls)
+        .with(
+            "rollouts",
+            () -> state.routing().getRolloutsList().stream().map(RolloutCodec::rollout).toList())
         .with("members", () -> state.members().stream().map(Object::toString).toList());
   }
 
+  private static long runningRollouts(ControlState state) {
+    return state.routing().getRolloutsList().stream()
+        .filter(rollout -> RolloutCodec.rollout(rollout).stage().isRunning())
+        .count();
+  }
+
   private static Metrics metrics(Metrics metrics, QuorumNode log, ControlState state) {
     return metrics
         .gauge("cuminrack.quorum.leads", log, node -> node.isLeader() ? 1 : 0)
@@ -232,6 +248,7 @@
         .gauge("cuminrack.quorum.commit.index", log, node -> node.status().commitIndex())
         .gauge("cuminrack.control.revision", state, ControlState::revision)
         .gauge("cuminrack.control.members", state, controlState -> controlState.members().size())
+        .gauge("cuminrack.control.rollouts.running", state, ControlProcess::runningRollouts)
         .gauge("cuminrack.control.ledger.calls", state, ControlState::ledgerCalls);
   }
 }
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -22,6 +22,7 @@
 import org.cuminrack.gateway.LoadTable;
 import org.cuminrack.gateway.ReplicatedSuspectTrials;
 import org.cuminrack.gateway.RequestRateLimits;
+import org.cuminrack.gateway.RolloutReports;
 import org.cuminrack.gateway.UpstreamNotices;
 import org.cuminrack.http.HttpServer;
 import org.cuminrack.lifecycle.ManagedService;
@@ -109,6 +110,7 @@
             this::onOthersLoadChanged,
             this::waitingServices,
             clock);
+    ControlClient control = new ControlClient(wire, watcher::controlAddresses, clock);
     handler =
         new GatewayHandler(
             view,
@@ -120,7 +122,7 @@
             new PlatformHeaders(),
             new PlatformEngineCalls(),
             gatewaySettings(settings),
-            suspects(new ControlClient(wire, watcher::controlAddresses, clock)),
+            suspects(control),
             new RequestTimers(metrics),
             paces,
             clock);
@@ -129,6 +131,7 @@
     services.add(server);
     services.add(sharing);
     services.add(watcher);
+    services.add(new RolloutReports(node.vm(), handler.versionOutcomes(), control));
     services.add(
         new HttpServer(
             settings.readyAddress(), new ReadyEndpoint(this::isReady), MAX_BODY_BYTES, 1));
@@ -268,6 +271,7 @@
         .with("ready", this::isReady)
         .with("routing_revision", view::routingRevision)
         .with("evacuated", view::evacuatedDataCentres)
+        .with("rollouts", () -> view.rollouts().values())
         .with("control", watcher::answeredByAddress)
         .with("gateways", view::gateways)
         .with("own_room", () -> use.load().toDump())
--- a/src/main/java/org/cuminrack/wire/Method.java
+++ b/src/main/java/org/cuminrack/wire/Method.java
@@ -48,6 +48,10 @@
   SHARE_UPSTREAMS(51),
   /** Tells the board of a pool a gateway's load, and returns that of the others (board.proto). */
   BOARD(53),
+  /** Reports what the versions of services that are rolled out answered (rollout.proto). */
+  REPORT_ROLLOUT(54),
+  /** Rolls back the running roll-out of a service (rollout.proto). */
+  HALT_ROLLOUT(55),
   /** Returns the state of a process, as text (control.proto). */
   DUMP(40);
 
