Name the limit when all engines pause, and test a burst of plain requests

Cause: a generation that the queue refused on arrival while all engines named limits or pauses got the reason overloaded and the queue's time to come back, where it got upstreams-limited and the engines' time before.

Change: refused on arrival, the limits of the engines are asked first. Test of a burst of 30 plain requests at one upstream with 18 places through a real gateway: all are answered.

--- a/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationAdmission.java
@@ -77,7 +77,7 @@
             reserved -> call.io().execute(() -> handleReserved(reserved)),
             () -> call.io().execute(this::refuse));
     switch (queued.enter(need.expectedTokens(), placing).state()) {
-      case REFUSED -> refuse();
+      case REFUSED -> refuseAtOnce();
       case WAITING -> awaitEndOfPause();
       case PLACED, ENDED -> {
         // The reservation, or the end of the call, is handled by its own task.
@@ -85,6 +85,15 @@
     }
   }
 
+  private void refuseAtOnce() {
+    Optional<Duration> limited = context.selector().retryAfter(call.service().name());
+    if (limited.isPresent()) {
+      call.fail(GatewayFailure.UPSTREAMS_LIMITED, limited, "");
+    } else {
+      refuse();
+    }
+  }
+
   /** Fails the call if all engines pause for too long; else retries the queue after the pause. */
   private void awaitEndOfPause() {
     Optional<Duration> limited = context.selector().retryAfter(call.service().name());
--- a/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
+++ b/src/test/java/org/cuminrack/platform/PlainRequestPathTest.java
@@ -8,6 +8,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.stream.Stream;
 import org.cuminrack.system.FreePorts;
 import org.junit.jupiter.api.AfterEach;
@@ -123,6 +127,32 @@
         () -> platform.call("k-1", "GET", "/read/x").startsWith("HTTP/1.1 200 "));
   }
 
+  /** One upstream takes 18 requests at a time; more than those wait at the gateway. */
+  @Test
+  void shouldServeABurstThatExceedsThePlacesOfTheUpstream() throws Exception {
+    CountDownLatch full = new CountDownLatch(18);
+    FakeUpstream shop = platform.startUpstream();
+    announceAndAwait("i-1", "shop", shop, "dc-a", "/read/warm");
+    shop.withScript(
+        exchange -> {
+          full.countDown();
+          full.await();
+          FakeUpstream.sendPlainBody(exchange);
+        });
+
+    ExecutorService callers = Executors.newFixedThreadPool(30);
+    List<Future<String>> answers = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      String id = "burst-" + i;
+      answers.add(callers.submit(() -> platform.call(id, "GET", "/read/x", KEY)));
+    }
+
+    for (Future<String> answer : answers) {
+      assertThat(answer.get()).startsWith("HTTP/1.1 200 ");
+    }
+    callers.shutdown();
+  }
+
   @Test
   void shouldRetryAnIdempotentRequestOnAnotherUpstream() throws Exception {
     FakeUpstream failing = platform.startUpstream().withScript(PlainRequestPathTest::fail);
