Switch fair shares on by a setting

Change: QueuePolicy orders the queue by arrival, as before, or by fair shares; the setting fair_shares chooses, and no deployment's settings do yet.

--- a/src/main/java/org/cuminrack/fairshare/ServiceQueue.java
+++ b/src/main/java/org/cuminrack/fairshare/ServiceQueue.java
@@ -8,12 +8,11 @@
 
 /**
  * Decides which requests of one service get a place at this gateway, and which wait or are refused.
- * Urgent priorities come first; within a priority, the claimant that holds least for its weight
- * over all gateways. Thread-safe. Lock order: this queue before any lock that a {@link Placing}
- * acquires.
+ * Urgent priorities come first; the policy orders the requests of a priority. Thread-safe. Lock
+ * order: this queue before any lock that a {@link Placing} acquires.
  *
- * <p>A request leaves free room to better claims at other gateways, but only for a moment: if the
- * room stays free, they can't use it.
+ * <p>With fair shares, a request leaves free room to better claims at other gateways, but only for
+ * a moment: if the room stays free, they can't use it.
  */
 public final class ServiceQueue {
   /** Requests that may wait; each keeps its body in memory. */
@@ -32,6 +31,7 @@
   /** Factor by which estimates are expected to be wrong. */
   private static final double ESTIMATE_MARGIN = 1.5;
 
+  private final QueuePolicy policy;
   private final DemandTable table;
   private final String service;
   private final ToDoubleFunction<String> weights;
@@ -53,7 +53,12 @@
    * @param weights the weight of an organisation, more than 0
    */
   public ServiceQueue(
-      String service, DemandTable table, ToDoubleFunction<String> weights, Clock clock) {
+      QueuePolicy policy,
+      String service,
+      DemandTable table,
+      ToDoubleFunction<String> weights,
+      Clock clock) {
+    this.policy = policy;
     this.service = service;
     this.table = table;
     this.weights = weights;
@@ -73,13 +78,16 @@
     served.recordAsked(request.claimant(), nowNanos);
     QueueView view = view(shares(), nowNanos);
     entry.share = view.shares().shareOf(request.claimant());
-    boolean firstHere = waiting.stream().allMatch(other -> view.order().compare(other, entry) > 0);
+    boolean firstHere =
+        waiting.stream().allMatch(other -> policy.order(view).compare(other, entry) > 0);
     if (firstHere && !yields(entry, view, nowNanos) && placing.tryPlace()) {
       place(entry, view.shares(), nowNanos);
       return entry;
     }
     UnitsAhead ahead = new UnitsAhead();
-    waiting.stream().filter(other -> view.order().compare(other, entry) < 0).forEach(ahead::add);
+    waiting.stream()
+        .filter(other -> policy.order(view).compare(other, entry) < 0)
+        .forEach(ahead::add);
     estimates.recordEntry(entry, view.rawEstimate(entry, ahead));
     view.timePerPlace(entry).ifPresent(perPlace -> entry.perPlaceNanos = perPlace);
     if (!comesInTime(entry, nowNanos) || waiting.size() >= MAX_WAITING) {
@@ -99,6 +107,9 @@
    */
   private boolean comesInTime(QueueEntry entry, long nowNanos) {
     long usefulNanos = usefulUntilNanos(entry, nowNanos) - nowNanos;
+    if (!policy.sharesFairly()) {
+      return usefulNanos > 0;
+    }
     double margin = isOverloaded(nowNanos) ? ESTIMATE_MARGIN : 1;
     return usefulNanos > 0 && entry.estimateNanos * margin <= usefulNanos;
   }
@@ -109,7 +120,9 @@
    * that these would wait in vain.
    */
   private long usefulUntilNanos(QueueEntry entry, long nowNanos) {
-    return isOverloaded(nowNanos) ? entry.request.onTimeUntilNanos() : entry.request.latestNanos();
+    return !policy.sharesFairly() || isOverloaded(nowNanos)
+        ? entry.request.onTimeUntilNanos()
+        : entry.request.latestNanos();
   }
 
   private boolean isOverloaded(long nowNanos) {
@@ -149,7 +162,7 @@
     boolean placed = true;
     while (placed && !waiting.isEmpty()) {
       QueueView view = view(shares, nowNanos);
-      waiting.sort(view.order());
+      waiting.sort(policy.order(view));
       placed = placeNext(pass, view, nowNanos);
     }
   }
@@ -185,7 +198,8 @@
     long waitedNanos = nowNanos - entry.enteredNanos;
     boolean isNext =
         waitedNanos >= onTimeWaitNanos / 2 || view.aheadElsewhere(entry).requests() == 0;
-    if (waitedNanos >= onTimeWaitNanos / 4
+    if (policy.sharesFairly()
+        && waitedNanos >= onTimeWaitNanos / 4
         && placedSizes.isLarge(entry.request.units())
         && isNext
         && waiting.stream().noneMatch(other -> other.placing.holdsRoom())) {
@@ -206,6 +220,9 @@
 
   /** Returns whether free room is left to better claims at other gateways. */
   private boolean yields(QueueEntry entry, QueueView view, long nowNanos) {
+    if (!policy.sharesFairly()) {
+      return false;
+    }
     ServiceShares.Ahead ahead = view.aheadElsewhere(entry);
     boolean roomForAll =
         ahead.requests() == 0
@@ -224,7 +241,7 @@
 
   private void reviewAll(long nowNanos) {
     QueueView view = view(shares(), nowNanos);
-    waiting.sort(view.order());
+    waiting.sort(policy.order(view));
     UnitsAhead ahead = new UnitsAhead();
     for (QueueEntry entry : List.copyOf(waiting)) {
       OptionalLong raw = view.rawEstimate(entry, ahead);
@@ -246,6 +263,9 @@
   private boolean isHopeless(QueueEntry entry, OptionalLong raw, long nowNanos) {
     long remainingNanos = usefulUntilNanos(entry, nowNanos) - nowNanos;
     boolean isLate = nowNanos >= entry.request.onTimeUntilNanos();
+    if (!policy.sharesFairly()) {
+      return isLate;
+    }
     if (raw.isEmpty() || remainingNanos <= 0) {
       return isLate || remainingNanos <= 0;
     }
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -89,7 +89,8 @@
             paces,
             new RetryBudgets(settings, () -> view.gateways().size()),
             suspects,
-            new GenerationQueue(demand, weights(view), clock, RandomGenerator.getDefault()),
+            new GenerationQueue(
+                settings.queuePolicy(), demand, weights(view), clock, RandomGenerator.getDefault()),
             new StopAdmission(clock),
             counters,
             requestMetrics,
--- a/src/main/java/org/cuminrack/gateway/GenerationQueue.java
+++ b/src/main/java/org/cuminrack/gateway/GenerationQueue.java
@@ -7,12 +7,14 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.cuminrack.fairshare.DemandTable;
+import org.cuminrack.fairshare.QueuePolicy;
 import org.cuminrack.fairshare.ReturnOrder;
 import org.cuminrack.fairshare.ServiceQueue;
 import org.cuminrack.time.Clock;
 
 /** The queues of all services, and the order in which their refused callers return. Thread-safe. */
 final class GenerationQueue {
+  private final QueuePolicy policy;
   private final DemandTable demand;
   private final ToDoubleFunction<String> weights;
   private final Clock clock;
@@ -26,7 +28,12 @@
    * @param weights the weight of an organisation, more than 0
    */
   GenerationQueue(
-      DemandTable demand, ToDoubleFunction<String> weights, Clock clock, RandomGenerator random) {
+      QueuePolicy policy,
+      DemandTable demand,
+      ToDoubleFunction<String> weights,
+      Clock clock,
+      RandomGenerator random) {
+    this.policy = policy;
     this.demand = demand;
     this.weights = weights;
     this.clock = clock;
@@ -34,7 +41,8 @@
   }
 
   ServiceQueue of(String service) {
-    return queues.computeIfAbsent(service, name -> new ServiceQueue(name, demand, weights, clock));
+    return queues.computeIfAbsent(
+        service, name -> new ServiceQueue(policy, name, demand, weights, clock));
   }
 
   ReturnOrder returns(String service) {
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.cuminrack.fairshare.DemandTable;
+import org.cuminrack.fairshare.QueuePolicy;
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.fleet.FleetWatcher;
 import org.cuminrack.fleet.GatewayRecord;
@@ -182,7 +183,8 @@
         settings.retryPercent() / PERCENT,
         settings.retrySlack(),
         settings.announcementTimeout(),
-        settings.node().dataCentre());
+        settings.node().dataCentre(),
+        settings.fairShares() ? QueuePolicy.FAIR_SHARES : QueuePolicy.ARRIVAL);
   }
 
   private GatewayRecord ownRecord() {
--- a/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
+++ b/src/main/java/org/cuminrack/settings/GatewayNodeSettings.java
@@ -18,6 +18,7 @@
  * @param retrySlack the number of retries allowed in addition to that percentage
  * @param announcementTimeout the time without an announcement after which an upstream is avoided
  * @param size what the process may use of its VM
+ * @param fairShares whether organisations that wait for a service share it fairly over all gateways
  */
 public record GatewayNodeSettings(
     NodeSettings node,
@@ -29,7 +30,8 @@
     int retryPercent,
     double retrySlack,
     Duration announcementTimeout,
-    GatewaySize size) {
+    GatewaySize size,
+    boolean fairShares) {
   private static final int MAX_IO_THREADS = 64;
   private static final int MAX_PORT = 65_535;
   private static final int MAX_CORES = 1024;
@@ -59,6 +61,7 @@
             reader.decimal("cores", 0, 0, MAX_CORES),
             reader.decimal("link_mbps", 0, 0, MAX_LINK_MBPS),
             (int) reader.decimal("memory_mb", 0, 0, MAX_MEMORY_MB),
-            (int) reader.decimal("descriptors", 0, 0, MAX_DESCRIPTORS)));
+            (int) reader.decimal("descriptors", 0, 0, MAX_DESCRIPTORS)),
+        reader.flag("fair_shares", false));
   }
 }
--- a/src/test/java/org/cuminrack/fairshare/SharedEngines.java
+++ b/src/test/java/org/cuminrack/fairshare/SharedEngines.java
@@ -31,7 +31,7 @@
     for (int i = 0; i < gatewayCount; i++) {
       DemandTable table = new DemandTable(clock);
       tables.add(table);
-      gateways.add(new ServiceQueue("engines", table, weights, clock));
+      gateways.add(new ServiceQueue(QueuePolicy.FAIR_SHARES, "engines", table, weights, clock));
     }
   }
 
--- a/src/test/java/org/cuminrack/gateway/GenerationQueueTest.java
+++ b/src/test/java/org/cuminrack/gateway/GenerationQueueTest.java
@@ -11,6 +11,7 @@
 import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fairshare.Placing;
 import org.cuminrack.fairshare.QueueEntry;
+import org.cuminrack.fairshare.QueuePolicy;
 import org.cuminrack.fairshare.ShareRequest;
 import org.cuminrack.time.ManualClock;
 import org.junit.jupiter.api.Test;
@@ -18,7 +19,8 @@
 class GenerationQueueTest {
   private final ManualClock clock = new ManualClock();
   private final GenerationQueue queue =
-      new GenerationQueue(new DemandTable(clock), organisation -> 1, clock, new Random(1));
+      new GenerationQueue(
+          QueuePolicy.FAIR_SHARES, new DemandTable(clock), organisation -> 1, clock, new Random(1));
   private final List<String> served = new ArrayList<>();
   private int freeSlots;
 
--- a/src/test/java/org/cuminrack/gateway/RetryBudgetsTest.java
+++ b/src/test/java/org/cuminrack/gateway/RetryBudgetsTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import org.cuminrack.fairshare.QueuePolicy;
 import org.junit.jupiter.api.Test;
 
 class RetryBudgetsTest {
@@ -15,7 +16,8 @@
   private int listedGateways = GATEWAYS;
   private final RetryBudgets budgets =
       new RetryBudgets(
-          new GatewaySettings(0.1, SLACK, Duration.ofSeconds(4), "dc-a"), () -> listedGateways);
+          new GatewaySettings(0.1, SLACK, Duration.ofSeconds(4), "dc-a", QueuePolicy.ARRIVAL),
+          () -> listedGateways);
 
   @Test
   void shouldStartWithAnEqualShareOfTheSlack() {
