--- a/src/main/java/org/cuminrack/fairshare/ServiceQueue.java
+++ b/src/main/java/org/cuminrack/fairshare/ServiceQueue.java
@@ -186,6 +186,9 @@
         place(entry, view.shares(), nowNanos);
         return true;
       }
+      if (!policy.sharesFairly()) {
+        return false;
+      }
       holdRoomIfOvertaken(entry, view, nowNanos);
       pass.recordFailure(entry);
     }
--- a/src/test/java/org/cuminrack/fairshare/QueuePolicyTest.java
+++ b/src/test/java/org/cuminrack/fairshare/QueuePolicyTest.java
@@ -44,6 +44,19 @@
     assertThat(served).containsExactly("large", "small").inOrder();
   }
 
+  @Test
+  void shouldNotLetSmallerRequestsOvertakeALargeOneByArrival() {
+    ServiceQueue queue = queue(QueuePolicy.ARRIVAL);
+    enter(queue, "large", 0, 2);
+    enter(queue, "small", 0, 1);
+
+    release(queue, 1);
+    assertThat(served).isEmpty();
+    release(queue, 1);
+
+    assertThat(served).containsExactly("large");
+  }
+
   @Test
   void shouldWaitByArrivalUntilAPlaceIsTooLateForTheTarget() {
     ServiceQueue queue = queue(QueuePolicy.ARRIVAL);
@@ -77,26 +90,33 @@
   }
 
   private QueueEntry enter(ServiceQueue queue, String organisation, int priority) {
+    return enter(queue, organisation, priority, 1);
+  }
+
+  private QueueEntry enter(ServiceQueue queue, String organisation, int priority, int slots) {
     long onTimeNanos = clock.nanoTime() + ON_TIME.toNanos();
     ShareRequest request =
-        new ShareRequest(new Claimant(organisation, priority), 1, onTimeNanos, onTimeNanos, false);
-    return queue.enter(request, new SlotPlacing(organisation));
+        new ShareRequest(
+            new Claimant(organisation, priority), slots, onTimeNanos, onTimeNanos, false);
+    return queue.enter(request, new SlotPlacing(organisation, slots));
   }
 
-  /** Takes one of the free slots. */
+  /** Takes some of the free slots. */
   private final class SlotPlacing implements Placing {
     private final String organisation;
+    private final int slots;
 
-    SlotPlacing(String organisation) {
+    SlotPlacing(String organisation, int slots) {
       this.organisation = organisation;
+      this.slots = slots;
     }
 
     @Override
     public boolean tryPlace() {
-      if (freeSlots == 0) {
+      if (freeSlots < slots) {
         return false;
       }
-      freeSlots--;
+      freeSlots -= slots;
       served.add(organisation);
       return true;
     }
