--- a/review/src-2/review2/Case.java
+++ b/review/src-2/review2/Case.java
@@ -24,7 +24,6 @@
       Map.of(
           "slow-answer-at-stop", SlowAnswerAtStop::run,
           "foreign-report", ForeignReport::run,
-          "many-changes", ManyChanges::run,
           "requesters-leave", RequestersLeave::run);
 
   public static void main(String[] arguments) throws Exception {
