Review case 10: a restart of all processes forgets an acknowledged leave

Leaves are kept in memory only, so an announcement that was sent before and comes late brings the upstream back.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6, 8 and 9, after the build of the deploy file.
+# Builds the stand-ins of the cases 6, 8, 9 and 10, after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/src-2/review2/Case.java
+++ b/review/src-2/review2/Case.java
@@ -24,7 +24,8 @@
       Map.of(
           "slow-answer-at-stop", SlowAnswerAtStop::run,
           "foreign-report", ForeignReport::run,
-          "requesters-leave", RequestersLeave::run);
+          "requesters-leave", RequestersLeave::run,
+          "leave-forgotten", LeaveForgotten::run);
 
   public static void main(String[] arguments) throws Exception {
     Thread watchdog =
--- a/review/src-2/review2/Upstream.java
+++ b/review/src-2/review2/Upstream.java
@@ -109,20 +109,23 @@
 
   /** Sends one liveness report; returns whether it was acknowledged. */
   boolean beat(String ip) {
+    return announcer
+        .send(ip, "POST", "/instances/" + id + "/heartbeat", nextReport())
+        .map(HttpResponse::statusCode)
+        .filter(status -> status == 200)
+        .isPresent();
+  }
+
+  /** Returns the next liveness report. */
+  String nextReport() {
     String engine =
         service.equals("llm")
             ? "\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
             : "";
-    String body =
-        "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + zone
+    return "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + zone
             + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
             + "\",\"cold-left-ms\":0," + engine + "\"call-seq\":" + sequence.incrementAndGet()
             + ",\"born\":" + bornMillis + "}";
-    return announcer
-        .send(ip, "POST", "/instances/" + id + "/heartbeat", body)
-        .map(HttpResponse::statusCode)
-        .filter(status -> status == 200)
-        .isPresent();
   }
 
   long bornMillis() {
