Log planned stops of processes to their end

What operators saw: a process that got SIGTERM logged nothing any more, neither that it stops nor the requests that it refused, ended or cut meanwhile.

Cause: NoResetLogManager keeps log handlers during the JVM's shutdown, but was not in use. Its own install() initialised java.util.logging, through the superclass, before it set the property that names the manager. With a small program: LogManager.getLogManager() is java.util.logging.LogManager, and the root logger has 0 handlers during the shutdown. Ruled out: the initialisers of the commands' loggers alone; setting the property before them, by the same method, changed nothing.

Change: Main sets the property before anything else, without a call of the class. StopLogTest (process) failed before (1 of 1) and passes.

--- a/src/main/java/org/cuminrack/cli/Main.java
+++ b/src/main/java/org/cuminrack/cli/Main.java
@@ -15,6 +15,11 @@
 public final class Main {
   private static final String COMMAND = "command";
 
+  static {
+    // Before the commands are created, because their loggers initialise java.util.logging.
+    System.setProperty(NoResetLogManager.PROPERTY, NoResetLogManager.class.getName());
+  }
+
   private static final List<Command> COMMANDS =
       List.of(
           new ApplyCommand(),
@@ -41,7 +46,6 @@
   private Main() {}
 
   public static void main(String[] args) {
-    NoResetLogManager.install();
     System.exit(run(args).code());
   }
 
--- a/src/main/java/org/cuminrack/log/NoResetLogManager.java
+++ b/src/main/java/org/cuminrack/log/NoResetLogManager.java
@@ -7,12 +7,11 @@
  * The standard manager removes its handlers as soon as the shutdown begins.
  */
 public final class NoResetLogManager extends LogManager {
-  private static final String PROPERTY = "java.util.logging.manager";
-
-  /** Installs this manager; has an effect only before the first use of java.util.logging. */
-  public static void install() {
-    System.setProperty(PROPERTY, NoResetLogManager.class.getName());
-  }
+  /**
+   * The system property that names the log manager; read at the first use of java.util.logging. A
+   * call of a method of this class is already such a use, since it initialises the superclass.
+   */
+  public static final String PROPERTY = "java.util.logging.manager";
 
   @Override
   public void reset() {}
