Keep a stream of a silent engine that can't resume elsewhere

What callers saw: a stream whose engine paused for more than 1.2 s was cut if control had not heard of the engine for 2.6 s, though the engine was sound and its announcements only late. During a planned stop it is a lost request.

Cause: EngineStall takes an engine for lost so that its stream can resume from the backup. StreamRelay abandoned it also where there is no usable backup, and the stream can only be cut then.

Change: a silent engine is abandoned only if the stream can resume. Else the connection, the caller or the deadline ends it. Left: a stream with a backup is cut if the retry budget is exhausted at that moment.

--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -273,8 +273,9 @@
     }
   }
 
+  /** Abandons a silent engine for the backup. Without one, waiting is all that can be done. */
   private void abandonIfStalled() {
-    if (sink.isBlocked()) {
+    if (sink.isBlocked() || !canResume(current)) {
       return;
     }
     Duration sinceLastEvent = progress.sinceLastEvent();
--- a/src/test/java/org/cuminrack/platform/FakeUpstream.java
+++ b/src/test/java/org/cuminrack/platform/FakeUpstream.java
@@ -7,11 +7,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 /** An upstream of the platform on loopback with scripted responses. */
 final class FakeUpstream implements AutoCloseable {
@@ -84,6 +86,21 @@
     };
   }
 
+  /** Returns a script that sends such events with a pause after each, and completes the stream. */
+  static Script streamingSlowly(Duration pause, int first, int last) {
+    CountDownLatch never = new CountDownLatch(1);
+    return exchange -> {
+      OutputStream out = startStream(exchange);
+      for (int id = first; id <= last; id++) {
+        writeEvents(out, id, id);
+        if (id < last) {
+          never.await(pause.toMillis(), TimeUnit.MILLISECONDS);
+        }
+      }
+      exchange.close();
+    };
+  }
+
   /**
    * Returns a script that sends the events with the ids from first to last, waits for the latch,
    * and drops the connection.
