Admit during a planned stop only what its deadline ends in time

Cause: admission took the targets of the route for the duration. Evidence: the gateway's log, which now covers the stop, has all eight requests placed within 14 ms, and upstream-lost with ClosedChannelException as it shuts down. Ruled out: waits in the queue, and an early end of the stop.

Change: StopAdmission admits a request if its deadline is over before the stop ends. Nothing else bounds what an upstream takes, and since both moments are fixed, requests that wait for a place as the stop begins are refused at once. At the end nothing more is admitted, and RunningCalls ends what is left: 502 `stopped`, 503 if not sent, or an abort, which towards HTTP/1.0 is a reset.

EngineSpec.eventsFor has no use any more.

--- a/src/main/java/org/cuminrack/gateway/AdmittedRequest.java
+++ b/src/main/java/org/cuminrack/gateway/AdmittedRequest.java
@@ -19,10 +19,8 @@
     Optional<KeyHolder> keyHolder,
     long arrivedNanos) {
 
-  /** Returns whether the request is expected to end before a planned stop of the gateway. */
-  boolean endsBeforeStop(GatewayContext context) {
-    long sinceArrivalNanos = context.clock().nanoTime() - arrivedNanos;
-    Duration untilDeadline = head.timeLimit(route).minusNanos(sinceArrivalNanos);
-    return context.stopAdmission().admits(route, untilDeadline, head.demand(), service.engine());
+  /** Returns the time until the request is ended whatever its upstream does. */
+  Duration untilDeadline(long nowNanos) {
+    return head.timeLimit(route).minusNanos(nowNanos - arrivedNanos);
   }
 }
--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -139,9 +139,14 @@
     return head.timeLimit(route).minus(age()).minus(RESPONSE_MARGIN);
   }
 
-  /** Returns whether the request, if it is sent now, ends before a planned stop of the gateway. */
+  /** Returns whether the request ends before a planned stop, whatever its upstream does. */
   boolean endsBeforeStop() {
-    return context.stopAdmission().admits(route, remaining(), head.demand(), service.engine());
+    return context.stopAdmission().admits(remaining());
+  }
+
+  /** Lets a planned stop of the gateway end the call, until it has ended. */
+  void beginStoppable(StoppableCall stoppable) {
+    context.runningCalls().add(this, stoppable);
   }
 
   /** Runs a task at the deadline, unless the call has ended. */
@@ -287,6 +292,7 @@
       return false;
     }
     ended = true;
+    context.runningCalls().remove(this);
     suspicion.recordEnd();
     onEnd.run();
     context.requestMetrics().recordRequest(outcome, age());
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -20,6 +20,7 @@
     CrashSuspects suspects,
     GenerationQueue queue,
     StopAdmission stopAdmission,
+    RunningCalls runningCalls,
     GatewayCounters counters,
     RequestMetrics requestMetrics,
     VersionOutcomes versionOutcomes,
--- a/src/main/java/org/cuminrack/gateway/GatewayFailure.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayFailure.java
@@ -25,6 +25,7 @@
   NOT_SENT(503, ExecutionStatus.NO, "no upstream could be reached in time"),
   SUSPENDED(503, ExecutionStatus.NO, "upstreams crashed each time they ran this request"),
   UPSTREAM_LOST(502, ExecutionStatus.UNKNOWN, "the upstream's answer was lost"),
+  STOPPED(502, ExecutionStatus.UNKNOWN, "this gateway stopped before the upstream answered"),
   TIMEOUT(504, ExecutionStatus.UNKNOWN, "the upstream did not answer in time");
 
   private static final int MILLIS_DIGITS = 3;
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -65,6 +65,7 @@
     UpstreamHealth health = new UpstreamHealth(clock);
     UpstreamPaces paces = new UpstreamPaces(paceTable);
     GatewayCounters counters = new GatewayCounters();
+    StopAdmission stopAdmission = new StopAdmission(clock);
     context =
         new GatewayContext(
             view,
@@ -91,7 +92,8 @@
             suspects,
             new GenerationQueue(
                 settings.queuePolicy(), demand, weights(view), clock, RandomGenerator.getDefault()),
-            new StopAdmission(clock),
+            stopAdmission,
+            new RunningCalls(stopAdmission),
             counters,
             requestMetrics,
             new VersionOutcomes(view::rollouts, clock),
@@ -111,11 +113,21 @@
   }
 
   /**
-   * Begins a planned stop: closes callers' connections after their current request and admits only
-   * requests that are expected to end within the stop timeout.
+   * Begins a planned stop: closes callers' connections after their current request, and refuses
+   * requests that may last longer than the stop timeout, also those that wait for a place.
    */
   public void beginStop(Duration stopTimeout) {
     context.stopAdmission().begin(stopTimeout);
+    context.runningCalls().beginStop();
+  }
+
+  /**
+   * Ends a planned stop: refuses each further request, and ends each request in progress with an
+   * error response, or by dropping its connection if the response has begun.
+   */
+  public void endStop() {
+    context.stopAdmission().end();
+    context.runningCalls().endStop();
   }
 
   /** Returns what the versions of services that are rolled out answer. */
@@ -207,13 +219,26 @@
             head.get(),
             keyHolder,
             arrivedNanos);
-    if (admitted.endsBeforeStop(context)) {
+    if (!rejectIfStopping(exchange, admitted)) {
       readBody(exchange, table, admitted);
-    } else {
-      reject(exchange, GatewayFailure.STOPPING, head.get().attemptId());
     }
   }
 
+  /** Rejects a request that may outlast a planned stop; returns whether it did. */
+  private boolean rejectIfStopping(HttpServerExchange exchange, AdmittedRequest admitted) {
+    StopAdmission stop = context.stopAdmission();
+    Duration untilDeadline = admitted.untilDeadline(context.clock().nanoTime());
+    if (stop.admits(untilDeadline)) {
+      return false;
+    }
+    String detail =
+        "%s: %d ms until its deadline, %d ms until the end of the stop"
+            .formatted(
+                admitted.head().attemptId(), untilDeadline.toMillis(), stop.untilEnd().toMillis());
+    reject(exchange, GatewayFailure.STOPPING, detail);
+    return true;
+  }
+
   private static ServiceSpec serviceOf(RoutingTable table, HttpRoute route, RequestHead head) {
     String name = route.serviceAt(splitPoint(head.attemptId()));
     return table.service(name).orElseThrow(() -> new IllegalStateException("no service " + name));
@@ -230,10 +255,8 @@
         new BodyReader.Listener() {
           @Override
           public void bodyComplete(ByteString body) {
-            if (admitted.endsBeforeStop(context)) {
+            if (!rejectIfStopping(exchange, admitted)) {
               relay(exchange, admitted, body);
-            } else {
-              reject(exchange, GatewayFailure.STOPPING, admitted.head().attemptId());
             }
           }
 
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -13,7 +13,7 @@
  * Relays a request whose response is not a stream. The response is buffered and forwarded only once
  * it is complete, so that the caller never mistakes a truncated response for a complete one.
  */
-final class PlainRelay implements PlainDispatch.Listener {
+final class PlainRelay implements PlainDispatch.Listener, StoppableCall {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int SERVER_ERROR = 500;
 
@@ -57,6 +57,7 @@
     PlainRelay relay = new PlainRelay(context, call);
     DisconnectWatcher.begin(call.exchange(), relay::onCallerDisconnected);
     call.runAtDeadline(relay::onDeadline);
+    call.beginStoppable(relay);
     context.retries().recordFirstAttempt(call.service().name());
     CallStart.unlessSuspended(context, call, relay::sendFirst);
   }
@@ -110,6 +111,10 @@
     if (call.hasEnded()) {
       reservation.release();
       context.queue().retry();
+    } else if (!call.endsBeforeStop()) {
+      reservation.release();
+      context.queue().retry();
+      refuse(GatewayFailure.STOPPING, StopAdmission.RETRY_AFTER, "queued");
     } else if (!call.isKeyInForce()) {
       reservation.release();
       context.queue().retry();
@@ -176,12 +181,34 @@
   }
 
   private void onDeadline() {
-    boolean mayHaveRun = responseLost || (current != null && current.isSent());
+    end(GatewayFailure.TIMEOUT, GatewayFailure.NOT_SENT, RETRY_AFTER, "deadline");
+  }
+
+  @Override
+  public void stopBegun() {
+    if (!mayHaveRun() && !call.endsBeforeStop()) {
+      closeCurrent();
+      call.fail(GatewayFailure.STOPPING, Optional.of(StopAdmission.RETRY_AFTER), "queued");
+    }
+  }
+
+  @Override
+  public void stopEnded() {
+    end(GatewayFailure.STOPPED, GatewayFailure.STOPPING, StopAdmission.RETRY_AFTER, "stop");
+  }
+
+  private boolean mayHaveRun() {
+    return responseLost || (current != null && current.isSent());
+  }
+
+  private void end(
+      GatewayFailure ifSent, GatewayFailure ifNotSent, Duration retryAfter, String detail) {
+    boolean mayHaveRun = mayHaveRun();
     closeCurrent();
     if (mayHaveRun) {
-      call.fail(GatewayFailure.TIMEOUT, Optional.empty(), "deadline");
+      call.fail(ifSent, Optional.empty(), detail);
     } else {
-      call.fail(GatewayFailure.NOT_SENT, Optional.of(RETRY_AFTER), "deadline");
+      call.fail(ifNotSent, Optional.of(retryAfter), detail);
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -16,7 +16,7 @@
  * that is leaving.
  */
 final class StreamRelay
-    implements CallerSink.Listener, EngineDispatchListener, GenerationMoves.Owner {
+    implements CallerSink.Listener, EngineDispatchListener, GenerationMoves.Owner, StoppableCall {
   /**
    * Dispatches that could not be sent, or reached another upstream than intended, after which the
    * generation is refused.
@@ -77,6 +77,7 @@
     StreamRelay relay = new StreamRelay(context, call, engine);
     DisconnectWatcher.begin(call.exchange(), relay::callerDisconnected);
     call.runAtDeadline(relay::onDeadline);
+    call.beginStoppable(relay);
     context.retries().recordFirstAttempt(call.service().name());
     CallStart.unlessSuspended(context, call, relay.admission::begin);
   }
@@ -87,14 +88,37 @@
   }
 
   private void onDeadline() {
-    boolean mayHaveRun = current != null && current.isSent();
+    end(GatewayFailure.TIMEOUT, GatewayFailure.NOT_SENT, RETRY_AFTER, "deadline");
+  }
+
+  @Override
+  public void stopBegun() {
+    if (!mayHaveRun() && !call.endsBeforeStop()) {
+      closeAll();
+      call.fail(GatewayFailure.STOPPING, Optional.of(StopAdmission.RETRY_AFTER), "queued");
+    }
+  }
+
+  @Override
+  public void stopEnded() {
+    end(GatewayFailure.STOPPED, GatewayFailure.STOPPING, StopAdmission.RETRY_AFTER, "stop");
+  }
+
+  private boolean mayHaveRun() {
+    return current != null && current.isSent();
+  }
+
+  /** Ends the call, whether its response has begun, it may have run or it has not been sent. */
+  private void end(
+      GatewayFailure ifSent, GatewayFailure ifNotSent, Duration retryAfter, String detail) {
+    boolean mayHaveRun = mayHaveRun();
     closeAll();
     if (responseStarted) {
-      abort("deadline");
+      abort(detail);
     } else if (mayHaveRun) {
-      call.fail(GatewayFailure.TIMEOUT, Optional.empty(), "deadline");
+      call.fail(ifSent, Optional.empty(), detail);
     } else {
-      call.fail(GatewayFailure.NOT_SENT, Optional.of(RETRY_AFTER), "deadline");
+      call.fail(ifNotSent, Optional.of(retryAfter), detail);
     }
   }
 
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -66,6 +66,9 @@
 
   private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
 
+  /** Time to send the responses of the requests that are ended with the stop. */
+  private static final Duration FINAL_RESPONSES_TIME = Duration.ofMillis(250);
+
   private final GatewayNodeSettings settings;
   private final Clock clock;
   private final ServiceStack services = new ServiceStack();
@@ -228,9 +231,10 @@
   }
 
   /**
-   * Stops gracefully, within the stop timeout: the directory stops listing this gateway, callers
-   * that have cached its address are served for {@link #CACHED_ADDRESS_EXPIRY}, and requests in
-   * progress complete.
+   * Stops gracefully: the directory stops listing this gateway, callers that have cached its
+   * address are served for {@link #CACHED_ADDRESS_EXPIRY}, and requests in progress complete. What
+   * is left at the end of the stop timeout is ended, which may take {@link #FINAL_RESPONSES_TIME}
+   * more.
    */
   @Override
   public void stop() {
@@ -242,29 +246,34 @@
         LogEvent.named("stopping")
             .with("vm", settings.node().vm())
             .with("running", handler.counters().running()));
-    boolean idle = awaitIdle();
+    awaitIdle(CACHED_ADDRESS_EXPIRY, settings.stopTimeout());
+    int unfinished = handler.counters().running();
+    handler.endStop();
+    awaitIdle(Duration.ZERO, FINAL_RESPONSES_TIME);
     services.stop();
     logger.atInfo().log(
-        "%s", LogEvent.named("stopped").with("vm", settings.node().vm()).with("idle", idle));
+        "%s",
+        LogEvent.named("stopped")
+            .with("vm", settings.node().vm())
+            .with("idle", unfinished == 0)
+            .with("unfinished", unfinished));
   }
 
-  private boolean awaitIdle() {
+  /** Waits until no request is in progress, for the shortest time at least. */
+  private void awaitIdle(Duration shortest, Duration longest) {
     long startNanos = clock.nanoTime();
     try {
       while (true) {
         long elapsedNanos = clock.nanoTime() - startNanos;
         boolean idle = handler.counters().running() == 0;
-        if (idle && elapsedNanos >= CACHED_ADDRESS_EXPIRY.toNanos()) {
-          return true;
-        }
-        if (elapsedNanos >= settings.stopTimeout().toNanos()) {
-          return idle;
+        boolean doneEarly = idle && elapsedNanos >= shortest.toNanos();
+        if (doneEarly || elapsedNanos >= longest.toNanos()) {
+          return;
         }
         Thread.sleep(IDLE_POLL_INTERVAL.toMillis());
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return false;
     }
   }
 
--- a/src/main/java/org/cuminrack/routing/EngineSpec.java
+++ b/src/main/java/org/cuminrack/routing/EngineSpec.java
@@ -15,11 +15,4 @@
     long memoryTokens,
     int tokensPerEvent,
     boolean keepsBackups,
-    boolean movesMemory) {
-
-  /** Returns the number of events in which an engine streams this many output tokens. */
-  public long eventsFor(long outputTokens) {
-    long perEvent = Math.max(1, tokensPerEvent);
-    return (outputTokens + perEvent - 1) / perEvent;
-  }
-}
+    boolean movesMemory) {}
