Store that an upstream drains or leaves before acknowledging it

Cause: announcements bypass the log because upstreams repeat them, but the last one is not repeated.

Change: DepartureState in the replicated state keeps id, start, number and whether the upstream drains or has left, for an hour. An announcement is corrected by it, whether it comes from an upstream, from another control VM or before the departure was applied; a later start under the same id is used. A departure is acknowledged once the log has it. After a start, a VM tells gateways the departures of the last two minutes.

--- a/src/main/java/org/cuminrack/control/CommandHandlers.java
+++ b/src/main/java/org/cuminrack/control/CommandHandlers.java
@@ -7,6 +7,7 @@
 import org.cuminrack.generated.control.ClearSuspectRequest;
 import org.cuminrack.generated.control.Command;
 import org.cuminrack.generated.control.CrashRequest;
+import org.cuminrack.generated.control.DepartureRequest;
 import org.cuminrack.generated.control.FencingNumberRequest;
 import org.cuminrack.generated.control.FinishRequest;
 import org.cuminrack.generated.control.TrialRequest;
@@ -57,6 +58,14 @@
     return proposer.proposeAndReply(Command.newBuilder().setTrial(TrialRequest.parseFrom(payload)));
   }
 
+  CompletableFuture<byte[]> recordDeparture(byte[] payload) throws InvalidProtocolBufferException {
+    DepartureRequest request = DepartureRequest.parseFrom(payload);
+    if (request.getUpstream().isEmpty()) {
+      return refused("upstream: expected an id, found none");
+    }
+    return proposer.proposeAndReply(Command.newBuilder().setDeparture(request));
+  }
+
   CompletableFuture<byte[]> allocateFencingNumber(byte[] payload)
       throws InvalidProtocolBufferException {
     return proposer.proposeAndReply(
--- a/src/main/java/org/cuminrack/control/ControlService.java
+++ b/src/main/java/org/cuminrack/control/ControlService.java
@@ -72,6 +72,7 @@
     handlers.put(Method.REPORT_CRASH, toWireHandler(commands::reportCrash));
     handlers.put(Method.CLEAR_SUSPECT, toWireHandler(commands::clearSuspect));
     handlers.put(Method.TRY_SUSPECT, toWireHandler(commands::trySuspect));
+    handlers.put(Method.RECORD_DEPARTURE, toWireHandler(commands::recordDeparture));
     handlers.put(Method.TAKE_FENCING_NUMBER, toWireHandler(commands::allocateFencingNumber));
     return handlers;
   }
--- a/src/main/java/org/cuminrack/control/ControlState.java
+++ b/src/main/java/org/cuminrack/control/ControlState.java
@@ -2,8 +2,11 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageLite;
+import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.cuminrack.config.ConfigKey;
 import org.cuminrack.generated.control.ChangeRequest;
@@ -13,6 +16,8 @@
 import org.cuminrack.generated.control.ClaimState;
 import org.cuminrack.generated.control.Command;
 import org.cuminrack.generated.control.CrashRequest;
+import org.cuminrack.generated.control.DepartureData;
+import org.cuminrack.generated.control.DepartureRequest;
 import org.cuminrack.generated.control.EndSession;
 import org.cuminrack.generated.control.FetchReply;
 import org.cuminrack.generated.control.MemberData;
@@ -34,9 +39,7 @@
 public final class ControlState implements StateMachine {
   private final StateTables tables;
   private final StateHistory history = new StateHistory();
-  private volatile Runnable revisionListener = () -> {};
-  private volatile Runnable routingListener = () -> {};
-  private volatile Runnable suspectListener = () -> {};
+  private final StateListeners listeners = new StateListeners();
   private long suspectsRevision;
   private long timeMillis;
   private long revision;
@@ -52,27 +55,25 @@
 
   /** Sets a listener that runs on the log's thread after the revision has advanced. */
   public void onRevisionChange(Runnable listener) {
-    revisionListener = listener;
+    listeners.onRevision(listener);
   }
 
   @Override
   public byte[] apply(long index, byte[] command) {
-    long before = revision();
-    long routingBefore = routing().getRevision();
-    long suspectsBefore = suspectsRevision();
-    byte[] result = applyLocked(index, parse(command)).toByteArray();
-    if (revision() != before) {
-      revisionListener.run();
-    }
-    if (routing().getRevision() != routingBefore) {
-      routingListener.run();
-    }
-    if (suspectsRevision() != suspectsBefore) {
-      suspectListener.run();
+    Command parsed = parse(command);
+    StateListeners.Versions before = versions();
+    byte[] result = applyLocked(index, parsed).toByteArray();
+    listeners.runChanged(before, versions());
+    if (parsed.hasDeparture()) {
+      listeners.departed(parsed.getDeparture());
     }
     return result;
   }
 
+  private synchronized StateListeners.Versions versions() {
+    return new StateListeners.Versions(revision, tables.routing.revision(), suspectsRevision);
+  }
+
   private synchronized MessageLite applyLocked(long index, Command command) {
     timeMillis = Math.max(timeMillis, command.getTimeMillis());
     expire(index);
@@ -90,6 +91,7 @@
       case SET_EVACUATION -> setEvacuation(index, command.getSetEvacuation());
       case START_ROLLOUT ->
           tables.routing.startRollout(index, command.getStartRollout(), timeMillis);
+      case DEPARTURE -> departure(index, command.getDeparture());
       case ADVANCE_ROLLOUT -> tables.routing.advanceRollout(index, command.getAdvanceRollout());
       default -> revisionResult(index);
     };
@@ -100,6 +102,11 @@
     return revisionResult(index);
   }
 
+  private RevisionResult departure(long index, DepartureRequest request) {
+    tables.departures.record(request, timeMillis);
+    return revisionResult(index);
+  }
+
   private ChangeVerdict change(long index, ChangeRequest request) {
     Optional<ChangeVerdict> original = tables.verdicts.find(request);
     if (original.isPresent()) {
@@ -173,6 +180,7 @@
 
   private void expire(long index) {
     tables.ledger.expire(timeMillis);
+    tables.departures.expire(timeMillis);
     suspectsChanged(index, tables.suspects.expire(timeMillis));
   }
 
@@ -234,12 +242,35 @@
 
   /** Sets a listener that runs on the log's thread after {@link #routing} changed. */
   public void onRoutingChange(Runnable listener) {
-    routingListener = listener;
+    listeners.onRouting(listener);
+  }
+
+  /** Returns the departure of an upstream, if it drains or has left. */
+  public synchronized Optional<DepartureRequest> departure(String upstream) {
+    return tables.departures.find(upstream);
+  }
+
+  /** Returns the departures that are not older than a limit. */
+  public synchronized List<DepartureRequest> departuresWithin(Duration limit) {
+    return tables.departures.all().stream()
+        .filter(data -> timeMillis - data.getSinceMillis() <= limit.toMillis())
+        .map(DepartureData::getDeparture)
+        .toList();
+  }
+
+  /** Returns the number of departures that are kept. */
+  public synchronized int departureCount() {
+    return tables.departures.all().size();
+  }
+
+  /** Sets a listener that receives departures on the log's thread after they were stored. */
+  public void onDepartures(Consumer<Collection<DepartureRequest>> listener) {
+    listeners.onDepartures(listener);
   }
 
   /** Sets a listener that runs on the log's thread after a suspicion changed. */
   public void onSuspectChange(Runnable listener) {
-    suspectListener = listener;
+    listeners.onSuspects(listener);
   }
 
   /** Returns the log index of the last change of a suspicion. */
@@ -267,9 +298,7 @@
   @Override
   public void restore(long index, byte[] snapshot) {
     restoreLocked(snapshot);
-    revisionListener.run();
-    routingListener.run();
-    suspectListener.run();
+    listeners.runAll(departuresWithin(DepartureState.RETENTION));
   }
 
   private synchronized void restoreLocked(byte[] snapshot) {
--- a/src/main/java/org/cuminrack/control/RoutingState.java
+++ b/src/main/java/org/cuminrack/control/RoutingState.java
@@ -76,6 +76,11 @@
     return RevisionResult.newBuilder().setRevision(index).build();
   }
 
+  /** Returns the log index of the last change. */
+  long revision() {
+    return revision;
+  }
+
   RoutingData data() {
     return RoutingData.newBuilder()
         .setRevision(revision)
--- a/src/main/java/org/cuminrack/control/StateTables.java
+++ b/src/main/java/org/cuminrack/control/StateTables.java
@@ -11,6 +11,7 @@
   final SessionState sessions = new SessionState();
   final SuspectState suspects = new SuspectState();
   final RoutingState routing = new RoutingState();
+  final DepartureState departures = new DepartureState();
   final LedgerState ledger;
 
   StateTables(LedgerLimits limits) {
@@ -25,6 +26,7 @@
     snapshot.addAllSuspicions(suspects.all());
     snapshot.addAllCalls(ledger.allCalls());
     snapshot.setRouting(routing.data());
+    snapshot.addAllDepartures(departures.all());
   }
 
   /** Restores every table from a snapshot. */
@@ -35,5 +37,6 @@
     suspects.restore(snapshot.getSuspicionsList());
     ledger.restore(snapshot.getCallsList());
     routing.restore(snapshot.getRouting());
+    departures.restore(snapshot.getDeparturesList());
   }
 }
--- a/src/main/java/org/cuminrack/fleet/FleetControl.java
+++ b/src/main/java/org/cuminrack/fleet/FleetControl.java
@@ -14,7 +14,6 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.cuminrack.control.ControlState;
-import org.cuminrack.generated.fleet.ShareCall;
 import org.cuminrack.generated.fleet.WatchCall;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
@@ -28,8 +27,7 @@
 
 /**
  * The fleet service of a control VM: receives announcements, shares them with the other control VMs
- * and serves the watch calls of gateways. Announcements bypass the replicated log: upstreams repeat
- * them, and a table in which the newest announcement wins needs no ordering between VMs.
+ * and serves the watch calls of gateways.
  */
 public final class FleetControl implements ManagedService {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -57,9 +55,6 @@
    */
   private static final Duration SUSPECTS_DELAY = Duration.ofMillis(50);
 
-  /** Delay of responses after a change of upstreams that no caller waits for. */
-  private static final Duration UPSTREAMS_DELAY = Duration.ofMillis(50);
-
   /** Delay of responses after a change of gateways. Hundreds may start at about the same time. */
   private static final Duration GATEWAYS_DELAY = Duration.ofMillis(200);
 
@@ -74,14 +69,17 @@
   private final PendingWatches watches;
   private final ResponseSchedule schedule;
   private final AnnouncementSharing sharing;
+  private final UpstreamAnnouncements merging;
   private final ControlState state;
   private final BooleanSupplier stateIsCurrent;
   private final Clock clock;
   private final Timer timer;
+  private boolean departuresAdded;
 
   /**
    * Creates a service.
    *
+   * @param departureStore stores departures in the replicated state of all control VMs
    * @param stateIsCurrent whether the replicated state of this VM has caught up with the leader's
    *     term
    * @param controlVms supplies the control VMs
@@ -89,16 +87,26 @@
    */
   public FleetControl(
       ControlState state,
+      DepartureStore departureStore,
       WireClient wire,
       BooleanSupplier stateIsCurrent,
       Supplier<ControlVms> controlVms,
       LossTolerance tolerance,
       Clock clock) {
-    this(state, wire, stateIsCurrent, controlVms, tolerance, clock, new ExecutorTimer());
+    this(
+        state,
+        departureStore,
+        wire,
+        stateIsCurrent,
+        controlVms,
+        tolerance,
+        clock,
+        new ExecutorTimer());
   }
 
   FleetControl(
       ControlState state,
+      DepartureStore departureStore,
       WireClient wire,
       BooleanSupplier stateIsCurrent,
       Supplier<ControlVms> controlVms,
@@ -112,11 +120,15 @@
     this.watches = new PendingWatches(responses, timer, clock);
     this.schedule = new ResponseSchedule(watches::respondToAll, timer, clock);
     this.sharing = new AnnouncementSharing(wire, controlVms, tolerance, clock);
+    this.merging =
+        new UpstreamAnnouncements(
+            upstreams, new Departures(state, departureStore), sharing, schedule, clock);
     this.state = state;
     this.stateIsCurrent = stateIsCurrent;
     this.clock = clock;
     this.timer = timer;
     state.onRoutingChange(watches::respondToAll);
+    state.onDepartures(merging::applyStored);
     state.onSuspectChange(() -> schedule.respondWithin(SUSPECTS_DELAY));
   }
 
@@ -190,65 +202,20 @@
     return upstreams.all();
   }
 
-  /**
-   * Merges an announcement. Completes with true if it may be acknowledged: an announcement that
-   * changes routing, or repeats that its upstream takes no new requests, must first be stored on so
-   * many voters that it survives the tolerated losses. A repeat follows one that may not have been.
-   */
+  /** Merges an announcement of an upstream; completes with true if it may be acknowledged. */
   public CompletableFuture<Boolean> mergeAnnouncement(UpstreamRecord announced) {
-    long urgentChange = upstreams.lastUrgentChange();
-    UpstreamChange change = upstreams.merge(announced);
-    if (change == UpstreamChange.ROUTING_CHANGED) {
-      logRoutingChange(announced, "announcement");
-      respondToUpstreams(urgentChange);
-    } else if (announced.phase() == UpstreamPhase.READY) {
-      return CompletableFuture.completedFuture(true);
-    }
-    return sharing.shareAndAwaitCopies(upstreams.find(announced.id()).orElse(announced));
+    return merging.merge(announced);
   }
 
   private CompletableFuture<byte[]> mergeShared(byte[] payload) {
-    long nowNanos = clock.nanoTime();
-    long urgentChange = upstreams.lastUrgentChange();
-    boolean routingChanged = false;
     try {
-      for (var data : ShareCall.parseFrom(payload).getUpstreamsList()) {
-        UpstreamRecord shared = FleetCodec.upstream(data, nowNanos);
-        if (upstreams.merge(shared) == UpstreamChange.ROUTING_CHANGED) {
-          logRoutingChange(shared, "control");
-          routingChanged = true;
-        }
-      }
+      merging.mergeShared(payload);
     } catch (InvalidProtocolBufferException e) {
       return CompletableFuture.failedFuture(e);
     }
-    if (routingChanged) {
-      respondToUpstreams(urgentChange);
-    }
     return CompletableFuture.completedFuture(EMPTY_REPLY);
   }
 
-  private void respondToUpstreams(long lastUrgentChangeBefore) {
-    if (upstreams.lastUrgentChange() > lastUrgentChangeBefore) {
-      schedule.respondUrgently();
-    } else {
-      schedule.respondWithin(UPSTREAMS_DELAY);
-    }
-  }
-
-  private static void logRoutingChange(UpstreamRecord upstream, String source) {
-    logger.atInfo().log(
-        "%s",
-        LogEvent.named("upstream-moved")
-            .with("upstream", upstream.id())
-            .with("service", upstream.service())
-            .with("address", upstream.address())
-            .with("phase", upstream.phase())
-            .with("born_millis", upstream.startedMillis())
-            .with("sequence", upstream.sequence())
-            .with("source", source));
-  }
-
   private void shareAndRemoveSilent() {
     try {
       sharing.shareChanged(upstreams);
@@ -262,8 +229,12 @@
   private void findLateAndExpired() {
     try {
       long nowNanos = clock.nanoTime();
+      if (!departuresAdded && stateIsCurrent.getAsBoolean()) {
+        departuresAdded = true;
+        merging.addRecentDepartures();
+      }
       if (announcements.check(nowNanos)) {
-        schedule.respondWithin(UPSTREAMS_DELAY);
+        schedule.respondWithin(UpstreamAnnouncements.RESPONSE_DELAY);
       }
       if (gateways.removeExpired(nowNanos)) {
         schedule.respondWithin(GATEWAYS_DELAY);
--- a/src/main/java/org/cuminrack/fleet/UpstreamRecord.java
+++ b/src/main/java/org/cuminrack/fleet/UpstreamRecord.java
@@ -56,6 +56,13 @@
         "");
   }
 
+  /** Creates a record of an upstream of which nothing is known but that it takes no requests. */
+  public static UpstreamRecord departed(
+      String id, UpstreamPhase phase, long startedMillis, long sequence, long receivedNanos) {
+    return new UpstreamRecord(
+        id, "", "", "", 0, phase, startedMillis, sequence, receivedNanos, receivedNanos);
+  }
+
   /**
    * Returns whether this announcement replaces another one of the same upstream id: it is of a
    * later incarnation, or newer in the same one. LEFT is final within an incarnation: it replaces
@@ -93,15 +100,20 @@
 
   /** Returns a copy of this record with another phase. */
   public UpstreamRecord withPhase(UpstreamPhase newPhase) {
-    return with(newPhase, receivedNanos);
+    return with(newPhase, sequence, receivedNanos);
+  }
+
+  /** Returns a copy of this record that drains, as an announcement with another number stated. */
+  UpstreamRecord drainingSince(long drainingSequence) {
+    return with(UpstreamPhase.DRAINING, drainingSequence, receivedNanos);
   }
 
   /** Returns a copy of this record with another time of receipt. */
   UpstreamRecord withReceived(long newReceivedNanos) {
-    return with(phase, newReceivedNanos);
+    return with(phase, sequence, newReceivedNanos);
   }
 
-  private UpstreamRecord with(UpstreamPhase newPhase, long newReceivedNanos) {
+  private UpstreamRecord with(UpstreamPhase newPhase, long newSequence, long newReceivedNanos) {
     return new UpstreamRecord(
         id,
         service,
@@ -110,7 +122,7 @@
         slots,
         newPhase,
         startedMillis,
-        sequence,
+        newSequence,
         coldUntilNanos,
         newReceivedNanos,
         version);
--- a/src/main/java/org/cuminrack/fleet/UpstreamTable.java
+++ b/src/main/java/org/cuminrack/fleet/UpstreamTable.java
@@ -20,7 +20,7 @@
    * How long an upstream that has left stays in the table, so that a late announcement is
    * recognised as stale.
    */
-  private static final Duration LEFT_RETENTION = Duration.ofMinutes(2);
+  static final Duration LEFT_RETENTION = Duration.ofMinutes(2);
 
   /** How long an upstream without new announcements stays in the table. */
   private static final Duration SILENT_RETENTION = Duration.ofMinutes(2);
@@ -78,6 +78,9 @@
   }
 
   private boolean isSupersededAtAddress(UpstreamRecord announced) {
+    if (announced.address().isEmpty()) {
+      return false;
+    }
     return rows.values().stream()
         .map(row -> row.upstream)
         .anyMatch(
@@ -96,6 +99,9 @@
   }
 
   private boolean markPredecessorsLeft(UpstreamRecord successor) {
+    if (successor.address().isEmpty()) {
+      return false;
+    }
     List<UpstreamRecord> predecessors =
         rows.values().stream()
             .map(row -> row.upstream)
--- a/src/main/java/org/cuminrack/platform/Announcements.java
+++ b/src/main/java/org/cuminrack/platform/Announcements.java
@@ -67,29 +67,42 @@
   }
 
   /**
-   * Decodes a leave announcement; empty if it is from an earlier incarnation than the latest
-   * announcement.
+   * Decodes a leave announcement; empty if it does not state its incarnation and the upstream is
+   * not known.
+   *
+   * @param latest the upstream's latest announcement, which may be of another incarnation
    */
-  static Optional<UpstreamRecord> leave(UpstreamRecord latest, byte[] body, long nowNanos) {
+  static Optional<UpstreamRecord> leave(
+      String id, Optional<UpstreamRecord> latest, byte[] body, long nowNanos) {
     Either<String, JsonNode> tree = body.length == 0 ? Either.left("no body") : Json.readTree(body);
-    long startedMillis =
-        tree.map(json -> json.path("born").asLong(latest.startedMillis()))
-            .getOrElse(latest.startedMillis());
-    if (startedMillis < latest.startedMillis()) {
-      return Optional.empty();
-    }
-    return Optional.of(
-        new UpstreamRecord(
-            latest.id(),
-            latest.service(),
-            latest.address(),
-            latest.dataCentre(),
-            latest.slots(),
-            UpstreamPhase.LEFT,
-            startedMillis,
-            latest.sequence(),
-            latest.coldUntilNanos(),
-            nowNanos,
-            latest.version()));
+    Optional<Long> statedMillis =
+        tree.toJavaOptional()
+            .map(json -> json.path("born"))
+            .filter(JsonNode::isIntegralNumber)
+            .map(JsonNode::asLong);
+    Optional<UpstreamRecord> known =
+        latest.filter(
+            upstream -> statedMillis.filter(born -> born != upstream.startedMillis()).isEmpty());
+    return known
+        .map(upstream -> left(upstream, nowNanos))
+        .or(
+            () ->
+                statedMillis.map(
+                    born -> UpstreamRecord.departed(id, UpstreamPhase.LEFT, born, 0, nowNanos)));
+  }
+
+  private static UpstreamRecord left(UpstreamRecord latest, long nowNanos) {
+    return new UpstreamRecord(
+        latest.id(),
+        latest.service(),
+        latest.address(),
+        latest.dataCentre(),
+        latest.slots(),
+        UpstreamPhase.LEFT,
+        latest.startedMillis(),
+        latest.sequence(),
+        latest.coldUntilNanos(),
+        nowNanos,
+        latest.version());
   }
 }
--- a/src/main/java/org/cuminrack/platform/ControlEndpoints.java
+++ b/src/main/java/org/cuminrack/platform/ControlEndpoints.java
@@ -110,12 +110,14 @@
       }
       case "leave" -> {
         Optional<UpstreamRecord> leaving =
-            fleet
-                .upstream(id)
-                .flatMap(latest -> Announcements.leave(latest, body, clock.nanoTime()));
-        acknowledge(
-            exchange,
-            leaving.map(fleet::mergeAnnouncement).orElse(CompletableFuture.completedFuture(true)));
+            Announcements.leave(id, fleet.upstream(id), body, clock.nanoTime());
+        if (leaving.isPresent()) {
+          acknowledge(exchange, fleet.mergeAnnouncement(leaving.get()));
+        } else {
+          String detail = "expected the start of the upstream, which this VM does not know";
+          logInvalid("announcement-refused", id, detail);
+          sendError(exchange, StatusCodes.SERVICE_UNAVAILABLE, detail);
+        }
       }
       default -> sendError(exchange, StatusCodes.NOT_FOUND, "no call " + idAndAction[1]);
     }
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -22,6 +22,7 @@
 import org.cuminrack.control.WireRenewalExchange;
 import org.cuminrack.fleet.ControlVms;
 import org.cuminrack.fleet.FleetControl;
+import org.cuminrack.fleet.ReplicatedDepartures;
 import org.cuminrack.http.HttpServer;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
@@ -76,12 +77,12 @@
     server.serve(Method.QUORUM_MESSAGE, log.handler());
     control.register(server);
     StateDump dump = dump(log, state);
+    ControlClient leaderClient = new ControlClient(wire, () -> addressByVm(log), clock);
     List<HttpServer> fleetServers =
         settings
             .fleet()
-            .map(fleet -> addFleet(fleet, log, state, wire, server, dump, clock))
+            .map(fleet -> addFleet(fleet, log, state, leaderClient, wire, server, dump, clock))
             .orElse(List.of());
-    ControlClient leaderClient = new ControlClient(wire, () -> addressByVm(log), clock);
     ProcessApi api =
         new ProcessApi(dump, metrics(metrics, log, state), new OperatorApi(leaderClient).handler());
     // The wire server starts before the HTTP servers: after an outage of all control VMs, no
@@ -97,6 +98,7 @@
       ControlSettings.Fleet addresses,
       QuorumNode log,
       ControlState state,
+      ControlClient leaderClient,
       WireClient wire,
       WireServer server,
       StateDump dump,
@@ -104,7 +106,13 @@
     FleetControl fleet =
         services.add(
             new FleetControl(
-                state, wire, log::isCurrent, () -> controlVms(log), settings.tolerance(), clock));
+                state,
+                new ReplicatedDepartures(leaderClient),
+                wire,
+                log::isCurrent,
+                () -> controlVms(log),
+                settings.tolerance(),
+                clock));
     fleet.register(server);
     dump.with("gateways", fleet::gatewaysForDump);
     RoutingControl routing = new RoutingControl(log, state, clock);
@@ -229,6 +237,7 @@
         .with("quorum", log::status)
         .with("revision", state::revision)
         .with("ledger_calls", state::ledgerCalls)
+        .with("departures", state::departureCount)
         .with(
             "rollouts",
             () -> state.routing().getRolloutsList().stream().map(RolloutCodec::rollout).toList())
@@ -249,6 +258,7 @@
         .gauge("cuminrack.control.revision", state, ControlState::revision)
         .gauge("cuminrack.control.members", state, controlState -> controlState.members().size())
         .gauge("cuminrack.control.rollouts.running", state, ControlProcess::runningRollouts)
-        .gauge("cuminrack.control.ledger.calls", state, ControlState::ledgerCalls);
+        .gauge("cuminrack.control.ledger.calls", state, ControlState::ledgerCalls)
+        .gauge("cuminrack.control.departures", state, ControlState::departureCount);
   }
 }
--- a/src/main/java/org/cuminrack/wire/Method.java
+++ b/src/main/java/org/cuminrack/wire/Method.java
@@ -32,6 +32,8 @@
   SHARE_RENEWALS(26),
   /** Returns the renewals that a control VM has been told of (control.proto). */
   KNOWN_RENEWALS(27),
+  /** Records that an upstream drains or has left (control.proto). */
+  RECORD_DEPARTURE(28),
   /** Requests an admission ticket from a pool's owner (pool.proto). */
   ADMIT(30),
   /** Returns a ticket with its outcome (pool.proto). */
--- a/src/test/java/org/cuminrack/fleet/FakeFleet.java
+++ b/src/test/java/org/cuminrack/fleet/FakeFleet.java
@@ -168,6 +168,7 @@
     final FleetControl fleet =
         new FleetControl(
             new ControlState(),
+            new FakeDepartureStore(),
             new WireClient(new WireGroup("eu", "main")),
             () -> true,
             () -> new ControlVms("c", "cairo-a", Map.of(), 0, Set.of()),
--- a/src/test/java/org/cuminrack/fleet/FleetControlTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetControlTest.java
@@ -146,6 +146,7 @@
   private FleetControl control(int port) {
     return new FleetControl(
         new ControlState(),
+        new FakeDepartureStore(),
         wire,
         () -> true,
         () -> controlVms(port),
