Take a response with a status that HTTP does not allow for lost

What callers saw, plain and streamed (found by the users' hint on status 000): 000 to 099 ended the connection without an answer, 600 to 999 and 1xx were forwarded as the upstream's answer, 0200 and +200 as a success, and a status of four digits left the caller without any answer past its deadline. All were logged as answered. On the entries' path 600 was stored as an order's answer.

Cause: the HTTP client parses any number, and nothing looked at it. A check of the parsed number is not enough, since 0200 is parsed as 200.

Change: StatusCheck reads the bytes of each response below the client's parser, on all connections to upstreams; with another status than three digits from 200 to 599 the response is lost (502, may have run).

--- a/src/main/java/org/cuminrack/relay/LimitedSourceConduit.java
+++ b/src/main/java/org/cuminrack/relay/LimitedSourceConduit.java
@@ -7,9 +7,13 @@
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** Counts the bytes read from a connection against a {@link ReadLimit}. */
+/**
+ * Counts the bytes read from a connection against a {@link ReadLimit} and checks the status of the
+ * response, which the client reads into a single buffer.
+ */
 final class LimitedSourceConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
   private final ReadLimit limit;
+  private final StatusCheck statusCheck = new StatusCheck();
 
   LimitedSourceConduit(StreamSourceConduit next, ReadLimit limit) {
     super(next);
@@ -18,8 +22,12 @@
 
   @Override
   public int read(ByteBuffer buffer) throws IOException {
+    int start = buffer.position();
     int count = super.read(buffer);
     limit.recordRead(count);
+    if (count > 0) {
+      statusCheck.accept(buffer.duplicate().position(start).limit(start + count));
+    }
     return count;
   }
 
