Split the stop and the rejections of a gateway from its larger files

No change of behaviour; GatewayStopTest, StopAdmissionTest, GenerationPathTest, PlainRequestPathTest, SilentEngineTest and MovedUnframedStreamTest pass.

--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -144,18 +144,14 @@
     return context.stopAdmission().admits(remaining());
   }
 
-  /** Lets a planned stop of the gateway end the call, until it has ended. */
-  void beginStoppable(StoppableCall stoppable) {
+  /** Ends the call at its deadline or with a planned stop of the gateway, unless it has ended. */
+  void limit(StoppableCall stoppable) {
     context.runningCalls().add(this, stoppable);
-  }
-
-  /** Runs a task at the deadline, unless the call has ended. */
-  void runAtDeadline(Runnable task) {
     io.timeout(
         Math.max(0, remaining().toMillis()),
         () -> {
           if (!ended) {
-            task.run();
+            stoppable.end(CallEnd.DEADLINE);
           }
         });
   }
@@ -221,6 +217,14 @@
     }
   }
 
+  /** Ends the call, whose response has not begun, with the error response for the reason. */
+  void fail(CallEnd reason, boolean mayHaveRun, Duration usualRetryAfter) {
+    fail(
+        reason.failure(mayHaveRun),
+        mayHaveRun ? Optional.empty() : Optional.of(reason.retryAfter(usualRetryAfter)),
+        reason.label());
+  }
+
   /** Records that a dispatch was lost after it may have reached its upstream. */
   void recordLost(UpstreamRecord upstream, String detail) {
     suspicion.recordLost();
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -1,6 +1,5 @@
 package org.cuminrack.gateway;
 
-import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -14,7 +13,6 @@
 import java.util.random.RandomGenerator;
 import org.cuminrack.fairshare.DemandTable;
 import org.cuminrack.fleet.FleetView;
-import org.cuminrack.log.LogEvent;
 import org.cuminrack.pace.PaceTable;
 import org.cuminrack.relay.BodyReader;
 import org.cuminrack.relay.IoContext;
@@ -31,15 +29,11 @@
  * request.
  */
 public final class GatewayHandler implements HttpHandler {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   /** A connection is established in about 1 ms; if it takes much longer, the VM is down. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
   private static final Duration ROUTES_POLL_INTERVAL = Duration.ofMillis(20);
 
-  private static final Duration RETRY_AFTER_NOT_READY = Duration.ofMillis(500);
-
   /**
    * How long the connection of a caller whose body was too slow stays open, so that the response
    * can be sent.
@@ -47,6 +41,7 @@
   private static final long LINGER_MILLIS = 200;
 
   private final GatewayContext context;
+  private final RequestRejections rejections;
 
   public GatewayHandler(
       FleetView view,
@@ -99,6 +94,7 @@
             new VersionOutcomes(view::rollouts, clock),
             RelayBounds.defaults().withConnectTimeout(CONNECT_TIMEOUT),
             clock);
+    rejections = new RequestRejections(context);
     view.onChange(context.queue()::retry);
   }
 
@@ -188,7 +184,7 @@
     if (table.isPresent()) {
       admit(exchange, table.get(), arrivedNanos);
     } else if (context.clock().nanoTime() - arrivedNanos > maxWait.toNanos()) {
-      reject(exchange, GatewayFailure.NOT_READY, "");
+      rejections.reject(exchange, GatewayFailure.NOT_READY, "");
     } else {
       io.after(
           ROUTES_POLL_INTERVAL.toMillis(), () -> awaitRouting(exchange, io, arrivedNanos, maxWait));
@@ -199,17 +195,17 @@
     String host = exchange.getRequestHeaders().getFirst(Headers.HOST);
     Optional<HttpRoute> route = table.route(host == null ? "" : host, exchange.getRequestURI());
     if (route.isEmpty()) {
-      reject(exchange, GatewayFailure.NO_ROUTE, host + exchange.getRequestURI());
+      rejections.reject(exchange, GatewayFailure.NO_ROUTE, host + exchange.getRequestURI());
       return;
     }
     Either<String, RequestHead> head = context.headers().readRequest(exchange.getRequestHeaders());
     if (head.isLeft()) {
-      reject(exchange, GatewayFailure.BAD_REQUEST, head.getLeft());
+      rejections.reject(exchange, GatewayFailure.BAD_REQUEST, head.getLeft());
       return;
     }
     Optional<KeyHolder> keyHolder = head.get().apiKey().flatMap(table::holderOf);
     if (keyHolder.isEmpty() && table.requiresApiKeys() && !route.get().isPublic()) {
-      reject(exchange, GatewayFailure.KEY_UNKNOWN, "route " + route.get().name());
+      rejections.reject(exchange, GatewayFailure.KEY_UNKNOWN, "route " + route.get().name());
       return;
     }
     AdmittedRequest admitted =
@@ -219,26 +215,11 @@
             head.get(),
             keyHolder,
             arrivedNanos);
-    if (!rejectIfStopping(exchange, admitted)) {
+    if (!rejections.rejectIfStopping(exchange, admitted)) {
       readBody(exchange, table, admitted);
     }
   }
 
-  /** Rejects a request that may outlast a planned stop; returns whether it did. */
-  private boolean rejectIfStopping(HttpServerExchange exchange, AdmittedRequest admitted) {
-    StopAdmission stop = context.stopAdmission();
-    Duration untilDeadline = admitted.untilDeadline(context.clock().nanoTime());
-    if (stop.admits(untilDeadline)) {
-      return false;
-    }
-    String detail =
-        "%s: %d ms until its deadline, %d ms until the end of the stop"
-            .formatted(
-                admitted.head().attemptId(), untilDeadline.toMillis(), stop.untilEnd().toMillis());
-    reject(exchange, GatewayFailure.STOPPING, detail);
-    return true;
-  }
-
   private static ServiceSpec serviceOf(RoutingTable table, HttpRoute route, RequestHead head) {
     String name = route.serviceAt(splitPoint(head.attemptId()));
     return table.service(name).orElseThrow(() -> new IllegalStateException("no service " + name));
@@ -255,7 +236,7 @@
         new BodyReader.Listener() {
           @Override
           public void bodyComplete(ByteString body) {
-            if (!rejectIfStopping(exchange, admitted)) {
+            if (!rejections.rejectIfStopping(exchange, admitted)) {
               relay(exchange, admitted, body);
             }
           }
@@ -263,13 +244,14 @@
           @Override
           public void bodyTooLarge() {
             exchange.setPersistent(false);
-            reject(exchange, GatewayFailure.BODY_TOO_LARGE, "at most " + maxBodyBytes + " bytes");
+            rejections.reject(
+                exchange, GatewayFailure.BODY_TOO_LARGE, "at most " + maxBodyBytes + " bytes");
           }
 
           @Override
           public void bodyTimedOut() {
             exchange.setPersistent(false);
-            reject(exchange, GatewayFailure.BODY_TOO_SLOW, "");
+            rejections.reject(exchange, GatewayFailure.BODY_TOO_SLOW, "");
             io.after(LINGER_MILLIS, () -> IoUtils.safeClose(exchange.getConnection()));
           }
 
@@ -311,23 +293,4 @@
     int hash = attemptId.hashCode() * 0x9E3779B9;
     return (hash >>> 1) / (double) Integer.MAX_VALUE * 0.999_999;
   }
-
-  private void reject(HttpServerExchange exchange, GatewayFailure failure, String detail) {
-    logger.atInfo().log(
-        "%s",
-        LogEvent.named("request-rejected")
-            .with("reason", failure.label())
-            .with("status", failure.status())
-            .with("path", exchange.getRequestURI())
-            .with("routing_revision", context.view().routingRevision())
-            .with("detail", detail));
-    context.counters().add(GatewayCounters.Kind.REFUSED);
-    Optional<Duration> retryAfter =
-        switch (failure) {
-          case NOT_READY -> Optional.of(RETRY_AFTER_NOT_READY);
-          case STOPPING -> Optional.of(StopAdmission.RETRY_AFTER);
-          default -> Optional.empty();
-        };
-    failure.send(exchange, retryAfter);
-  }
 }
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -56,8 +56,7 @@
   static void begin(GatewayContext context, GatewayCall call) {
     PlainRelay relay = new PlainRelay(context, call);
     DisconnectWatcher.begin(call.exchange(), relay::onCallerDisconnected);
-    call.runAtDeadline(relay::onDeadline);
-    call.beginStoppable(relay);
+    call.limit(relay);
     context.retries().recordFirstAttempt(call.service().name());
     CallStart.unlessSuspended(context, call, relay::sendFirst);
   }
@@ -180,36 +179,16 @@
     }
   }
 
-  private void onDeadline() {
-    end(GatewayFailure.TIMEOUT, GatewayFailure.NOT_SENT, RETRY_AFTER, "deadline");
-  }
-
-  @Override
-  public void stopBegun() {
-    if (!mayHaveRun() && !call.endsBeforeStop()) {
-      closeCurrent();
-      call.fail(GatewayFailure.STOPPING, Optional.of(StopAdmission.RETRY_AFTER), "queued");
-    }
-  }
-
   @Override
-  public void stopEnded() {
-    end(GatewayFailure.STOPPED, GatewayFailure.STOPPING, StopAdmission.RETRY_AFTER, "stop");
-  }
-
-  private boolean mayHaveRun() {
+  public boolean mayHaveRun() {
     return responseLost || (current != null && current.isSent());
   }
 
-  private void end(
-      GatewayFailure ifSent, GatewayFailure ifNotSent, Duration retryAfter, String detail) {
+  @Override
+  public void end(CallEnd reason) {
     boolean mayHaveRun = mayHaveRun();
     closeCurrent();
-    if (mayHaveRun) {
-      call.fail(ifSent, Optional.empty(), detail);
-    } else {
-      call.fail(ifNotSent, Optional.of(retryAfter), detail);
-    }
+    call.fail(reason, mayHaveRun, RETRY_AFTER);
   }
 
   private void onCallerDisconnected() {
--- a/src/main/java/org/cuminrack/gateway/RunningCalls.java
+++ b/src/main/java/org/cuminrack/gateway/RunningCalls.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Consumer;
 
 /** The calls in progress, for the planned stop of the gateway. Thread-safe. */
 final class RunningCalls {
@@ -13,14 +12,14 @@
     this.stopAdmission = stopAdmission;
   }
 
-  /** Adds a call until it is removed; tells it at once what the stop has told the others. */
+  /** Adds a call until it is removed; treats it like the others if the stop has begun. */
   void add(GatewayCall call, StoppableCall stoppable) {
     calls.put(call, stoppable);
     if (stopAdmission.isStopping()) {
-      run(call, stoppable, StoppableCall::stopBegun);
+      endIfNotSent(call, stoppable);
     }
     if (stopAdmission.hasEnded()) {
-      run(call, stoppable, StoppableCall::stopEnded);
+      end(call, stoppable);
     }
   }
 
@@ -28,27 +27,36 @@
     calls.remove(call);
   }
 
-  /** Tells each call that the stop has begun. */
+  /** Ends the calls whose requests are not sent yet and may outlast the stop. */
   void beginStop() {
-    runAll(StoppableCall::stopBegun);
+    calls.forEach(RunningCalls::endIfNotSent);
   }
 
-  /** Tells each call that the stop has ended. */
+  /** Ends all calls. */
   void endStop() {
-    runAll(StoppableCall::stopEnded);
+    calls.forEach(RunningCalls::end);
   }
 
-  private void runAll(Consumer<StoppableCall> notice) {
-    calls.forEach((call, stoppable) -> run(call, stoppable, notice));
+  private static void endIfNotSent(GatewayCall call, StoppableCall stoppable) {
+    runUnlessEnded(
+        call,
+        () -> {
+          if (!stoppable.mayHaveRun() && !call.endsBeforeStop()) {
+            stoppable.end(CallEnd.STOP);
+          }
+        });
   }
 
-  private static void run(
-      GatewayCall call, StoppableCall stoppable, Consumer<StoppableCall> notice) {
+  private static void end(GatewayCall call, StoppableCall stoppable) {
+    runUnlessEnded(call, () -> stoppable.end(CallEnd.STOP));
+  }
+
+  private static void runUnlessEnded(GatewayCall call, Runnable task) {
     call.io()
         .execute(
             () -> {
               if (!call.hasEnded()) {
-                notice.accept(stoppable);
+                task.run();
               }
             });
   }
--- a/src/main/java/org/cuminrack/gateway/StoppableCall.java
+++ b/src/main/java/org/cuminrack/gateway/StoppableCall.java
@@ -1,12 +1,10 @@
 package org.cuminrack.gateway;
 
-/**
- * A call in progress, as a planned stop of its gateway ends it. Called on the call's I/O thread.
- */
+/** A call in progress that its gateway can end. Called on the call's I/O thread. */
 interface StoppableCall {
-  /** The stop has begun: refuses the request if it is not sent yet and may outlast the stop. */
-  void stopBegun();
+  /** Returns whether an upstream may have received the request. */
+  boolean mayHaveRun();
 
-  /** The stop has ended: ends the call with an answer, or aborts a response that has begun. */
-  void stopEnded();
+  /** Ends the call with an error response, or aborts a response that has begun. */
+  void end(CallEnd reason);
 }
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -76,8 +76,7 @@
   static void begin(GatewayContext context, GatewayCall call, EngineSpec engine) {
     StreamRelay relay = new StreamRelay(context, call, engine);
     DisconnectWatcher.begin(call.exchange(), relay::callerDisconnected);
-    call.runAtDeadline(relay::onDeadline);
-    call.beginStoppable(relay);
+    call.limit(relay);
     context.retries().recordFirstAttempt(call.service().name());
     CallStart.unlessSuspended(context, call, relay.admission::begin);
   }
@@ -87,38 +86,19 @@
     current = EngineDispatch.open(context, call, reservation, backup, resumedFrom, this);
   }
 
-  private void onDeadline() {
-    end(GatewayFailure.TIMEOUT, GatewayFailure.NOT_SENT, RETRY_AFTER, "deadline");
-  }
-
-  @Override
-  public void stopBegun() {
-    if (!mayHaveRun() && !call.endsBeforeStop()) {
-      closeAll();
-      call.fail(GatewayFailure.STOPPING, Optional.of(StopAdmission.RETRY_AFTER), "queued");
-    }
-  }
-
   @Override
-  public void stopEnded() {
-    end(GatewayFailure.STOPPED, GatewayFailure.STOPPING, StopAdmission.RETRY_AFTER, "stop");
-  }
-
-  private boolean mayHaveRun() {
+  public boolean mayHaveRun() {
     return current != null && current.isSent();
   }
 
-  /** Ends the call, whether its response has begun, it may have run or it has not been sent. */
-  private void end(
-      GatewayFailure ifSent, GatewayFailure ifNotSent, Duration retryAfter, String detail) {
+  @Override
+  public void end(CallEnd reason) {
     boolean mayHaveRun = mayHaveRun();
     closeAll();
     if (responseStarted) {
-      abort(detail);
-    } else if (mayHaveRun) {
-      call.fail(ifSent, Optional.empty(), detail);
+      abort(reason.label());
     } else {
-      call.fail(ifNotSent, Optional.of(retryAfter), detail);
+      call.fail(reason, mayHaveRun, RETRY_AFTER);
     }
   }
 
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -58,17 +58,9 @@
   private static final long MAX_BODY_BYTES = 4L << 20;
   private static final double PERCENT = 100;
 
-  /** Callers cache a gateway's address for its TTL, some for three times as long. */
-  private static final Duration CACHED_ADDRESS_EXPIRY = Duration.ofMillis(6500);
-
   /** No answer to a caller waits for a crash report, so it may outlast the loss of a quorum. */
   private static final Duration CRASH_REPORT_TIMEOUT = Duration.ofSeconds(30);
 
-  private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
-
-  /** Time to send the responses of the requests that are ended with the stop. */
-  private static final Duration FINAL_RESPONSES_TIME = Duration.ofMillis(250);
-
   private final GatewayNodeSettings settings;
   private final Clock clock;
   private final ServiceStack services = new ServiceStack();
@@ -230,12 +222,7 @@
     logger.atInfo().log("%s", LogEvent.named("reloaded").with("seeds", seeds.keySet()));
   }
 
-  /**
-   * Stops gracefully: the directory stops listing this gateway, callers that have cached its
-   * address are served for {@link #CACHED_ADDRESS_EXPIRY}, and requests in progress complete. What
-   * is left at the end of the stop timeout is ended, which may take {@link #FINAL_RESPONSES_TIME}
-   * more.
-   */
+  /** Stops gracefully: the directory stops listing this gateway, and its last requests end. */
   @Override
   public void stop() {
     stopping = true;
@@ -246,10 +233,7 @@
         LogEvent.named("stopping")
             .with("vm", settings.node().vm())
             .with("running", handler.counters().running()));
-    awaitIdle(CACHED_ADDRESS_EXPIRY, settings.stopTimeout());
-    int unfinished = handler.counters().running();
-    handler.endStop();
-    awaitIdle(Duration.ZERO, FINAL_RESPONSES_TIME);
+    int unfinished = new GatewayStop(handler, settings.stopTimeout(), clock).awaitLastRequest();
     services.stop();
     logger.atInfo().log(
         "%s",
@@ -259,24 +243,6 @@
             .with("unfinished", unfinished));
   }
 
-  /** Waits until no request is in progress, for the shortest time at least. */
-  private void awaitIdle(Duration shortest, Duration longest) {
-    long startNanos = clock.nanoTime();
-    try {
-      while (true) {
-        long elapsedNanos = clock.nanoTime() - startNanos;
-        boolean idle = handler.counters().running() == 0;
-        boolean doneEarly = idle && elapsedNanos >= shortest.toNanos();
-        if (doneEarly || elapsedNanos >= longest.toNanos()) {
-          return;
-        }
-        Thread.sleep(IDLE_POLL_INTERVAL.toMillis());
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private StateDump dump() {
     return new StateDump()
         .with("ready", this::isReady)
