--- a/src/main/java/org/cuminrack/storage/LogStore.java
+++ b/src/main/java/org/cuminrack/storage/LogStore.java
@@ -111,8 +111,13 @@
     VoteStateRecord vote = voteFile.read();
     ReplicaId votedFor = vote.hasVotedFor() ? RecordCodec.fromRecord(vote.getVotedFor()) : null;
     SnapshotImage snapshot = snapshots.readNewest();
-    List<LogEntry> entries = LogTail.afterSnapshot(snapshot, log.recover(), folder);
-    return new RecoveredState(self, vote.getTerm(), votedFor, snapshot, entries);
+    List<LogEntry> entries = log.recover();
+    List<LogEntry> tail = LogTail.afterSnapshot(snapshot, entries, folder);
+    if (tail.isEmpty() && !entries.isEmpty()) {
+      // Entries appended later must not follow ones that the next start would discard with them.
+      log.clear();
+    }
+    return new RecoveredState(self, vote.getTerm(), votedFor, snapshot, tail);
   }
 
   private void openFiles() throws IOException {
--- a/src/test/java/org/cuminrack/storage/LogStoreTest.java
+++ b/src/test/java/org/cuminrack/storage/LogStoreTest.java
@@ -147,6 +147,22 @@
     assertThat(LogTail.afterSnapshot(snapshot, stale, folder)).isEmpty();
   }
 
+  /**
+   * A process ended after it had written a leader's snapshot and before it had cleared its own log.
+   * Entries that were acknowledged later must not be discarded with those of the old log.
+   */
+  @Test
+  void shouldKeepEntriesAppendedAfterASnapshotThatReplacedTheLog() throws IOException {
+    new SnapshotFiles(disk, folder).write(new SnapshotImage(2, 4, 1, VOTERS, new byte[0]));
+
+    try (LogStore store = open()) {
+      assertThat(store.recovered().entries()).isEmpty();
+      store.append(List.of(entry(3, 4)));
+    }
+
+    assertThat(terms(recover())).containsExactly(4L);
+  }
+
   @Test
   void shouldNotOpenAFolderThatIsInUse() throws IOException {
     try (LogStore store = open()) {
