Repeat what a disk refuses to write, in place of ending the replica

From then on no change was acknowledged, and the acknowledged one could not be read back.

Of three voters one was broken and one gone. Ruled out: that the log is damaged (no disk-corrupted), that the replaced VM is the cause (18.49 s: both others were reachable, and no voter answered).

Related paths, by going through each write: a refused sync ended the replica, whatever it was for; so did a refused deletion, truncation, new segment or clearing of the log, and the probe for free space itself. A deletion that was refused left a gap in the log that the next start took for damage. A process that ended after a refused sync read its files back from the page cache.

Change: DiskQueue (pure, also used by the simulation) decides what waits and what may overtake; DiskWorker repeats the refused writes until the disk accepts them. Packets that wait for a refused vote are dropped, so that nothing tells of it. A refused sync is followed by writing the same again: the frame of the log after a truncation, both copies of the vote, whole files and their names. What no later write shows to be durable is written again at a start. A cleared log begins with a frame that makes older segments obsolete, so that deletions need not succeed. A closed file can't be repeated: that, and any other failure of the two threads of a replica, ends the process.

--- a/src/main/java/org/cuminrack/quorum/DiskWorker.java
+++ b/src/main/java/org/cuminrack/quorum/DiskWorker.java
@@ -2,50 +2,54 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cuminrack.log.LogEvent;
+import org.cuminrack.quorum.internal.DiskQueue;
 import org.cuminrack.quorum.internal.Effect;
 import org.cuminrack.quorum.internal.Event;
-import org.cuminrack.quorum.internal.LogEntry;
 import org.cuminrack.quorum.internal.Packet;
-import org.cuminrack.storage.DiskFullException;
 import org.cuminrack.storage.LogStore;
+import org.cuminrack.time.Clock;
 
 /**
  * Executes disk writes on a dedicated thread, in the order of the core's effects. Entries that
- * arrive during a sync are batched into the next one. While the disk is full, entries and snapshots
- * are deferred; votes are still written unless a deferred snapshot must be written first. If the
- * write of a snapshot of this replica's own state finds the disk full, that snapshot is dropped.
+ * arrive during a sync are batched into the next one. Writes that the disk refuses are repeated
+ * until it accepts them; {@link DiskQueue} decides what else may be executed until then.
  */
 final class DiskWorker {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
+
+  /** The time between two attempts to repeat the refused writes. */
+  static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
 
   private final LogStore store;
+  private final DiskHealth health;
+  private final Clock clock;
   private final Consumer<Event> events;
   private final Consumer<Packet> sender;
   private final Consumer<Throwable> onFailure;
-  private final LinkedBlockingQueue<Effect> queue = new LinkedBlockingQueue<>();
-  private final Deque<Effect> pendingEffects = new ArrayDeque<>();
-  private final Deque<Effect> deferredEffects = new ArrayDeque<>();
+  private final LinkedBlockingQueue<Effect> arrivals = new LinkedBlockingQueue<>();
+  private final DiskQueue queue = new DiskQueue();
   private final Thread thread;
-  private boolean diskFull;
+  private long nextRetryNanos;
   private volatile boolean stopping;
 
   DiskWorker(
       String vmName,
       LogStore store,
+      DiskHealth health,
+      Clock clock,
       Consumer<Event> events,
       Consumer<Packet> sender,
       Consumer<Throwable> onFailure) {
     this.store = store;
+    this.health = health;
+    this.clock = clock;
     this.events = events;
     this.sender = sender;
     this.onFailure = onFailure;
@@ -59,16 +63,20 @@
 
   /** Queues a write, or a packet that must be sent after the votes queued before it. */
   void add(Effect effect) {
-    queue.add(effect);
+    arrivals.add(effect);
   }
 
+  /** Stops the thread and closes the store. */
   void stop() {
     stopping = true;
     thread.interrupt();
     try {
       thread.join();
+      store.close();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
   }
 
@@ -76,122 +84,92 @@
     try {
       while (!stopping) {
         fetchEffects();
-        retryDeferredEffects();
-        processEffects();
+        retryIfDue();
+        executeQueued();
+      }
+    } catch (Throwable e) {
+      if (stopping) {
+        logger.atFine().withCause(e).log("%s", LogEvent.named("quorum-disk-stopped"));
+      } else {
+        onFailure.accept(e);
       }
-    } catch (InterruptedException e) {
-      logger.atFine().log("%s", LogEvent.named("quorum-disk-stopped"));
-    } catch (IOException | RuntimeException e) {
-      onFailure.accept(e);
     }
   }
 
   private void fetchEffects() throws InterruptedException {
+    long waitNanos = nextRetryNanos - clock.nanoTime();
     Effect first =
-        diskFull ? queue.poll(RETRY_INTERVAL.toMillis(), TimeUnit.MILLISECONDS) : queue.take();
-    if (first != null) {
-      pendingEffects.add(first);
-      queue.drainTo(pendingEffects);
+        queue.isRefusing()
+            ? arrivals.poll(Math.max(0, waitNanos), TimeUnit.NANOSECONDS)
+            : arrivals.take();
+    while (first != null) {
+      queue.add(first);
+      first = arrivals.poll();
     }
   }
 
-  private void retryDeferredEffects() throws IOException {
-    if (!diskFull || !store.hasFreeSpace()) {
+  private void retryIfDue() {
+    if (!queue.isRefusing() || clock.nanoTime() - nextRetryNanos < 0) {
       return;
     }
-    diskFull = false;
-    while (!deferredEffects.isEmpty()) {
-      pendingEffects.addFirst(deferredEffects.removeLast());
+    nextRetryNanos = clock.nanoTime() + RETRY_INTERVAL.toNanos();
+    if (queue.hasDeferredWrites() || store.acceptsWrites()) {
+      queue.retry();
     }
-    events.accept(new Event.DiskFull(false));
-    logger.atInfo().log("%s", LogEvent.named("disk-has-room"));
   }
 
-  private void processEffects() throws IOException {
-    while (!pendingEffects.isEmpty()) {
-      Effect effect = pendingEffects.remove();
-      if (effect instanceof Effect.Send send) {
-        sendOrDefer(send);
-      } else if (effect instanceof Effect.SaveVote vote) {
-        saveVoteOrDefer(vote);
-      } else if (diskFull) {
-        deferredEffects.add(effect);
-      } else {
-        write(effect);
+  private void executeQueued() throws IOException {
+    for (Effect effect = nextEffect(); effect != null; effect = nextEffect()) {
+      try {
+        execute(effect);
+      } catch (ClosedChannelException e) {
+        // A closed file refuses every write, however often it is repeated.
+        throw e;
+      } catch (IOException e) {
+        refused(effect, e);
       }
     }
-  }
-
-  /**
-   * Returns whether any snapshot is deferred. A vote must not be written before the snapshot that
-   * made the replica a voter, so votes wait for all deferred snapshots.
-   */
-  private boolean hasDeferredSnapshot() {
-    return deferredEffects.stream().anyMatch(effect -> effect instanceof Effect.SaveSnapshot);
-  }
-
-  private void sendOrDefer(Effect.Send send) {
-    if (hasDeferredSnapshot()) {
-      deferredEffects.add(send);
-    } else {
-      sender.accept(send.packet());
+    if (!queue.isRefusing() && health.refusal().isPresent()) {
+      health.accepted();
+      events.accept(new Event.DiskFull(false));
     }
   }
 
-  private void saveVoteOrDefer(Effect.SaveVote vote) throws IOException {
-    if (hasDeferredSnapshot()) {
-      deferredEffects.add(vote);
-      return;
-    }
-    store.saveVote(vote.term(), vote.votedFor());
-    events.accept(new Event.VoteSynced(vote.sequence()));
+  private Effect nextEffect() {
+    Effect next = queue.poll();
+    return next instanceof Effect.AppendLog append ? queue.batchStartingWith(append) : next;
   }
 
-  private void write(Effect effect) throws IOException {
-    try {
-      if (effect instanceof Effect.AppendLog append) {
-        append(append);
-      } else if (effect instanceof Effect.SaveSnapshot snapshot) {
-        saveSnapshot(snapshot);
-      }
-    } catch (DiskFullException e) {
-      diskFull = true;
+  private void refused(Effect effect, IOException cause) {
+    queue.refused(effect);
+    nextRetryNanos = clock.nanoTime() + RETRY_INTERVAL.toNanos();
+    if (health.refused(nameOf(effect), cause)) {
       events.accept(new Event.DiskFull(true));
-      logger.atWarning().log("%s", LogEvent.named("disk-full").with("detail", e.getMessage()));
     }
   }
 
-  private void append(Effect.AppendLog first) throws IOException {
-    Effect.AppendLog batch = new Effect.AppendLog(first.epoch(), takeBatchStartingWith(first));
-    try {
-      store.append(batch.entries());
-    } catch (DiskFullException e) {
-      deferredEffects.add(batch);
-      throw e;
+  private static String nameOf(Effect effect) {
+    if (effect instanceof Effect.SaveVote) {
+      return "vote";
     }
-    long last = batch.entries().get(batch.entries().size() - 1).index();
-    events.accept(new Event.LogSynced(batch.epoch(), last));
+    return effect instanceof Effect.SaveSnapshot ? "snapshot" : "entries";
   }
 
-  private List<LogEntry> takeBatchStartingWith(Effect.AppendLog first) {
-    List<LogEntry> entries = new ArrayList<>(first.entries());
-    while (pendingEffects.peek() instanceof Effect.AppendLog next
-        && next.epoch() == first.epoch()) {
-      entries.addAll(next.entries());
-      pendingEffects.remove();
-    }
-    return entries;
-  }
-
-  private void saveSnapshot(Effect.SaveSnapshot snapshot) throws IOException {
-    try {
+  private void execute(Effect effect) throws IOException {
+    if (effect instanceof Effect.Send send) {
+      sender.accept(send.packet());
+    } else if (effect instanceof Effect.SaveVote vote) {
+      store.saveVote(vote.term(), vote.votedFor());
+      events.accept(new Event.VoteSynced(vote.sequence()));
+    } else if (effect instanceof Effect.AppendLog append) {
+      store.append(append.entries());
+      long last = append.entries().get(append.entries().size() - 1).index();
+      events.accept(new Event.LogSynced(append.epoch(), last));
+    } else if (effect instanceof Effect.SaveSnapshot snapshot) {
       store.saveSnapshot(snapshot.image(), snapshot.resetsLog());
-    } catch (DiskFullException e) {
-      if (snapshot.resetsLog()) {
-        deferredEffects.add(snapshot);
-      }
-      throw e;
+      events.accept(new Event.LogSynced(snapshot.epoch(), snapshot.image().index()));
+    } else {
+      throw new IllegalArgumentException("effect: expected a write or a packet, found " + effect);
     }
-    events.accept(new Event.LogSynced(snapshot.epoch(), snapshot.image().index()));
   }
 }
--- a/src/main/java/org/cuminrack/quorum/QuorumNode.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumNode.java
@@ -2,9 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,8 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.cuminrack.lifecycle.FailureHandler;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.quorum.internal.CoreView;
@@ -32,7 +30,9 @@
 
 /**
  * A replica of the log, with one thread for the protocol and the state machine and one for the
- * disk. After {@link #start()}, only the protocol thread calls the state machine.
+ * disk. After {@link #start()}, only the protocol thread calls the state machine. While the disk
+ * refuses writes, the replica neither votes nor acknowledges; it goes on once they are on the disk.
+ * Any other failure of one of the threads is passed to the failure handler.
  */
 public final class QuorumNode implements ManagedService, ReplicatedLog {
   /** The largest command, in bytes. */
@@ -46,18 +46,20 @@
   private final StateMachine stateMachine;
   private final Clock clock;
   private final RandomGenerator random;
-  private final Disk disk;
+  private final FailureHandler failureHandler;
+  private final DiskHealth diskHealth;
+  private final StoreOpener opener;
   private final PacketSender sender;
   private final RequestTable requests = new RequestTable();
   private final LinkedBlockingQueue<Event> eventQueue = new LinkedBlockingQueue<>();
   private final List<Event> localEvents = new ArrayList<>();
-  private LogStore store;
+  private volatile LogStore store;
   private DiskWorker diskWorker;
   private QuorumCore core;
   private ReplicaEvents events;
   private Thread thread;
   private EffectRunner effectRunner;
-  private volatile CoreView view;
+  private volatile CoreView view = CoreView.ofUnopenedReplica("");
   private volatile boolean stateIsCurrent;
   private volatile boolean stopping;
   private volatile String failure = "";
@@ -68,7 +70,14 @@
       WireClient client,
       Clock clock,
       RandomGenerator random) {
-    this(settings, stateMachine, client, clock, random, Disk.local());
+    this(
+        settings,
+        stateMachine,
+        client,
+        clock,
+        random,
+        Disk.local(),
+        FailureHandler.endingProcess());
   }
 
   QuorumNode(
@@ -77,55 +86,52 @@
       WireClient client,
       Clock clock,
       RandomGenerator random,
-      Disk disk) {
+      Disk disk,
+      FailureHandler failureHandler) {
     this.settings = settings;
     this.stateMachine = stateMachine;
     this.clock = clock;
     this.random = random;
-    this.disk = disk;
+    this.failureHandler = failureHandler;
+    this.diskHealth = new DiskHealth(settings.vmName(), clock);
+    this.opener = new StoreOpener(disk, settings, diskHealth);
     this.sender = new PacketSender(settings::addressOf, client);
   }
 
-  /** Recovers the state from disk and joins the group; throws if the data folder is unusable. */
+  /**
+   * Recovers the state from disk and joins the group. If the disk refuses, the replica does so once
+   * it accepts writes.
+   *
+   * @throws UncheckedIOException if the data folder is not a folder that this process may use
+   */
   @Override
   public void start() {
-    String vmName = settings.vmName();
-    store = openStore(vmName);
-    logCorruption();
-    MembershipPolicy policy =
-        new MembershipPolicy(
-            settings.founders().keySet(),
-            settings.joinPort() != 0,
-            settings.mayFormGroup(),
-            settings.tolerance(),
-            settings.dataCentre());
+    view = CoreView.ofUnopenedReplica(settings.vmName());
+    Optional<LogStore> opened = opener.tryOpen();
+    opened.ifPresent(this::startReplica);
+    thread = new Thread(() -> run(opened.isPresent()), "quorum-" + settings.vmName());
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void startReplica(LogStore opened) {
+    MembershipPolicy policy = settings.membershipPolicy();
+    store = opened;
     events = new ReplicaEvents(policy);
     core = new QuorumCore(store.recovered(), policy, settings.timing(), random, clock.nanoTime());
     view = core.view();
     events.started(view, store.recovered().entries().size());
-    diskWorker = new DiskWorker(vmName, store, eventQueue::add, sender::send, this::stopOnFailure);
+    diskWorker =
+        new DiskWorker(
+            settings.vmName(),
+            store,
+            diskHealth,
+            clock,
+            eventQueue::add,
+            sender::send,
+            this::stopOnFailure);
     effectRunner = new EffectRunner(stateMachine, sender, diskWorker, requests);
     diskWorker.start();
-    thread = new Thread(this::run, "quorum-" + vmName);
-    thread.setDaemon(true);
-    thread.start();
-  }
-
-  private LogStore openStore(String vmName) {
-    SecureRandom incarnations = new SecureRandom();
-    LongSupplier nextIncarnation = () -> incarnations.nextLong(1, Long.MAX_VALUE);
-    try {
-      return LogStore.open(disk, settings.dataFolder(), vmName, nextIncarnation);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private void logCorruption() {
-    Optional<String> corruption = store.corruption();
-    corruption.ifPresent(
-        detail ->
-            logger.atSevere().log("%s", LogEvent.named("disk-corrupted").with("detail", detail)));
   }
 
   @Override
@@ -136,13 +142,10 @@
     stopping = true;
     thread.interrupt();
     joinThread();
-    diskWorker.stop();
-    requests.failAll(new ProposalFailure.OutcomeUnknown("stopped"));
-    try {
-      store.close();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+    if (diskWorker != null) {
+      diskWorker.stop();
     }
+    requests.failAll(new ProposalFailure.OutcomeUnknown("stopped"));
     thread = null;
   }
 
@@ -156,12 +159,12 @@
 
   /**
    * Returns the wire handler for {@link Method#QUORUM_MESSAGE}. It drops packets while the event
-   * queue is full, since the protocol tolerates lost packets.
+   * queue is full or the data folder isn't open, since the protocol tolerates lost packets.
    */
   public WireHandler handler() {
     return payload -> {
       Packet packet = PacketCodec.decode(payload);
-      if (eventQueue.size() < MAX_QUEUED_EVENTS) {
+      if (store != null && eventQueue.size() < MAX_QUEUED_EVENTS) {
         eventQueue.add(new Event.Received(packet));
       }
       return CompletableFuture.completedFuture(EMPTY);
@@ -175,6 +178,9 @@
       throw new IllegalArgumentException(
           "command: expected up to " + MAX_COMMAND_BYTES + " bytes, found " + command.length);
     }
+    if (store == null) {
+      return notLeading();
+    }
     RequestTable.PendingRequest<AppliedProposal> request = requests.addProposal(timeout);
     eventQueue.add(new Event.Propose(request.id(), command));
     return request.future();
@@ -182,11 +188,18 @@
 
   @Override
   public CompletableFuture<Either<ProposalFailure, Long>> confirmLeadership(Duration timeout) {
+    if (store == null) {
+      return notLeading();
+    }
     RequestTable.PendingRequest<Long> request = requests.addRead(timeout);
     eventQueue.add(new Event.ConfirmLeadership(request.id()));
     return request.future();
   }
 
+  private static <T> CompletableFuture<Either<ProposalFailure, T>> notLeading() {
+    return CompletableFuture.completedFuture(Either.left(new ProposalFailure.NotLeader("")));
+  }
+
   @Override
   public boolean isLeader() {
     return isRunning() && view.established();
@@ -216,21 +229,31 @@
 
   /** Returns the replica's state for the diagnostic dump. */
   public QuorumStatus status() {
-    return StatusConverter.toStatus(view, store.corruption().orElse(""), failure);
+    LogStore opened = store;
+    String corruption = opened == null ? "" : opened.corruption().orElse("");
+    return StatusConverter.toStatus(view, corruption, failure, diskHealth.refusal());
+  }
+
+  /** Returns whether the replica's disk refuses writes. */
+  public DiskHealth diskHealth() {
+    return diskHealth;
   }
 
   PacketSender sender() {
     return sender;
   }
 
-  private void run() {
+  private void run(boolean isOpen) {
     try {
+      if (!isOpen) {
+        startReplica(opener.awaitOpen());
+      }
       while (!stopping) {
         step(nextEvents());
       }
     } catch (InterruptedException e) {
       logger.atFine().log("%s", LogEvent.named("quorum-stopped"));
-    } catch (RuntimeException e) {
+    } catch (Throwable e) {
       stopOnFailure(e);
     }
   }
@@ -265,9 +288,13 @@
   }
 
   private void stopOnFailure(Throwable cause) {
-    failure = cause.toString();
-    stopping = true;
-    logger.atSevere().withCause(cause).log("%s", LogEvent.named("replica-broken"));
-    requests.failAll(new ProposalFailure.OutcomeUnknown("replica broken: " + failure));
+    try {
+      failure = cause.toString();
+      stopping = true;
+      logger.atSevere().withCause(cause).log("%s", LogEvent.named("replica-broken"));
+      requests.failAll(new ProposalFailure.OutcomeUnknown("replica broken: " + failure));
+    } finally {
+      failureHandler.failed(Thread.currentThread().getName(), cause);
+    }
   }
 }
--- a/src/main/java/org/cuminrack/quorum/QuorumSettings.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import org.cuminrack.quorum.internal.MembershipPolicy;
 import org.cuminrack.quorum.internal.Timing;
 
 /**
@@ -97,6 +98,11 @@
     return Optional.of(vm + ":" + joinPort);
   }
 
+  MembershipPolicy membershipPolicy() {
+    return new MembershipPolicy(
+        founders.keySet(), joinPort != 0, mayFormGroup, tolerance, dataCentre);
+  }
+
   /**
    * Returns the protocol's heartbeat interval and election timeouts.
    *
--- a/src/main/java/org/cuminrack/quorum/QuorumStatus.java
+++ b/src/main/java/org/cuminrack/quorum/QuorumStatus.java
@@ -15,7 +15,10 @@
  * @param votersIndex the index of the entry that set the voters
  * @param learners on the leader, the VMs that have the log and do not vote
  * @param replacing whether voters are being added or replaced; until the new ones are committed
- * @param readOnly whether the disk is full
+ * @param readOnly whether the disk refuses writes
+ * @param diskRefusesSince when the disk began to refuse writes, in ISO 8601; empty if it accepts
+ *     them
+ * @param diskRefusal what the disk refused last, and its error; empty if it accepts writes
  * @param corruption the data that could not be read at startup; empty if none
  * @param broken the error that stopped the replica; empty while it runs
  */
@@ -36,5 +39,7 @@
     Set<String> learners,
     boolean replacing,
     boolean readOnly,
+    String diskRefusesSince,
+    String diskRefusal,
     String corruption,
     String broken) {}
--- a/src/main/java/org/cuminrack/quorum/StatusConverter.java
+++ b/src/main/java/org/cuminrack/quorum/StatusConverter.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.cuminrack.quorum.internal.CoreView;
 
@@ -10,7 +11,8 @@
 
   private StatusConverter() {}
 
-  static QuorumStatus toStatus(CoreView view, String corruption, String failure) {
+  static QuorumStatus toStatus(
+      CoreView view, String corruption, String failure, Optional<DiskRefusal> refusal) {
     return new QuorumStatus(
         view.self().toString(),
         view.role().name().toLowerCase(Locale.ROOT).replace('_', '-'),
@@ -27,7 +29,9 @@
         view.votersIndex(),
         view.learners(),
         view.voters() != null && !view.votersAreSettled(),
-        view.diskFull(),
+        view.diskFull() || refusal.isPresent(),
+        refusal.map(each -> each.since().toString()).orElse(""),
+        refusal.map(each -> each.write() + ": " + each.detail()).orElse(""),
         corruption,
         failure);
   }
--- a/src/main/java/org/cuminrack/quorum/internal/CoreView.java
+++ b/src/main/java/org/cuminrack/quorum/internal/CoreView.java
@@ -30,6 +30,27 @@
     Set<String> learners,
     Set<String> answeringVoters) {
 
+  /** Returns the view of a replica whose data folder could not be opened yet. */
+  public static CoreView ofUnopenedReplica(String vmName) {
+    return new CoreView(
+        new ReplicaId(vmName, 0),
+        Role.BLANK,
+        0,
+        "",
+        false,
+        0,
+        0,
+        0,
+        0,
+        0,
+        0,
+        true,
+        null,
+        0,
+        Set.of(),
+        Set.of());
+  }
+
   /** Returns whether the voters are committed and no change of them is under way. */
   public boolean votersAreSettled() {
     return !voters.isJoint() && votersIndex <= commitIndex;
--- a/src/main/java/org/cuminrack/storage/AtomicFile.java
+++ b/src/main/java/org/cuminrack/storage/AtomicFile.java
@@ -4,28 +4,39 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** Reads and atomically replaces files of a single frame. */
+/** Atomically replaces small files, and reads those of a single frame. */
 final class AtomicFile {
   static final String UNFINISHED_SUFFIX = ".unfinished";
 
   private AtomicFile() {}
 
-  static void write(Disk disk, Path file, byte[] frame) throws IOException {
+  /** Replaces a file; after a failure, the file is the old or the new one, and may be either. */
+  static void write(Disk disk, Path file, byte[] content) throws IOException {
     Path unfinished = file.resolveSibling(file.getFileName() + UNFINISHED_SUFFIX);
     try {
-      writeUnfinished(disk, unfinished, frame);
+      writeUnfinished(disk, unfinished, content);
     } catch (IOException e) {
-      Files.deleteIfExists(unfinished);
+      deleteIfExists(disk, unfinished, e);
       throw e;
     }
     disk.move(unfinished, file);
     disk.syncFolder(file.getParent());
   }
 
-  private static void writeUnfinished(Disk disk, Path file, byte[] frame) throws IOException {
+  private static void deleteIfExists(Disk disk, Path file, IOException cause) {
+    try {
+      if (Files.exists(file)) {
+        disk.delete(file);
+      }
+    } catch (IOException e) {
+      cause.addSuppressed(e);
+    }
+  }
+
+  private static void writeUnfinished(Disk disk, Path file, byte[] content) throws IOException {
     try (DiskFile openFile = disk.open(file)) {
       openFile.truncate(0);
-      openFile.write(0, frame);
+      openFile.write(0, content);
       openFile.sync();
     }
   }
--- a/src/main/java/org/cuminrack/storage/DamagedFiles.java
+++ b/src/main/java/org/cuminrack/storage/DamagedFiles.java
@@ -16,16 +16,17 @@
 
   private DamagedFiles() {}
 
-  static void moveAside(Path folder) throws IOException {
+  static void moveAside(Disk disk, Path folder) throws IOException {
     Path damaged = folder.resolve(FOLDER);
-    if (Files.exists(damaged)) {
-      deleteTree(damaged);
+    // Without the identity, an earlier attempt has been interrupted, and goes on with the same set.
+    if (Files.exists(damaged) && IdentityFile.exists(folder)) {
+      deleteTree(disk, damaged);
     }
-    Files.createDirectory(damaged);
+    disk.createFolders(damaged);
     for (Path file : filesOf(folder)) {
-      Files.move(file, damaged.resolve(file.getFileName()));
+      disk.move(file, damaged.resolve(file.getFileName()));
     }
-    Disk.local().syncFolder(folder);
+    disk.syncFolder(folder);
   }
 
   /**
@@ -46,10 +47,10 @@
     return !file.getFileName().toString().equals(IdentityFile.NAME);
   }
 
-  private static void deleteTree(Path folder) throws IOException {
+  private static void deleteTree(Disk disk, Path folder) throws IOException {
     try (Stream<Path> files = Files.walk(folder)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(file);
+        disk.delete(file);
       }
     }
   }
--- a/src/main/java/org/cuminrack/storage/Disk.java
+++ b/src/main/java/org/cuminrack/storage/Disk.java
@@ -12,8 +12,12 @@
   /** Atomically renames a file and replaces the target if it exists. */
   void move(Path from, Path to) throws IOException;
 
+  /** Deletes a file, or an empty folder. */
   void delete(Path file) throws IOException;
 
+  /** Creates a folder and its parents, unless they exist. */
+  void createFolders(Path folder) throws IOException;
+
   /** Makes earlier creations, renames and deletions of files in a folder durable. */
   void syncFolder(Path folder) throws IOException;
 
--- a/src/main/java/org/cuminrack/storage/DiskFile.java
+++ b/src/main/java/org/cuminrack/storage/DiskFile.java
@@ -12,12 +12,18 @@
   /** Returns the whole content. */
   byte[] readAll() throws IOException;
 
-  /** Writes all bytes at a position; throws if the disk is full, possibly after a partial write. */
+  /** Returns the first bytes, at most as many as given. */
+  byte[] readStart(int maxBytes) throws IOException;
+
+  /** Writes all bytes at a position; throws if the disk refuses, possibly after a partial write. */
   void write(long position, byte[] bytes) throws IOException;
 
   /** Truncates the file to a length in bytes. */
   void truncate(long size) throws IOException;
 
-  /** Makes all earlier writes durable. */
+  /**
+   * Makes all earlier writes durable. After a failure, it is unknown which of them are, and a later
+   * sync covers only what is written anew.
+   */
   void sync() throws IOException;
 }
--- a/src/main/java/org/cuminrack/storage/LocalDisk.java
+++ b/src/main/java/org/cuminrack/storage/LocalDisk.java
@@ -29,6 +29,11 @@
     Files.delete(file);
   }
 
+  @Override
+  public void createFolders(Path folder) throws IOException {
+    Files.createDirectories(folder);
+  }
+
   @Override
   public void syncFolder(Path folder) throws IOException {
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
@@ -45,7 +50,16 @@
 
     @Override
     public byte[] readAll() throws IOException {
-      ByteBuffer buffer = ByteBuffer.allocate(Math.toIntExact(channel.size()));
+      return read(Math.toIntExact(channel.size()));
+    }
+
+    @Override
+    public byte[] readStart(int maxBytes) throws IOException {
+      return read((int) Math.min(maxBytes, channel.size()));
+    }
+
+    private byte[] read(int bytes) throws IOException {
+      ByteBuffer buffer = ByteBuffer.allocate(bytes);
       while (buffer.hasRemaining() && channel.read(buffer, buffer.position()) >= 0) {}
       return buffer.array();
     }
--- a/src/main/java/org/cuminrack/storage/LogStore.java
+++ b/src/main/java/org/cuminrack/storage/LogStore.java
@@ -1,14 +1,14 @@
 package org.cuminrack.storage;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.cuminrack.generated.quorum.VoteStateRecord;
+import org.cuminrack.log.LogEvent;
 import org.cuminrack.quorum.internal.LogEntry;
 import org.cuminrack.quorum.internal.RecordCodec;
 import org.cuminrack.quorum.internal.RecoveredState;
@@ -17,10 +17,12 @@
 
 /**
  * The durable state of a replica, stored in one folder. Methods that write return after the data is
- * synced. If the stored data is corrupt, the files are moved aside and the replica starts on a
- * blank disk with a new incarnation. Not thread-safe.
+ * synced, and throw an {@link IOException} if the disk refuses. If the stored data is corrupt, the
+ * files are moved aside and the replica starts on a blank disk with a new incarnation. Not
+ * thread-safe.
  */
 public final class LogStore implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int PROBE_BYTES = 64 << 10;
   private static final String PROBE_NAME = "probe" + AtomicFile.UNFINISHED_SUFFIX;
 
@@ -47,12 +49,16 @@
    */
   public static LogStore open(Disk disk, Path folder, String vmName, LongSupplier incarnationSource)
       throws IOException {
-    Files.createDirectories(folder);
+    disk.createFolders(folder);
     LogStore store = new LogStore(disk, folder, FolderLock.acquire(folder));
     try {
       store.recover(vmName, incarnationSource);
     } catch (IOException | RuntimeException e) {
-      store.close();
+      try {
+        store.close();
+      } catch (IOException closeFailure) {
+        e.addSuppressed(closeFailure);
+      }
       throw e;
     }
     return store;
@@ -74,7 +80,7 @@
     } catch (CorruptionException | InvalidProtocolBufferException | IllegalArgumentException e) {
       corruption = e.getMessage();
       closeFiles();
-      DamagedFiles.moveAside(folder);
+      DamagedFiles.moveAside(disk, folder);
       recovered = createBlank(vmName, incarnationSource);
     }
   }
@@ -84,18 +90,20 @@
     if (IdentityFile.exists(folder)) {
       return read(vmName);
     }
-    boolean hasSegments = !NumberedFiles.list(folder, SegmentedLog.PREFIX).isEmpty();
-    if (hasSegments) {
+    boolean hasLog =
+        !NumberedFiles.list(folder, SegmentedLog.PREFIX).isEmpty()
+            || !NumberedFiles.list(folder, SnapshotFiles.PREFIX).isEmpty();
+    if (hasLog) {
       throw new CorruptionException(
-          folder.resolve(IdentityFile.NAME), 0, "missing, but the folder has log segments");
+          folder.resolve(IdentityFile.NAME), 0, "missing, but the folder has a log or a snapshot");
     }
     return createBlank(vmName, incarnationSource);
   }
 
   private RecoveredState createBlank(String vmName, LongSupplier incarnationSource)
       throws IOException {
-    openFiles();
-    voteFile.write(0, null);
+    openLogAndSnapshots();
+    voteFile = VoteFile.create(disk, folder, 0, null);
     ReplicaId self = new ReplicaId(vmName, incarnationSource.getAsLong());
     IdentityFile.write(disk, folder, self);
     return RecoveredState.blank(self);
@@ -107,56 +115,66 @@
       throw new IllegalStateException(
           "data folder " + folder + ": expected VM " + vmName + ", found " + self.vmName());
     }
-    openFiles();
+    openLogAndSnapshots();
+    voteFile = VoteFile.open(disk, folder);
     VoteStateRecord vote = voteFile.read();
     ReplicaId votedFor = vote.hasVotedFor() ? RecordCodec.fromRecord(vote.getVotedFor()) : null;
     SnapshotImage snapshot = snapshots.readNewest();
-    List<LogEntry> entries = log.recover();
+    List<LogEntry> entries = log.recover(snapshot == null ? 0 : snapshot.index());
     List<LogEntry> tail = LogTail.afterSnapshot(snapshot, entries, folder);
-    if (tail.isEmpty() && !entries.isEmpty()) {
-      // Entries appended later must not follow ones that the next start would discard with them.
-      log.clear();
+    RecoveredState state = new RecoveredState(self, vote.getTerm(), votedFor, snapshot, tail);
+    repeatUnconfirmedWrites(state);
+    return state;
+  }
+
+  /**
+   * Writes again what no later write shows to be durable: the process may have ended after a sync
+   * was refused, or before the log was cleared after a snapshot.
+   */
+  private void repeatUnconfirmedWrites(RecoveredState state) throws IOException {
+    if (state.snapshot() == null) {
+      voteFile.close();
+      voteFile = VoteFile.create(disk, folder, state.term(), state.votedFor());
+      IdentityFile.write(disk, folder, state.self());
+      return;
+    }
+    if (voteFile.copiesDiffer()) {
+      voteFile.write(state.term(), state.votedFor());
+    }
+    if (state.entries().isEmpty()) {
+      saveSnapshot(state.snapshot(), true);
     }
-    return new RecoveredState(self, vote.getTerm(), votedFor, snapshot, tail);
   }
 
-  private void openFiles() throws IOException {
-    voteFile = VoteFile.open(disk, folder);
+  private void openLogAndSnapshots() {
     log = new SegmentedLog(disk, folder);
     snapshots = new SnapshotFiles(disk, folder);
   }
 
-  /** Writes the term and the vote in it; also works on a full disk. */
+  /**
+   * Writes the term and the vote in it, in place, so that this also works on most full disks. A
+   * call that failed can be repeated, also with other values.
+   */
   public void saveVote(long term, ReplicaId votedFor) throws IOException {
     voteFile.write(term, votedFor);
   }
 
   /**
-   * Appends entries, replacing existing entries from the first index on.
-   *
-   * @throws DiskFullException if a write fails, whatever the cause
+   * Appends entries, replacing existing entries from the first index on. After a failure, the state
+   * is the one before, and the call can be repeated.
    */
   public void append(List<LogEntry> entries) throws IOException {
-    try {
-      log.write(entries);
-    } catch (IOException e) {
-      throw new DiskFullException(e);
-    }
-    log.sync();
+    log.append(entries);
   }
 
   /**
-   * Writes a snapshot and deletes files that it makes obsolete.
+   * Writes a snapshot and deletes files that it makes obsolete. A call that failed can be repeated;
+   * it must be if it resets the log, before anything else is written.
    *
    * @param resetsLog whether to delete all entries, including those after the snapshot
-   * @throws DiskFullException if writing the snapshot fails, whatever the cause
    */
   public void saveSnapshot(SnapshotImage image, boolean resetsLog) throws IOException {
-    try {
-      snapshots.write(image);
-    } catch (IOException e) {
-      throw new DiskFullException(e);
-    }
+    snapshots.write(image);
     if (resetsLog) {
       log.clear();
     } else {
@@ -164,26 +182,19 @@
     }
   }
 
-  /** Writes a probe file and returns whether that succeeded. */
-  public boolean hasFreeSpace() {
+  /** Writes and deletes a probe file; returns whether the disk accepted both. */
+  public boolean acceptsWrites() {
     Path probe = folder.resolve(PROBE_NAME);
     try {
       try (DiskFile file = disk.open(probe)) {
         file.write(0, new byte[PROBE_BYTES]);
+        file.sync();
       }
+      disk.delete(probe);
       return true;
     } catch (IOException e) {
+      logger.atFine().withCause(e).log("%s", LogEvent.named("disk-probe-refused"));
       return false;
-    } finally {
-      deleteIfExists(probe);
-    }
-  }
-
-  private static void deleteIfExists(Path file) {
-    try {
-      Files.deleteIfExists(file);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
     }
   }
 
--- a/src/main/java/org/cuminrack/storage/SegmentReader.java
+++ b/src/main/java/org/cuminrack/storage/SegmentReader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import org.cuminrack.generated.quorum.EntryBatchRecord;
 import org.cuminrack.quorum.internal.LogEntry;
@@ -11,12 +12,21 @@
 final class SegmentReader {
   private final Path path;
   private final boolean isLast;
+  private final long snapshotIndex;
   private int intactBytes;
+  private int lastFrameOffset;
+  private byte[] lastFrame = {};
   private long highestIndex;
 
-  SegmentReader(Path path, boolean isLast) {
+  /**
+   * Creates a reader.
+   *
+   * @param snapshotIndex the index up to which a snapshot replaces the entries
+   */
+  SegmentReader(Path path, boolean isLast, long snapshotIndex) {
     this.path = path;
     this.isLast = isLast;
+    this.snapshotIndex = snapshotIndex;
   }
 
   /** Returns the number of bytes from the start of the file that are intact frames. */
@@ -24,6 +34,15 @@
     return intactBytes;
   }
 
+  /** Returns the last intact frame; empty if there is none. */
+  byte[] lastFrame() {
+    return lastFrame;
+  }
+
+  long lastFrameOffset() {
+    return lastFrameOffset;
+  }
+
   long highestIndex() {
     return highestIndex;
   }
@@ -38,12 +57,16 @@
       Frame.Result result = Frame.read(bytes, intactBytes);
       if (!(result instanceof Frame.Result.Intact intact)) {
         checkIsTornTail(bytes, result);
-        return;
+        break;
       }
       EntryBatchRecord batch = EntryBatchRecord.parseFrom(intact.payload());
-      addAll(RecordCodec.fromRecords(batch.getEntriesList()), entries);
+      if (batch.getEntriesCount() > 0) {
+        addAll(RecordCodec.fromRecords(batch.getEntriesList()), entries);
+      }
+      lastFrameOffset = intactBytes;
       intactBytes = intact.end();
     }
+    lastFrame = Arrays.copyOfRange(bytes, lastFrameOffset, intactBytes);
   }
 
   private void checkIsTornTail(byte[] bytes, Frame.Result result) throws IOException {
@@ -59,13 +82,25 @@
       long begin = entries.get(0).index();
       long next = begin + entries.size();
       if (first > next) {
-        throw new CorruptionException(
-            path, intactBytes, "entry: expected index " + next + ", found " + first);
+        checkIsCovered(next, first);
+        entries.clear();
+      } else {
+        int keptCount = (int) Math.max(0, first - begin);
+        entries.subList(keptCount, entries.size()).clear();
       }
-      int keptCount = (int) Math.max(0, first - begin);
-      entries.subList(keptCount, entries.size()).clear();
     }
     entries.addAll(batch);
     highestIndex = Math.max(highestIndex, batch.get(batch.size() - 1).index());
   }
+
+  /**
+   * Accepts a gap between entries that the snapshot replaces: of the segments deleted after a
+   * snapshot, some may be there again after a loss of power.
+   */
+  private void checkIsCovered(long next, long first) throws IOException {
+    if (first > snapshotIndex + 1) {
+      throw new CorruptionException(
+          path, intactBytes, "entry: expected index " + next + ", found " + first);
+    }
+  }
 }
--- a/src/test/java/org/cuminrack/quorum/internal/Mutation.java
+++ b/src/test/java/org/cuminrack/quorum/internal/Mutation.java
@@ -9,6 +9,8 @@
   ACKNOWLEDGES_BEFORE_SYNC,
   /** Votes are sent before they are synced. */
   VOTES_BEFORE_SYNC,
+  /** A vote that the disk refused counts as synced. */
+  TRUSTS_A_REPEATED_SYNC,
   /** A reply confirms leadership for reads that were requested after its message was sent. */
   CONFIRMS_BY_OLD_MESSAGES
 }
--- a/src/test/java/org/cuminrack/storage/FillableDisk.java
+++ b/src/test/java/org/cuminrack/storage/FillableDisk.java
@@ -29,6 +29,11 @@
     local.delete(file);
   }
 
+  @Override
+  public void createFolders(Path folder) throws IOException {
+    local.createFolders(folder);
+  }
+
   @Override
   public void syncFolder(Path folder) throws IOException {
     local.syncFolder(folder);
@@ -51,6 +56,11 @@
       return file.readAll();
     }
 
+    @Override
+    public byte[] readStart(int maxBytes) throws IOException {
+      return file.readStart(maxBytes);
+    }
+
     @Override
     public void write(long position, byte[] bytes) throws IOException {
       boolean grows = position + bytes.length > file.size();
--- /dev/null
+++ b/src/test/java/org/cuminrack/storage/RefusedWriteTest.java
@@ -0,0 +1,179 @@
+package org.cuminrack.storage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cuminrack.quorum.internal.EntryKind;
+import org.cuminrack.quorum.internal.LogEntry;
+import org.cuminrack.quorum.internal.RecoveredState;
+import org.cuminrack.quorum.internal.ReplicaId;
+import org.cuminrack.quorum.internal.SnapshotImage;
+import org.cuminrack.quorum.internal.VoterSet;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * A disk refuses each operation of a replica's life in turn. What was acknowledged must be there
+ * after a loss of power, whether the process went on or was restarted after the refusal.
+ */
+class RefusedWriteTest {
+  private static final VoterSet VOTERS = VoterSet.of(Map.of("a", 1L));
+  private static final ReplicaId OTHER = new ReplicaId("b", 7);
+  private static final int MORE_THAN_A_SEGMENT_BYTES = 9 << 20;
+
+  @TempDir Path folder;
+
+  /** A write that may be repeated until the disk accepts it. */
+  private interface Step {
+    void run(LogStore store) throws IOException;
+  }
+
+  private static final List<Step> LIFE =
+      List.of(
+          store -> store.saveSnapshot(snapshot(0, 0), true),
+          store -> store.saveVote(1, OTHER),
+          store -> store.append(List.of(entry(1, 1, 10), entry(2, 1, 10))),
+          store -> store.append(List.of(entry(3, 1, MORE_THAN_A_SEGMENT_BYTES))),
+          store -> store.append(List.of(entry(4, 1, 10))),
+          store -> store.saveVote(2, null),
+          store -> store.append(List.of(entry(4, 2, 5), entry(5, 2, 700))),
+          store -> store.saveSnapshot(snapshot(3, 1), false),
+          store -> store.append(List.of(entry(6, 2, 10))),
+          store -> store.saveVote(4, OTHER),
+          store -> store.saveSnapshot(snapshot(5, 4), true),
+          store -> store.append(List.of(entry(6, 4, 10))),
+          store -> store.saveVote(5, null),
+          store -> store.append(List.of(entry(7, 5, 10))));
+
+  @ParameterizedTest
+  @CsvSource({"1, false", "1, true", "3, false", "3, true"})
+  void shouldKeepAllThatWasAcknowledgedWhicheverOperationIsRefused(int times, boolean restarts)
+      throws IOException {
+    int refusedAt = 0;
+    boolean wasRefused = true;
+    while (wasRefused) {
+      wasRefused = live(folder.resolve(refusedAt + ""), refusedAt, times, restarts, LIFE.size());
+      refusedAt++;
+    }
+    assertThat(refusedAt).isGreaterThan(60);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"false", "true"})
+  void shouldKeepWhatWasAcknowledgedAtAnyPointAfterARefusal(boolean restarts) throws IOException {
+    for (int steps = 1; steps < LIFE.size(); steps++) {
+      int refusedAt = 0;
+      boolean wasRefused = true;
+      while (wasRefused) {
+        Path lifeFolder = folder.resolve(steps + "-" + refusedAt);
+        wasRefused = live(lifeFolder, refusedAt, 1, restarts, steps);
+        refusedAt += 1 + steps % 3;
+      }
+    }
+  }
+
+  /**
+   * Runs the first steps of a life and checks what is left; returns whether anything was refused.
+   */
+  private static boolean live(Path folder, int refusedAt, int times, boolean restarts, int steps)
+      throws IOException {
+    FaultyDisk disk = new FaultyDisk();
+    AtomicInteger operations = new AtomicInteger();
+    disk.refuse(
+        (operation, path) -> {
+          int number = operations.getAndIncrement();
+          return number >= refusedAt && number < refusedAt + times;
+        });
+    AtomicLong incarnations = new AtomicLong();
+    LogStore store = openUntilAccepted(disk, folder, incarnations);
+    ReplicaId self = store.recovered().self();
+    for (Step step : LIFE.subList(0, steps)) {
+      boolean done = false;
+      while (!done) {
+        try {
+          step.run(store);
+          done = true;
+        } catch (IOException e) {
+          if (restarts) {
+            store.close();
+            store = openUntilAccepted(disk, folder, incarnations);
+          }
+        }
+      }
+    }
+    store.close();
+    disk.losePower(new Random(refusedAt));
+    store = openUntilAccepted(disk, folder, incarnations);
+    RecoveredState recovered = store.recovered();
+    String where = "refused at " + refusedAt + ", after " + steps + " steps";
+    assertWithMessage(where).that(store.corruption().orElse("")).isEmpty();
+    assertWithMessage(where).that(recovered.self()).isEqualTo(self);
+    assertWithMessage(where).that(describe(recovered)).isEqualTo(expectedAfter(steps));
+    store.close();
+    delete(folder);
+    return disk.refusedCount() > 0;
+  }
+
+  private static LogStore openUntilAccepted(FaultyDisk disk, Path folder, AtomicLong incarnations) {
+    while (true) {
+      try {
+        return LogStore.open(disk, folder, "a", incarnations::incrementAndGet);
+      } catch (IOException e) {
+        assertThat(e).hasMessageThat().startsWith("refused");
+      }
+    }
+  }
+
+  private static String expectedAfter(int steps) {
+    List<String> states =
+        List.of(
+            "term 0, snapshot 0, entries []",
+            "term 1, snapshot 0, entries []",
+            "term 1, snapshot 0, entries [1, 1]",
+            "term 1, snapshot 0, entries [1, 1, 1]",
+            "term 1, snapshot 0, entries [1, 1, 1, 1]",
+            "term 2, snapshot 0, entries [1, 1, 1, 1]",
+            "term 2, snapshot 0, entries [1, 1, 1, 2, 2]",
+            "term 2, snapshot 3, entries [2, 2]",
+            "term 2, snapshot 3, entries [2, 2, 2]",
+            "term 4, snapshot 3, entries [2, 2, 2]",
+            "term 4, snapshot 5, entries []",
+            "term 4, snapshot 5, entries [4]",
+            "term 5, snapshot 5, entries [4]",
+            "term 5, snapshot 5, entries [4, 5]");
+    return states.get(steps - 1);
+  }
+
+  private static String describe(RecoveredState state) {
+    long snapshotIndex = state.snapshot() == null ? -1 : state.snapshot().index();
+    List<Long> terms = new ArrayList<>();
+    state.entries().forEach(entry -> terms.add(entry.term()));
+    return "term " + state.term() + ", snapshot " + snapshotIndex + ", entries " + terms;
+  }
+
+  private static void delete(Path folder) throws IOException {
+    try (var files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+
+  private static SnapshotImage snapshot(long index, long term) {
+    return new SnapshotImage(index, term, 1, VOTERS, new byte[] {1});
+  }
+
+  private static LogEntry entry(long index, long term, int bytes) {
+    return new LogEntry(index, term, EntryKind.COMMAND, new byte[bytes]);
+  }
+}
