End a process that goes on without one of its threads

Cause: the services' executors swallow what a periodic task throws and cancel its schedule; the tasks catch exceptions, but no errors. Netty logs an error that ends an event loop and goes on with the others. A record that can't be formatted ended the log's thread. A gateway's polling of a control VM is a chain of calls, and ended at the first exception in one of them. An OutOfMemoryError ends whichever thread it hits.

Change: ServiceThreads.scheduler makes the executors of control, entries and gateways; an error, or the end of a periodic task, ends the process. EventLoops does so for Netty's threads, and the default handler of uncaught exceptions for all others (XNIO's, the main thread).

Evidence: with the code before, FleetWatcherTest.shouldGoOnPollingAfterACallFailedInThisProcess ("the gateway did not call again") and BoundedHandlerTest.shouldGoOnAfterARecordThatCannotBeFormatted (no line was written any more) failed.

--- a/src/main/java/org/cuminrack/cli/ServeCommand.java
+++ b/src/main/java/org/cuminrack/cli/ServeCommand.java
@@ -7,6 +7,7 @@
 import java.util.logging.Level;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.cuminrack.lifecycle.FailureHandler;
 import org.cuminrack.lifecycle.ManagedService;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.log.Logging;
@@ -37,6 +38,8 @@
       return ExitCode.USAGE;
     }
     Logging.configureForService(Level.INFO);
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, e) -> FailureHandler.endingProcess().failed(thread.getName(), e));
     if (process.get() instanceof Reloadable reloadable) {
       ReloadSignal.onSighup(() -> reloadable.reload(settings));
     }
--- a/src/main/java/org/cuminrack/control/ControlService.java
+++ b/src/main/java/org/cuminrack/control/ControlService.java
@@ -7,11 +7,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.lifecycle.ServiceThreads;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.quorum.ReplicatedLog;
 import org.cuminrack.time.Clock;
@@ -79,13 +79,7 @@
 
   @Override
   public synchronized void start() {
-    worker =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "control-service");
-              thread.setDaemon(true);
-              return thread;
-            });
+    worker = ServiceThreads.scheduler("control-service");
     worker.scheduleWithFixedDelay(
         this::tickOrLog, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/org/cuminrack/control/RolloutLeader.java
+++ b/src/main/java/org/cuminrack/control/RolloutLeader.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -15,6 +14,7 @@
 import org.cuminrack.generated.rollout.RolloutFigures;
 import org.cuminrack.generated.rollout.RolloutReport;
 import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.lifecycle.ServiceThreads;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.quorum.ReplicatedLog;
 import org.cuminrack.rollout.RolloutStep;
@@ -64,13 +64,7 @@
 
   @Override
   public synchronized void start() {
-    worker =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "rollout-leader");
-              thread.setDaemon(true);
-              return thread;
-            });
+    worker = ServiceThreads.scheduler("rollout-leader");
     worker.scheduleWithFixedDelay(
         this::tickLoggingFailures, INTERVAL.toMillis(), INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/org/cuminrack/fleet/ExecutorTimer.java
+++ b/src/main/java/org/cuminrack/fleet/ExecutorTimer.java
@@ -1,10 +1,10 @@
 package org.cuminrack.fleet;
 
 import java.time.Duration;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.cuminrack.lifecycle.ServiceThreads;
 
 /** A timer with one thread. Thread-safe. */
 final class ExecutorTimer implements Timer {
@@ -12,13 +12,7 @@
 
   @Override
   public synchronized void start() {
-    worker =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "fleet-control");
-              thread.setDaemon(true);
-              return thread;
-            });
+    worker = ServiceThreads.scheduler("fleet-control");
   }
 
   @Override
--- a/src/main/java/org/cuminrack/fleet/FleetWatcher.java
+++ b/src/main/java/org/cuminrack/fleet/FleetWatcher.java
@@ -149,10 +149,27 @@
     }
   }
 
+  /** Calls a control VM; a call or an answer that fails here must not end the polling of it. */
   private void call(ControlPoll poll, boolean repeat) {
     if (stopped) {
       return;
     }
+    try {
+      send(poll, repeat);
+    } catch (RuntimeException e) {
+      logFailure(poll, e);
+      if (repeat) {
+        delayedExecutor.execute(() -> call(poll, true));
+      }
+    }
+  }
+
+  private static void logFailure(ControlPoll poll, RuntimeException cause) {
+    logger.atSevere().withCause(cause).log(
+        "%s", LogEvent.named("control-watch-failed").with("control", poll.address));
+  }
+
+  private void send(ControlPoll poll, boolean repeat) {
     WatchCall.Builder call =
         WatchCall.newBuilder()
             .setGateway(FleetCodec.data(self.get()))
@@ -166,7 +183,7 @@
         .call(poll.address, call.build())
         .whenComplete(
             (outcome, failure) -> {
-              boolean succeeded = failure == null && handleOutcome(poll, outcome, calledNanos);
+              boolean succeeded = failure == null && handleOutcomeOrLog(poll, outcome, calledNanos);
               if (repeat) {
                 continuePolling(poll, succeeded);
               }
@@ -192,6 +209,16 @@
     return seeds.contains(poll.address) || voters.addresses().contains(poll.address);
   }
 
+  private boolean handleOutcomeOrLog(
+      ControlPoll poll, Either<WireFailure, byte[]> outcome, long calledNanos) {
+    try {
+      return handleOutcome(poll, outcome, calledNanos);
+    } catch (RuntimeException e) {
+      logFailure(poll, e);
+      return false;
+    }
+  }
+
   private boolean handleOutcome(
       ControlPoll poll, Either<WireFailure, byte[]> outcome, long calledNanos) {
     if (outcome.isLeft()) {
--- a/src/main/java/org/cuminrack/gateway/RolloutReports.java
+++ b/src/main/java/org/cuminrack/gateway/RolloutReports.java
@@ -4,12 +4,12 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cuminrack.generated.rollout.RolloutFigures;
 import org.cuminrack.generated.rollout.RolloutReport;
 import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.lifecycle.ServiceThreads;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.member.ControlCalls;
 import org.cuminrack.wire.Method;
@@ -38,13 +38,7 @@
 
   @Override
   public synchronized void start() {
-    worker =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "rollout-reports");
-              thread.setDaemon(true);
-              return thread;
-            });
+    worker = ServiceThreads.scheduler("rollout-reports");
     worker.scheduleWithFixedDelay(
         this::reportLoggingFailures,
         INTERVAL.toMillis(),
--- a/src/main/java/org/cuminrack/log/BoundedHandler.java
+++ b/src/main/java/org/cuminrack/log/BoundedHandler.java
@@ -60,7 +60,7 @@
       while (true) {
         batch.add(queue.take());
         queue.drainTo(batch);
-        writeBatch(batch);
+        writeBatchOrReport(batch);
         recordWritten(batch.size());
         batch.clear();
       }
@@ -69,6 +69,16 @@
     }
   }
 
+  /** Writes a batch; a record that can't be formatted must not end this thread. */
+  private void writeBatchOrReport(List<LogRecord> batch) {
+    try {
+      writeBatch(batch);
+    } catch (RuntimeException e) {
+      out.println(LogEvent.named("log-lines-failed").with("lines", batch.size()).with("detail", e));
+      out.flush();
+    }
+  }
+
   private void writeBatch(List<LogRecord> batch) {
     StringBuilder text = new StringBuilder();
     batch.forEach(logRecord -> text.append(getFormatter().format(logRecord)));
--- a/src/main/java/org/cuminrack/member/MembershipThread.java
+++ b/src/main/java/org/cuminrack/member/MembershipThread.java
@@ -2,10 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.cuminrack.lifecycle.ServiceThreads;
 import org.cuminrack.log.LogEvent;
 
 /** The single thread of a membership. Before it is started, tasks run on the caller's thread. */
@@ -16,13 +16,7 @@
   private volatile ScheduledExecutorService executor;
 
   void start(Runnable tick) {
-    executor =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "membership");
-              thread.setDaemon(true);
-              return thread;
-            });
+    executor = ServiceThreads.scheduler("membership");
     executor.scheduleWithFixedDelay(
         () -> runOrLog(tick), 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/org/cuminrack/pool/AdmissionService.java
+++ b/src/main/java/org/cuminrack/pool/AdmissionService.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -15,6 +14,7 @@
 import org.cuminrack.admission.Ticket;
 import org.cuminrack.admission.TicketOutcome;
 import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.lifecycle.ServiceThreads;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.member.Membership;
 import org.cuminrack.time.Clock;
@@ -72,7 +72,7 @@
   @Override
   public void start() {
     subscribeToMembership();
-    ticker = Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "admission"));
+    ticker = ServiceThreads.scheduler("admission");
     schedule(TICK_INTERVAL_MILLIS, this::tick);
     schedule(POLL_INTERVAL_MILLIS, this::poll);
   }
--- a/src/main/java/org/cuminrack/sharing/BoardSharing.java
+++ b/src/main/java/org/cuminrack/sharing/BoardSharing.java
@@ -26,6 +26,7 @@
 import org.cuminrack.generated.board.BoardAnswer;
 import org.cuminrack.generated.board.BoardCall;
 import org.cuminrack.lifecycle.ManagedService;
+import org.cuminrack.lifecycle.ServiceThreads;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.time.Clock;
 import org.cuminrack.wire.Method;
@@ -121,14 +122,7 @@
 
   @Override
   public void start() {
-    worker =
-        new ScheduledThreadPoolExecutor(
-            1,
-            task -> {
-              Thread thread = new Thread(task, "board-sharing");
-              thread.setDaemon(true);
-              return thread;
-            });
+    worker = ServiceThreads.scheduler("board-sharing");
     BoardPreload.run(clock);
     tables.loads().onOwnChange(this::ownLoadChanged);
     worker.scheduleWithFixedDelay(
--- a/src/main/java/org/cuminrack/wire/WireClient.java
+++ b/src/main/java/org/cuminrack/wire/WireClient.java
@@ -3,8 +3,6 @@
 import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -22,12 +20,10 @@
  * silent, its calls fail immediately, and the next call reconnects.
  */
 public final class WireClient implements ManagedService {
-  private static final int THREADS = 2;
-
   private final WireGroup group;
   private final AtomicLong lastCallId = new AtomicLong();
   private final Map<String, WireConnection> connections = new ConcurrentHashMap<>();
-  private volatile MultiThreadIoEventLoopGroup loops;
+  private final EventLoops loops = new EventLoops("wire-client");
   private Bootstrap bootstrap;
 
   public WireClient(WireGroup group) {
@@ -36,8 +32,8 @@
 
   @Override
   public void start() {
-    loops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
-    bootstrap = new Bootstrap().group(loops).channel(NioSocketChannel.class);
+    loops.start();
+    bootstrap = new Bootstrap().group(loops.group()).channel(NioSocketChannel.class);
     bootstrap.option(ChannelOption.TCP_NODELAY, true);
     bootstrap.option(
         ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) WireLimits.CONNECT_TIMEOUT.toMillis());
@@ -51,7 +47,7 @@
    */
   public CompletableFuture<Either<WireFailure, byte[]>> call(
       String address, Method method, byte[] payload, Duration timeout) {
-    if (loops == null) {
+    if (loops.group() == null) {
       return CompletableFuture.completedFuture(
           Either.left(new WireFailure.Unreachable(address, "the client is not running")));
     }
@@ -92,11 +88,6 @@
 
   @Override
   public void stop() {
-    if (loops == null) {
-      return;
-    }
-    MultiThreadIoEventLoopGroup stopping = loops;
-    loops = null;
-    stopping.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    loops.stop();
   }
 }
--- a/src/main/java/org/cuminrack/wire/WireServer.java
+++ b/src/main/java/org/cuminrack/wire/WireServer.java
@@ -5,24 +5,19 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import org.cuminrack.lifecycle.ManagedService;
 
 /** Listens for calls from other cuminrack processes and dispatches them to the method's handler. */
 public final class WireServer implements ManagedService {
-  private static final int THREADS = 2;
-
   private final InetSocketAddress address;
   private final WireGroup group;
   private final Map<Integer, WireHandler> handlers = new ConcurrentHashMap<>();
-  private MultiThreadIoEventLoopGroup loops;
+  private final EventLoops loops = new EventLoops("wire-server");
   private Channel listener;
 
   public WireServer(InetSocketAddress address, WireGroup group) {
@@ -38,9 +33,9 @@
 
   @Override
   public void start() {
-    loops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    loops.start();
     ServerBootstrap bootstrap = new ServerBootstrap();
-    bootstrap.group(loops).channel(NioServerSocketChannel.class);
+    bootstrap.group(loops.group()).channel(NioServerSocketChannel.class);
     bootstrap.option(ChannelOption.SO_REUSEADDR, true);
     bootstrap.childOption(ChannelOption.TCP_NODELAY, true);
     bootstrap.childHandler(
@@ -54,7 +49,7 @@
         });
     ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
     if (!bound.isSuccess()) {
-      stopLoops();
+      loops.stop();
       throw new IllegalStateException(
           "wire_address: "
               + address.getHostString()
@@ -73,15 +68,10 @@
 
   @Override
   public void stop() {
-    if (loops == null) {
+    if (loops.group() == null) {
       return;
     }
     listener.close().syncUninterruptibly();
-    stopLoops();
-  }
-
-  private void stopLoops() {
-    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-    loops = null;
+    loops.stop();
   }
 }
--- a/src/test/java/org/cuminrack/fleet/FleetWatcherTest.java
+++ b/src/test/java/org/cuminrack/fleet/FleetWatcherTest.java
@@ -4,6 +4,8 @@
 
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cuminrack.generated.fleet.WatchAnswer;
@@ -152,14 +154,35 @@
     assertThat(view.gateways()).containsExactly(SELF, other);
   }
 
+  /** A polling that ends unnoticed would leave the gateway with old routes and upstreams. */
+  @Test
+  void shouldGoOnPollingAfterACallFailedInThisProcess() throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    watch(
+        () -> {
+          if (calls.incrementAndGet() == 2) {
+            throw new IllegalStateException("test");
+          }
+          return SELF;
+        },
+        a);
+
+    a.answer(FakeControlVm.current(7, a).build());
+
+    assertThat(calls.get()).isAtLeast(3);
+  }
+
   private WatchAnswer leading(FakeControlVm learner) {
     return FakeControlVm.current(7, a, b, c).addOtherControlAddresses(learner.address()).build();
   }
 
   private void watch(FakeControlVm... seeds) {
+    watch(() -> SELF, seeds);
+  }
+
+  private void watch(Supplier<GatewayRecord> self, FakeControlVm... seeds) {
     watcher =
-        new FleetWatcher(
-            view, wire, addressesOf(seeds), () -> SELF, () -> GatewayLoad.UNKNOWN, clock);
+        new FleetWatcher(view, wire, addressesOf(seeds), self, () -> GatewayLoad.UNKNOWN, clock);
     watcher.start();
   }
 
--- a/src/test/java/org/cuminrack/log/BoundedHandlerTest.java
+++ b/src/test/java/org/cuminrack/log/BoundedHandlerTest.java
@@ -24,6 +24,31 @@
     assertThat(out.toString(StandardCharsets.UTF_8)).contains("event=one");
   }
 
+  @Test
+  void shouldGoOnAfterARecordThatCannotBeFormatted() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    BoundedHandler handler = new BoundedHandler(new PrintStream(out, true));
+    LogRecord broken = record("event=broken");
+    broken.setThrown(
+        new RuntimeException() {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          public String getMessage() {
+            throw new IllegalStateException("not printable");
+          }
+        });
+
+    handler.publish(broken);
+    handler.publish(record("event=next"));
+    handler.flush();
+    handler.publish(record("event=last"));
+    handler.flush();
+
+    assertThat(out.toString(StandardCharsets.UTF_8)).contains("event=log-lines-failed");
+    assertThat(out.toString(StandardCharsets.UTF_8)).contains("event=last");
+  }
+
   @Test
   void shouldDropAndCountRecordsWhileTheOutputIsStalled() throws InterruptedException {
     StalledOutput out = new StalledOutput();
