Say in the status and the metrics which disk refuses writes, and since when

What operators saw: read_only in the dump of the VM itself. status asks the leader, and there may be none because disks refuse.

Change: status lists the disk of each control VM, asked directly (method 29 on the wire, DISK_STATE): accepts-writes, or refuses-writes with since, write and detail; also in the 503 without a leader. Metrics: cuminrack_quorum_disk_refused_seconds and cuminrack_quorum_disk_refused_writes_total. A VM of the version before answers with an error and is listed as unknown.

--- a/src/main/java/org/cuminrack/control/OperatorApi.java
+++ b/src/main/java/org/cuminrack/control/OperatorApi.java
@@ -11,7 +11,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -38,11 +37,14 @@
   private static final int BAD_REQUEST = 400;
   private static final int UNAVAILABLE = 503;
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration ATTEMPT_TIMEOUT = Duration.ofSeconds(1);
 
   private final ControlCalls calls;
+  private final DiskStates disks;
 
-  public OperatorApi(ControlCalls calls) {
+  public OperatorApi(ControlCalls calls, DiskStates disks) {
     this.calls = calls;
+    this.disks = disks;
   }
 
   /** Returns the handler of the operators' paths under {@code /v1}. */
@@ -110,8 +112,39 @@
         exchange, revision.get(), wait, reply -> OperatorResponses.inForce(revision.get(), reply));
   }
 
+  /** Responds with the leader's view and the disks; without a leader, with the disks alone. */
   private void status(HttpServerExchange exchange) {
-    sendInForce(exchange, 0, 0, OperatorResponses::status);
+    byte[] request = InForceRequest.getDefaultInstance().toByteArray();
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () ->
+            calls
+                .call(Method.IN_FORCE, request, TIMEOUT, ATTEMPT_TIMEOUT)
+                .thenCombine(disks.gather(), StatusParts::new)
+                .whenComplete((parts, failure) -> respondWithStatus(exchange, parts, failure)));
+  }
+
+  private record StatusParts(Either<ControlFailure, byte[]> leader, Map<String, Object> disks) {}
+
+  private static void respondWithStatus(
+      HttpServerExchange exchange, StatusParts parts, Throwable failure) {
+    if (failure != null) {
+      respondWithFailure(exchange, new ControlFailure.Unknown(failure.toString()));
+    } else if (parts.leader().isLeft()) {
+      Map<String, Object> body = OperatorResponses.unanswered(parts.leader().getLeft());
+      body.put("disks", parts.disks());
+      respond(exchange, UNAVAILABLE, body);
+    } else {
+      handleReply(
+          exchange,
+          InForceReply.parser(),
+          parts.leader().get(),
+          reply -> {
+            Map<String, Object> body = OperatorResponses.status(reply);
+            body.put("disks", parts.disks());
+            respond(exchange, OK, body);
+          });
+    }
   }
 
   private void sendInForce(
@@ -122,7 +155,7 @@
     InForceRequest request =
         InForceRequest.newBuilder().setRevision(revision).setWaitMillis((int) waitMillis).build();
     Duration timeout = TIMEOUT.plusMillis(waitMillis);
-    Duration attemptTimeout = Duration.ofSeconds(1).plusMillis(waitMillis);
+    Duration attemptTimeout = ATTEMPT_TIMEOUT.plusMillis(waitMillis);
     respondAfter(
         exchange,
         calls.call(Method.IN_FORCE, request.toByteArray(), timeout, attemptTimeout),
@@ -167,11 +200,7 @@
       respond(exchange, BAD_REQUEST, OperatorResponses.invalid(failure.detail()));
       return;
     }
-    String verdict = failure instanceof ControlFailure.Unknown ? "unknown" : "unavailable";
-    Map<String, Object> body = new LinkedHashMap<>();
-    body.put("verdict", verdict);
-    body.put("detail", failure.detail());
-    respond(exchange, UNAVAILABLE, body);
+    respond(exchange, UNAVAILABLE, OperatorResponses.unanswered(failure));
   }
 
   private static void respond(HttpServerExchange exchange, int status, Object body) {
--- a/src/main/java/org/cuminrack/control/OperatorResponses.java
+++ b/src/main/java/org/cuminrack/control/OperatorResponses.java
@@ -11,6 +11,7 @@
 import org.cuminrack.generated.control.MemberStatus;
 import org.cuminrack.generated.control.Verdict;
 import org.cuminrack.generated.rollout.RolloutData;
+import org.cuminrack.member.ControlFailure;
 import org.cuminrack.rollout.VersionRollout;
 
 /** Builds the JSON responses of the operator API, with fields in a fixed order. */
@@ -27,6 +28,14 @@
     return body;
   }
 
+  /** Returns the response if the leader could not be asked, or its answer did not arrive. */
+  static Map<String, Object> unanswered(ControlFailure failure) {
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put(VERDICT, failure instanceof ControlFailure.Unknown ? "unknown" : "unavailable");
+    body.put("detail", failure.detail());
+    return body;
+  }
+
   static Map<String, Object> of(ChangeVerdict verdict) {
     Map<String, Object> body = new LinkedHashMap<>();
     body.put(VERDICT, verdict.getVerdict().name().toLowerCase(Locale.ROOT).replace('_', '-'));
--- a/src/main/java/org/cuminrack/process/ControlProcess.java
+++ b/src/main/java/org/cuminrack/process/ControlProcess.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import org.cuminrack.control.ControlService;
 import org.cuminrack.control.ControlState;
+import org.cuminrack.control.DiskStates;
 import org.cuminrack.control.LeaseSettings;
 import org.cuminrack.control.OperatorApi;
 import org.cuminrack.control.RolloutCodec;
@@ -30,6 +31,7 @@
 import org.cuminrack.metrics.Metrics;
 import org.cuminrack.platform.ControlEndpoints;
 import org.cuminrack.platform.DirectoryEndpoint;
+import org.cuminrack.quorum.DiskHealth;
 import org.cuminrack.quorum.QuorumNode;
 import org.cuminrack.quorum.QuorumSettings;
 import org.cuminrack.quorum.QuorumStatus;
@@ -48,6 +50,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int SNAPSHOT_INTERVAL_ENTRIES = 10_000;
   private static final long MAX_BODY_BYTES = 4L << 20;
+  private static final double NANOS_PER_SECOND = 1e9;
 
   private final ControlSettings settings;
   private final ServiceStack services = new ServiceStack();
@@ -83,8 +86,11 @@
             .fleet()
             .map(fleet -> addFleet(fleet, log, state, leaderClient, wire, server, dump, clock))
             .orElse(List.of());
+    DiskStates disks = new DiskStates(wire, () -> addressByVm(log), log.diskHealth()::refusal);
+    disks.register(server);
     ProcessApi api =
-        new ProcessApi(dump, metrics(metrics, log, state), new OperatorApi(leaderClient).handler());
+        new ProcessApi(
+            dump, metrics(metrics, log, state), new OperatorApi(leaderClient, disks).handler());
     // The wire server starts before the HTTP servers: after an outage of all control VMs, no
     // request
     // can be served until the quorum has elected a leader over the wire.
@@ -255,6 +261,12 @@
         .gauge("cuminrack.quorum.leads", log, node -> node.isLeader() ? 1 : 0)
         .gauge("cuminrack.quorum.term", log, QuorumNode::term)
         .gauge("cuminrack.quorum.commit.index", log, node -> node.status().commitIndex())
+        .gauge(
+            "cuminrack.quorum.disk.refused.seconds",
+            log.diskHealth(),
+            disk -> disk.refusedTime().toNanos() / NANOS_PER_SECOND)
+        .counter(
+            "cuminrack.quorum.disk.refused.writes", log.diskHealth(), DiskHealth::refusedWrites)
         .gauge("cuminrack.control.revision", state, ControlState::revision)
         .gauge("cuminrack.control.members", state, controlState -> controlState.members().size())
         .gauge("cuminrack.control.rollouts.running", state, ControlProcess::runningRollouts)
--- a/src/main/java/org/cuminrack/wire/Method.java
+++ b/src/main/java/org/cuminrack/wire/Method.java
@@ -34,6 +34,8 @@
   KNOWN_RENEWALS(27),
   /** Records that an upstream drains or has left (control.proto). */
   RECORD_DEPARTURE(28),
+  /** Returns whether the disk of a control VM accepts writes (control.proto). */
+  DISK_STATE(29),
   /** Requests an admission ticket from a pool's owner (pool.proto). */
   ADMIT(30),
   /** Returns a ticket with its outcome (pool.proto). */
--- a/src/test/java/org/cuminrack/control/OperatorApiTest.java
+++ b/src/test/java/org/cuminrack/control/OperatorApiTest.java
@@ -7,11 +7,18 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
 import org.cuminrack.http.HttpCall;
 import org.cuminrack.http.HttpClient;
 import org.cuminrack.http.HttpResponse;
 import org.cuminrack.http.HttpServer;
 import org.cuminrack.http.Json;
+import org.cuminrack.quorum.DiskRefusal;
+import org.cuminrack.wire.WireClient;
+import org.cuminrack.wire.WireGroup;
+import org.cuminrack.wire.WireServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,15 +29,28 @@
           + "\"expected_revision\":0,\"object\":{\"name\":\"dc-a\",\"drained\":true}}]}";
 
   private final ControlGroup control = new ControlGroup();
+  private final WireGroup group = new WireGroup("eu", "main");
+  private final WireServer wireServer =
+      new WireServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), group);
+  private final WireClient wire = new WireClient(group);
+  private volatile Optional<DiskRefusal> refusal = Optional.empty();
+  private final DiskStates disks =
+      new DiskStates(
+          wire,
+          () -> Map.of("a", "127.0.0.1:" + wireServer.port(), "b", "127.0.0.1:1"),
+          () -> refusal);
   private final HttpServer server =
       new HttpServer(
           new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-          new OperatorApi(control).handler(),
+          new OperatorApi(control, disks).handler(),
           1 << 20);
   private final HttpClient client = new HttpClient();
 
   @BeforeEach
   void start() {
+    disks.register(wireServer);
+    wireServer.start();
+    wire.start();
     server.start();
     client.start();
   }
@@ -39,6 +59,8 @@
   void stop() {
     client.stop();
     server.stop();
+    wire.stop();
+    wireServer.stop();
   }
 
   @Test
@@ -107,6 +129,22 @@
     assertThat(json(get("/v1/status")).get("leader").asText()).isEqualTo("a");
   }
 
+  @Test
+  void shouldReturnTheStateOfEachDiskInStatusAlsoWithoutALeader() {
+    assertThat(json(get("/v1/status")).at("/disks/a/state").asText()).isEqualTo("accepts-writes");
+
+    refusal = Optional.of(new DiskRefusal(Instant.EPOCH, "vote", "No space left on device"));
+    control.setUnreachable(true);
+    HttpResponse response = get("/v1/status");
+
+    assertThat(response.status()).isEqualTo(503);
+    assertThat(json(response).at("/disks/a").toString())
+        .isEqualTo(
+            "{\"state\":\"refuses-writes\",\"since\":\"1970-01-01T00:00:00Z\","
+                + "\"write\":\"vote\",\"detail\":\"No space left on device\"}");
+    assertThat(json(response).at("/disks/b/state").asText()).isEqualTo("unknown");
+  }
+
   @Test
   void shouldRejectNonNumericRevision() {
     assertThat(get("/v1/in-force?revision=x").status()).isEqualTo(400);
--- a/src/test/java/org/cuminrack/system/RunningProcess.java
+++ b/src/test/java/org/cuminrack/system/RunningProcess.java
@@ -99,6 +99,20 @@
     signal("CONT");
   }
 
+  /**
+   * Makes the kernel refuse every write of the process to a file, or accept them again. What it
+   * logs in between is lost.
+   */
+  void setFileWritesRefused(boolean refused) throws Exception {
+    String limit = refused ? "0:unlimited" : "unlimited:unlimited";
+    String pid = Long.toString(process.pid());
+    int exitCode =
+        new ProcessBuilder("prlimit", "--pid", pid, "--fsize=" + limit).start().waitFor();
+    if (exitCode != 0) {
+      throw new AssertionError("prlimit of " + name + " exited with status " + exitCode);
+    }
+  }
+
   private void signal(String signal) throws Exception {
     String pid = Long.toString(process.pid());
     int exitCode = new ProcessBuilder("kill", "-" + signal, pid).start().waitFor();
