--- a/src/test/java/org/cuminrack/storage/FaultyDisk.java
+++ b/src/test/java/org/cuminrack/storage/FaultyDisk.java
@@ -100,7 +100,8 @@
       current.put(path, new Content());
       unsyncedNames.add(path);
     }
-    return new FaultyFile(path, local.open(path), current.get(path));
+    return new FaultyFile(
+        path, local.open(path), current.computeIfAbsent(path, key -> new Content()));
   }
 
   @Override
--- a/src/test/java/org/cuminrack/storage/RefusedWriteTest.java
+++ b/src/test/java/org/cuminrack/storage/RefusedWriteTest.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -18,6 +20,8 @@
 import org.cuminrack.quorum.internal.ReplicaId;
 import org.cuminrack.quorum.internal.SnapshotImage;
 import org.cuminrack.quorum.internal.VoterSet;
+import org.cuminrack.storage.FaultyDisk.Operation;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -161,6 +165,49 @@
     return "term " + state.term() + ", snapshot " + snapshotIndex + ", entries " + terms;
   }
 
+  @Test
+  void shouldLeaveNothingOfARefusedFrameBehindAShorterOne() throws IOException {
+    FaultyDisk disk = new FaultyDisk();
+    LogStore store = openUntilAccepted(disk, folder, new AtomicLong());
+    store.saveSnapshot(snapshot(0, 0), true);
+    store.append(List.of(entry(1, 1, 10)));
+    disk.refuse((operation, path) -> operation == Operation.WRITE);
+    assertThrows(IOException.class, () -> store.append(List.of(entry(2, 1, 5_000))));
+    disk.refuse((operation, path) -> false);
+
+    store.append(List.of(entry(2, 2, 10)));
+
+    store.close();
+    RecoveredState recovered = reopen(disk);
+    assertThat(describe(recovered)).isEqualTo("term 0, snapshot 0, entries [1, 2]");
+  }
+
+  /** Of two deleted files, a loss of power may bring back the older one alone. */
+  @Test
+  void shouldIgnoreAGapBetweenSegmentsThatTheSnapshotCovers() throws IOException {
+    FaultyDisk disk = new FaultyDisk();
+    LogStore store = openUntilAccepted(disk, folder, new AtomicLong());
+    store.saveSnapshot(snapshot(0, 0), true);
+    for (int i = 1; i <= 3; i++) {
+      store.append(List.of(entry(i, 1, MORE_THAN_A_SEGMENT_BYTES)));
+    }
+    Path oldest = folder.resolve(NumberedFiles.name(SegmentedLog.PREFIX, 1));
+    byte[] content = Files.readAllBytes(oldest);
+    store.saveSnapshot(snapshot(2, 1), false);
+    assertThat(Files.exists(oldest)).isFalse();
+    store.close();
+    Files.write(oldest, content);
+
+    assertThat(describe(reopen(disk))).isEqualTo("term 0, snapshot 2, entries [1]");
+  }
+
+  private RecoveredState reopen(Disk disk) throws IOException {
+    try (LogStore store = LogStore.open(disk, folder, "a", () -> 2)) {
+      assertThat(store.corruption().orElse("")).isEmpty();
+      return store.recovered();
+    }
+  }
+
   private static void delete(Path folder) throws IOException {
     try (var files = Files.list(folder)) {
       for (Path file : files.toList()) {
@@ -174,6 +221,8 @@
   }
 
   private static LogEntry entry(long index, long term, int bytes) {
-    return new LogEntry(index, term, EntryKind.COMMAND, new byte[bytes]);
+    byte[] data = new byte[bytes];
+    Arrays.fill(data, (byte) term);
+    return new LogEntry(index, term, EntryKind.COMMAND, data);
   }
 }
