--- a/src/main/java/org/cuminrack/lifecycle/FailureHandler.java
+++ b/src/main/java/org/cuminrack/lifecycle/FailureHandler.java
@@ -1,7 +1,7 @@
 package org.cuminrack.lifecycle;
 
 /**
- * Is told that a part has failed without which the process can't do its work. Implementations are
+ * Called when a part has failed without which the process can't do its work. Implementations are
  * thread-safe.
  */
 @FunctionalInterface
--- a/src/main/java/org/cuminrack/quorum/internal/Effect.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Effect.java
@@ -5,7 +5,7 @@
 
 /**
  * An action requested by the core. Effects are requested in order; writes may be deferred while the
- * disk is full, and votes and packets may then overtake log entries, but not a snapshot.
+ * disk refuses them, and {@link DiskQueue} then decides what may be executed before them.
  */
 public sealed interface Effect {
 
--- a/src/main/java/org/cuminrack/quorum/internal/Event.java
+++ b/src/main/java/org/cuminrack/quorum/internal/Event.java
@@ -29,6 +29,6 @@
   @SuppressWarnings("ArrayRecordComponent")
   record SnapshotTaken(long index, byte[] data) implements Event {}
 
-  /** The disk became full, or has free space again. */
+  /** The disk refuses writes, as a full one does, or accepts them again. */
   record DiskFull(boolean full) implements Event {}
 }
