--- a/src/test/java/org/cuminrack/system/RunningProcess.java
+++ b/src/test/java/org/cuminrack/system/RunningProcess.java
@@ -28,16 +28,20 @@
 
   public static RunningProcess start(Path folder, String name, String... arguments)
       throws IOException {
+    return start(folder, name, "", arguments);
+  }
+
+  /** Starts a process with options for its JVM. */
+  static RunningProcess start(Path folder, String name, String javaOptions, String[] arguments)
+      throws IOException {
     List<String> command = new ArrayList<>();
     command.add(System.getProperty("cuminrack.binary"));
     command.addAll(Arrays.asList(arguments));
     Path logFile = Files.createTempFile(folder, name + "-", ".log");
-    Process process =
-        new ProcessBuilder(command)
-            .redirectErrorStream(true)
-            .redirectOutput(logFile.toFile())
-            .start();
-    return new RunningProcess(name, logFile, process);
+    ProcessBuilder builder =
+        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(logFile.toFile());
+    builder.environment().put("CUMINRACK_JAVA_OPTS", javaOptions);
+    return new RunningProcess(name, logFile, builder.start());
   }
 
   String name() {
--- a/src/test/java/org/cuminrack/system/TestCluster.java
+++ b/src/test/java/org/cuminrack/system/TestCluster.java
@@ -20,6 +20,8 @@
   private final Map<String, String[]> commands = new LinkedHashMap<>();
   private final Map<String, RunningProcess> processes = new LinkedHashMap<>();
 
+  private String javaOptions = "";
+
   private TestCluster(Path folder) {
     this.folder = folder;
   }
@@ -29,6 +31,11 @@
     return new TestCluster(folder);
   }
 
+  TestCluster withJavaOptions(String options) {
+    javaOptions = options;
+    return this;
+  }
+
   TestCluster withControlProcesses(int count) throws IOException {
     List<String> addresses = FreePorts.addresses(2 * count);
     for (int i = 1; i <= count; i++) {
@@ -91,7 +98,7 @@
 
   /** Starts a process, or starts it again after it exited. */
   RunningProcess start(String name) throws IOException {
-    RunningProcess process = RunningProcess.start(folder, name, commands.get(name));
+    RunningProcess process = RunningProcess.start(folder, name, javaOptions, commands.get(name));
     processes.put(name, process);
     return process;
   }
