Take a response whose head HTTP does not allow for lost

A second length cut the body, "Transfer-Encoding: chunkd" delivered the chunks' sizes as part of it, a bare CR in the reason phrase made a field of its rest, and HTTP/2.0 or any other word passed for the version. On the entries' path such an answer was stored for each resend of an order.

Cause: the HTTP client parses far more than HTTP allows, and only the status was checked below it. Values that it can't parse, such as "6x", threw in its thread and closed the connection by accident. Ruled out: a check of the parsed headers, since names with blanks, folded lines and lines without a colon are joined or dropped by then.

Change: ResponseHeadCheck, in place of StatusCheck, reads each line of the head before the client does, on all connections to upstreams: status line, fields, and at most one of a length and the coding chunked. Everything else is a lost response: 502, may have run; a retryable request goes to another upstream. RFC 9112 lets a gateway reject folded lines and equal lengths (5.2, 6.3); both are. So is a blank before the colon, which 5.1 would have it remove: what a name with a blank was meant to be can't be known.

The upstream of InvalidStatusTest moved to FixedResponseUpstream; its checks are unchanged.

--- a/src/main/java/org/cuminrack/relay/LimitedSourceConduit.java
+++ b/src/main/java/org/cuminrack/relay/LimitedSourceConduit.java
@@ -8,12 +8,12 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Counts the bytes read from a connection against a {@link ReadLimit} and checks the status of the
+ * Counts the bytes read from a connection against a {@link ReadLimit} and checks the head of the
  * response, which the client reads into a single buffer.
  */
 final class LimitedSourceConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
   private final ReadLimit limit;
-  private final StatusCheck statusCheck = new StatusCheck();
+  private final ResponseHeadCheck headCheck = new ResponseHeadCheck();
 
   LimitedSourceConduit(StreamSourceConduit next, ReadLimit limit) {
     super(next);
@@ -26,7 +26,7 @@
     int count = super.read(buffer);
     limit.recordRead(count);
     if (count > 0) {
-      statusCheck.accept(buffer.duplicate().position(start).limit(start + count));
+      headCheck.accept(buffer.duplicate().position(start).limit(start + count));
     }
     return count;
   }
--- a/src/test/java/org/cuminrack/platform/InvalidStatusTest.java
+++ b/src/test/java/org/cuminrack/platform/InvalidStatusTest.java
@@ -3,9 +3,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.cuminrack.platform.PlatformFixture.KEY;
 
-import java.io.IOException;
-import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -73,14 +70,14 @@
 
   @TempDir Path folder;
   private PlatformFixture platform;
-  private StatusUpstream shop;
-  private StatusUpstream engine;
+  private FixedResponseUpstream shop;
+  private FixedResponseUpstream engine;
 
   @BeforeEach
   void start() throws Exception {
     platform = PlatformFixture.start(folder);
-    shop = new StatusUpstream();
-    engine = new StatusUpstream();
+    shop = new FixedResponseUpstream();
+    engine = new FixedResponseUpstream();
     platform.announce("s-1", "shop", shop.address(), "dc-a", "ready", 1);
     platform.announce("e-1", "llm", engine.address(), "dc-a", "ready", 1);
     PlatformFixture.await(
@@ -129,8 +126,9 @@
   void shouldForwardEachStatusThatIsAllowed() throws Exception {
     for (String status : List.of("200", "226", "299", "400", "418", "499", "500", "599")) {
       for (String response : List.of(PLAIN, WITHOUT_REASON, AFTER_INTERIM)) {
-        shop.response = response.formatted(status);
-        assertWithMessage(shop.response)
+        String sent = response.formatted(status);
+        shop.respondWith(sent);
+        assertWithMessage(sent)
             .that(platform.call("a-" + status, "POST", "/order/x", KEY))
             .startsWith("HTTP/1.1 " + status + " ");
       }
@@ -141,10 +139,10 @@
     return lines.replace("\n", "\r\n");
   }
 
-  private void assertNotForwarded(StatusUpstream upstream, String path, String response)
+  private void assertNotForwarded(FixedResponseUpstream upstream, String path, String response)
       throws Exception {
     for (String status : STATUSES) {
-      upstream.response = response.formatted(status);
+      upstream.respondWith(response.formatted(status));
 
       String received = platform.call("a-1", "POST", path, KEY, "Token-Counts: 900,8");
 
@@ -154,26 +152,4 @@
       assertWithMessage("the answer to status '%s'", status).that(received).doesNotContain("seal");
     }
   }
-
-  /** Answers each request with the response that the test sets. */
-  private static final class StatusUpstream implements AutoCloseable {
-    private volatile String response = "";
-    private final RawUpstream upstream = new RawUpstream(this::respond);
-
-    StatusUpstream() throws IOException {}
-
-    String address() {
-      return upstream.address();
-    }
-
-    private void respond(String attemptId, OutputStream out) throws IOException {
-      out.write(response.replace("ID", attemptId).getBytes(StandardCharsets.US_ASCII));
-      out.flush();
-    }
-
-    @Override
-    public void close() throws IOException {
-      upstream.close();
-    }
-  }
 }
--- a/src/test/java/org/cuminrack/relay/PlainCallTest.java
+++ b/src/test/java/org/cuminrack/relay/PlainCallTest.java
@@ -173,6 +173,22 @@
     assertThat(entry.count(RelayCounters.CROSSED_ANSWERS)).isEqualTo(1);
   }
 
+  /** Guards against answers with a spoilt head that are stored for each resend of the order. */
+  @Test
+  void shouldReportAnUnknownOutcomeIfTheHeadIsInvalid() throws IOException {
+    fixture.admission.setUpstreams(shop, otherShop);
+    shop.on(
+        "POST /orders/new",
+        connection -> connection.respond(201, Map.of("Spoilt name", "1"), "{}"));
+
+    CallerSession session = entry.send(CallerHttpRequest.order("k1")).readHead();
+
+    assertThat(session.status()).isEqualTo(502);
+    assertThat(session.readBody()).contains("outcome-unknown");
+    assertThat(fixture.ledger.result(KEY)).isInstanceOf(CallResult.Unknown.class);
+    assertThat(otherShop.count("POST")).isEqualTo(0);
+  }
+
   /** Guards against answers that callers can't understand, stored for each resend of the order. */
   @Test
   void shouldReportAnUnknownOutcomeIfHttpDoesNotAllowTheStatus() throws IOException {
