Check what is left if power is lost within the start after a refused write

RefusedWriteTest now does, at a drawn operation of the start, after each refused operation of a replica's life and after each number of steps of it. Nothing of the product changed.

The fake disk drops what a sync was to make durable only if the sync was refused; an operation that power ends has not begun.

--- a/src/test/java/org/cuminrack/storage/FaultyDisk.java
+++ b/src/test/java/org/cuminrack/storage/FaultyDisk.java
@@ -49,7 +49,10 @@
     }
   }
 
-  /** Sets which operations are refused; of a move, the path is the target. */
+  /**
+   * Sets which operations are refused; of a move, the path is the target. If the predicate throws,
+   * the operation has not begun.
+   */
   public synchronized void refuse(BiPredicate<Operation, Path> refusal) {
     this.refusal = refusal;
     refusedCount = 0;
@@ -129,10 +132,12 @@
   public synchronized void syncFolder(Path folder) throws IOException {
     try {
       check(Operation.SYNC_FOLDER, folder);
-      unsyncedNames.forEach(path -> durable.compute(path, (key, before) -> current.get(path)));
-    } finally {
+    } catch (IOException e) {
       unsyncedNames.clear();
+      throw e;
     }
+    unsyncedNames.forEach(path -> durable.compute(path, (key, before) -> current.get(path)));
+    unsyncedNames.clear();
   }
 
   private final class FaultyFile implements DiskFile {
@@ -194,10 +199,11 @@
       synchronized (FaultyDisk.this) {
         try {
           check(Operation.SYNC, path);
-          content.sync();
-        } finally {
+        } catch (IOException e) {
           content.changes.clear();
+          throw e;
         }
+        content.sync();
       }
     }
 
--- a/src/test/java/org/cuminrack/storage/RefusedWriteTest.java
+++ b/src/test/java/org/cuminrack/storage/RefusedWriteTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * A disk refuses each operation of a replica's life in turn. What was acknowledged must be there
@@ -34,9 +35,23 @@
   private static final VoterSet VOTERS = VoterSet.of(Map.of("a", 1L));
   private static final ReplicaId OTHER = new ReplicaId("b", 7);
   private static final int MORE_THAN_A_SEGMENT_BYTES = 9 << 20;
+  private static final int MAX_OPERATIONS_OF_A_START = 12;
 
   @TempDir Path folder;
 
+  /** What a process does once the disk has refused an operation. */
+  private enum Reaction {
+    GO_ON,
+    RESTART,
+    /** Restarts and loses power within the operations of that start. */
+    RESTART_WITHOUT_POWER
+  }
+
+  /** Ends an operation that has not begun. */
+  private static final class PowerLossException extends RuntimeException {
+    private static final long serialVersionUID = 1;
+  }
+
   /** A write that may be repeated until the disk accepts it. */
   private interface Step {
     void run(LogStore store) throws IOException;
@@ -60,27 +75,27 @@
           store -> store.append(List.of(entry(7, 5, 10))));
 
   @ParameterizedTest
-  @CsvSource({"1, false", "1, true", "3, false", "3, true"})
-  void shouldKeepAllThatWasAcknowledgedWhicheverOperationIsRefused(int times, boolean restarts)
+  @CsvSource({"1, GO_ON", "1, RESTART", "3, GO_ON", "3, RESTART", "1, RESTART_WITHOUT_POWER"})
+  void shouldKeepAllThatWasAcknowledgedWhicheverOperationIsRefused(int times, Reaction reaction)
       throws IOException {
     int refusedAt = 0;
     boolean wasRefused = true;
     while (wasRefused) {
-      wasRefused = live(folder.resolve(refusedAt + ""), refusedAt, times, restarts, LIFE.size());
+      wasRefused = live(folder.resolve(refusedAt + ""), refusedAt, times, reaction, LIFE.size());
       refusedAt++;
     }
     assertThat(refusedAt).isGreaterThan(60);
   }
 
   @ParameterizedTest
-  @CsvSource({"false", "true"})
-  void shouldKeepWhatWasAcknowledgedAtAnyPointAfterARefusal(boolean restarts) throws IOException {
+  @EnumSource
+  void shouldKeepWhatWasAcknowledgedAtAnyPointAfterARefusal(Reaction reaction) throws IOException {
     for (int steps = 1; steps < LIFE.size(); steps++) {
       int refusedAt = 0;
       boolean wasRefused = true;
       while (wasRefused) {
         Path lifeFolder = folder.resolve(steps + "-" + refusedAt);
-        wasRefused = live(lifeFolder, refusedAt, 1, restarts, steps);
+        wasRefused = live(lifeFolder, refusedAt, 1, reaction, steps);
         refusedAt += 1 + steps % 3;
       }
     }
@@ -89,7 +104,7 @@
   /**
    * Runs the first steps of a life and checks what is left; returns whether anything was refused.
    */
-  private static boolean live(Path folder, int refusedAt, int times, boolean restarts, int steps)
+  private static boolean live(Path folder, int refusedAt, int times, Reaction reaction, int steps)
       throws IOException {
     FaultyDisk disk = new FaultyDisk();
     AtomicInteger operations = new AtomicInteger();
@@ -98,6 +113,7 @@
           int number = operations.getAndIncrement();
           return number >= refusedAt && number < refusedAt + times;
         });
+    Random random = new Random(refusedAt);
     AtomicLong incarnations = new AtomicLong();
     LogStore store = openUntilAccepted(disk, folder, incarnations);
     ReplicaId self = store.recovered().self();
@@ -108,15 +124,18 @@
           step.run(store);
           done = true;
         } catch (IOException e) {
-          if (restarts) {
+          if (reaction != Reaction.GO_ON) {
             store.close();
+            if (reaction == Reaction.RESTART_WITHOUT_POWER) {
+              losePowerAtStart(disk, folder, random);
+            }
             store = openUntilAccepted(disk, folder, incarnations);
           }
         }
       }
     }
     store.close();
-    disk.losePower(new Random(refusedAt));
+    disk.losePower(random);
     store = openUntilAccepted(disk, folder, incarnations);
     RecoveredState recovered = store.recovered();
     String where = "refused at " + refusedAt + ", after " + steps + " steps";
@@ -125,7 +144,26 @@
     assertWithMessage(where).that(describe(recovered)).isEqualTo(expectedAfter(steps));
     store.close();
     delete(folder);
-    return disk.refusedCount() > 0;
+    return operations.get() > refusedAt;
+  }
+
+  private static void losePowerAtStart(FaultyDisk disk, Path folder, Random random)
+      throws IOException {
+    AtomicInteger operationsLeft = new AtomicInteger(random.nextInt(MAX_OPERATIONS_OF_A_START));
+    disk.refuse(
+        (operation, path) -> {
+          if (operationsLeft.getAndDecrement() == 0) {
+            throw new PowerLossException();
+          }
+          return false;
+        });
+    try {
+      LogStore.open(disk, folder, "a", () -> 0).close();
+    } catch (PowerLossException e) {
+      // As intended. A shorter start completes before the power is lost.
+    }
+    disk.refuse((operation, path) -> false);
+    disk.losePower(random);
   }
 
   private static LogStore openUntilAccepted(FaultyDisk disk, Path folder, AtomicLong incarnations) {
