--- a/src/test/java/org/cuminrack/relay/PlainCallTest.java
+++ b/src/test/java/org/cuminrack/relay/PlainCallTest.java
@@ -176,42 +176,27 @@
   /** Guards against answers with a spoilt head that are stored for each resend of the order. */
   @Test
   void shouldReportAnUnknownOutcomeIfTheHeadIsInvalid() throws IOException {
-    fixture.admission.setUpstreams(shop, otherShop);
-    shop.on(
-        "POST /orders/new",
-        connection -> connection.respond(201, Map.of("Spoilt name", "1"), "{}"));
-
-    CallerSession session = entry.send(CallerHttpRequest.order("k1")).readHead();
-
-    assertThat(session.status()).isEqualTo(502);
-    assertThat(session.readBody()).contains("outcome-unknown");
-    assertThat(fixture.ledger.result(KEY)).isInstanceOf(CallResult.Unknown.class);
-    assertThat(otherShop.count("POST")).isEqualTo(0);
+    assertUnknown(connection -> connection.respond(201, Map.of("Spoilt name", "1"), "{}"));
   }
 
   /** Guards against answers that callers can't understand, stored for each resend of the order. */
   @Test
   void shouldReportAnUnknownOutcomeIfHttpDoesNotAllowTheStatus() throws IOException {
-    fixture.admission.setUpstreams(shop, otherShop);
-    shop.on("POST /orders/new", connection -> connection.respond(600, JSON, "{}"));
-
-    CallerSession session = entry.send(CallerHttpRequest.order("k1")).readHead();
-
-    assertThat(session.status()).isEqualTo(502);
-    assertThat(session.readBody()).contains("outcome-unknown");
-    assertThat(fixture.ledger.result(KEY)).isInstanceOf(CallResult.Unknown.class);
-    assertThat(otherShop.count("POST")).isEqualTo(0);
+    assertUnknown(connection -> connection.respond(600, JSON, "{}"));
   }
 
   @Test
   void shouldReportAnUnknownOutcomeIfAnOrderReceivesAResponseToAnotherRequest() throws IOException {
+    assertUnknown(connection -> connection.respond(201, Map.of("X-Request-Id", "other"), "theirs"));
+  }
+
+  private void assertUnknown(ScriptedUpstream.Script script) throws IOException {
     fixture.admission.setUpstreams(shop, otherShop);
-    shop.on(
-        "POST /orders/new",
-        connection -> connection.respond(201, Map.of("X-Request-Id", "other"), "theirs"));
+    shop.on("POST /orders/new", script);
 
     CallerSession session = entry.send(CallerHttpRequest.order("k1")).readHead();
 
+    assertThat(session.status()).isEqualTo(502);
     assertThat(session.readBody()).contains("outcome-unknown");
     assertThat(fixture.ledger.result(KEY)).isInstanceOf(CallResult.Unknown.class);
     assertThat(otherShop.count("POST")).isEqualTo(0);
