--- /dev/null
+++ b/src/test/java/org/cuminrack/system/TcpTable.java
@@ -0,0 +1,60 @@
+package org.cuminrack.system;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The TCP sockets of this machine, as the kernel lists them. */
+public final class TcpTable {
+  private static final List<Path> FILES =
+      List.of(Path.of("/proc/self/net/tcp"), Path.of("/proc/self/net/tcp6"));
+
+  private TcpTable() {}
+
+  /** States of a socket, with the kernel's codes. */
+  public enum State {
+    ESTABLISHED("01"),
+    SYN_SENT("02"),
+    CLOSE_WAIT("08");
+
+    private final String code;
+
+    State(String code) {
+      this.code = code;
+    }
+  }
+
+  /** Counts the sockets in a state whose own port is the given one. */
+  public static long countAt(int localPort, State state) {
+    return count(1, localPort, state);
+  }
+
+  /** Counts the sockets in a state whose peer has the given port. */
+  public static long countTo(int remotePort, State state) {
+    return count(2, remotePort, state);
+  }
+
+  private static long count(int addressColumn, int port, State state) {
+    String portSuffix = ":%04X".formatted(port);
+    return lines().stream()
+        .map(line -> line.strip().split("\\s+"))
+        .filter(columns -> columns[addressColumn].endsWith(portSuffix))
+        .filter(columns -> columns[3].equals(state.code))
+        .count();
+  }
+
+  private static List<String> lines() {
+    List<String> lines = new ArrayList<>();
+    try {
+      for (Path file : FILES) {
+        lines.addAll(Files.readAllLines(file));
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return lines;
+  }
+}
