End the socket of an upstream's connection when its request is given up

What callers saw: upstreams worked on for callers that had left (GONE).

Cause: the HTTP client's own close does not end its connection while a response is due. It waits for the server, and the socket stays open for 10 s. All paths to upstreams used it: requests, generations, moves, probes, and the entries' path. An attempt to connect went on after its request was given up.

Change: OutgoingConnection opens all connections of the HTTP client (gateways, entries, status checks, calls between VMs, the load tool) and ends them below the client. A request that is given up is aborted: the attempt to connect is cancelled, or the connection is reset, so that what the upstream has not received yet is discarded and not sent later. A complete response closes it.

Weighed: a close without a reset. A reset that is lost on its way is repeated when the upstream next sends something.

--- a/src/main/java/org/cuminrack/http/HttpClient.java
+++ b/src/main/java/org/cuminrack/http/HttpClient.java
@@ -1,21 +1,18 @@
 package org.cuminrack.http;
 
 import com.google.protobuf.ByteString;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.URI;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cuminrack.lifecycle.ManagedService;
-import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** Sends HTTP requests, each over a new connection. */
@@ -63,22 +60,8 @@
 
   private CompletableFuture<Either<HttpFailure, HttpResponse>> execute(
       HttpCall call, HttpExchange exchange) {
-    IoFuture<ClientConnection> connecting =
-        UndertowClient.getInstance()
-            .connect(
-                URI.create("http://" + call.address()),
-                worker,
-                buffers,
-                OptionMap.create(Options.TCP_NODELAY, true));
-    connecting.addNotifier(
-        (done, ignored) -> {
-          if (done.getStatus() == IoFuture.Status.DONE) {
-            exchange.connected(connection(done));
-          } else {
-            exchange.unreachable(String.valueOf(done.getException()));
-          }
-        },
-        null);
+    XnioIoThread thread = worker.getIoThread();
+    thread.execute(() -> exchange.open(thread, buffers));
     CompletableFuture<Either<HttpFailure, HttpResponse>> response = exchange.response();
     long timeoutMillis = call.timeout().toMillis();
     HttpFailure timedOut =
@@ -86,14 +69,6 @@
     return response.completeOnTimeout(Either.left(timedOut), timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
-  private static ClientConnection connection(IoFuture<? extends ClientConnection> done) {
-    try {
-      return done.get();
-    } catch (IOException e) {
-      throw new IllegalStateException("connect completed without a connection", e);
-    }
-  }
-
   @Override
   public void stop() {
     if (worker != null) {
--- a/src/main/java/org/cuminrack/http/HttpExchange.java
+++ b/src/main/java/org/cuminrack/http/HttpExchange.java
@@ -1,10 +1,10 @@
 package org.cuminrack.http;
 
 import com.google.protobuf.ByteString;
-import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.vavr.control.Either;
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -22,6 +22,7 @@
   private static final int READ_BUFFER_BYTES = 8 << 10;
 
   private final HttpCall call;
+  private final OutgoingConnection connection;
   private final CompletableFuture<Either<HttpFailure, HttpResponse>> response =
       new CompletableFuture<>();
   private final ByteBuffer requestBody;
@@ -34,6 +35,7 @@
 
   private HttpExchange(HttpCall call, Consumer<ByteString> onBytes) {
     this.call = call;
+    this.connection = OutgoingConnection.to(call.address());
     this.onBytes = onBytes;
     this.requestBody = call.body().asReadOnlyByteBuffer();
   }
@@ -52,16 +54,27 @@
     return response;
   }
 
-  void unreachable(String detail) {
-    response.complete(Either.left(new HttpFailure.Unreachable(call.address(), detail)));
+  /** Opens the connection, which ends with the response; must be called on the I/O thread. */
+  void open(XnioIoThread thread, ByteBufferPool buffers) {
+    response.whenComplete((result, failure) -> endConnection(result));
+    connection.open(thread, buffers, ClientCallbacks.of(this::connected, this::unreachable));
   }
 
-  void connected(ClientConnection connection) {
-    response.whenComplete((result, failure) -> IoUtils.safeClose(connection));
-    if (response.isDone()) {
-      return;
+  private void endConnection(Either<HttpFailure, HttpResponse> result) {
+    if (result != null && result.isRight()) {
+      connection.close();
+    } else {
+      connection.abort();
     }
-    connection.sendRequest(request(), callback(this::requestStarted));
+  }
+
+  private void unreachable(IOException cause) {
+    response.complete(
+        Either.left(new HttpFailure.Unreachable(call.address(), String.valueOf(cause))));
+  }
+
+  private void connected(ClientConnection opened) {
+    opened.sendRequest(request(), ClientCallbacks.of(this::requestStarted, this::failed));
   }
 
   private ClientRequest request() {
@@ -81,7 +94,7 @@
   }
 
   private void requestStarted(ClientExchange exchange) {
-    exchange.setResponseListener(callback(this::responseStarted));
+    exchange.setResponseListener(ClientCallbacks.of(this::responseStarted, this::failed));
     StreamSinkChannel sink = exchange.getRequestChannel();
     sink.getWriteSetter().set(this::write);
     write(sink);
@@ -155,18 +168,4 @@
   private void failed(IOException cause) {
     response.complete(Either.left(new HttpFailure.NoAnswer(call.address(), cause.toString())));
   }
-
-  private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
-    return new ClientCallback<>() {
-      @Override
-      public void completed(ClientExchange result) {
-        next.accept(result);
-      }
-
-      @Override
-      public void failed(IOException cause) {
-        HttpExchange.this.failed(cause);
-      }
-    };
-  }
 }
--- a/src/main/java/org/cuminrack/load/ClientConnections.java
+++ b/src/main/java/org/cuminrack/load/ClientConnections.java
@@ -1,17 +1,16 @@
 package org.cuminrack.load;
 
+import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.net.URI;
-import java.util.function.Consumer;
+import org.cuminrack.http.OutgoingConnection;
 import org.cuminrack.lifecycle.ManagedService;
-import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** Opens HTTP connections to entries, as callers do. */
@@ -38,29 +37,10 @@
     }
   }
 
-  /** Connects to a host and port, then calls one of the two callbacks. */
-  void connect(
-      String address, Consumer<ClientConnection> onConnected, Consumer<IOException> onFailed) {
-    IoFuture<ClientConnection> connecting =
-        UndertowClient.getInstance()
-            .connect(
-                URI.create("http://" + address),
-                worker,
-                buffers,
-                OptionMap.create(Options.TCP_NODELAY, true));
-    connecting.addNotifier(
-        new IoFuture.HandlingNotifier<ClientConnection, Void>() {
-          @Override
-          public void handleDone(ClientConnection connection, Void ignored) {
-            onConnected.accept(connection);
-          }
-
-          @Override
-          public void handleFailed(IOException cause, Void ignored) {
-            onFailed.accept(cause);
-          }
-        },
-        null);
+  /** Opens a connection on one of the I/O threads. */
+  void open(OutgoingConnection connection, ClientCallback<ClientConnection> callback) {
+    XnioIoThread thread = worker.getIoThread();
+    thread.execute(() -> connection.open(thread, buffers, callback));
   }
 
   @Override
--- a/src/main/java/org/cuminrack/load/StreamedCall.java
+++ b/src/main/java/org/cuminrack/load/StreamedCall.java
@@ -1,6 +1,5 @@
 package org.cuminrack.load;
 
-import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
@@ -14,11 +13,11 @@
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.cuminrack.http.ClientCallbacks;
 import org.cuminrack.http.Json;
+import org.cuminrack.http.OutgoingConnection;
 import org.cuminrack.standin.OutputText;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -35,7 +34,7 @@
   private final ByteBuffer input = ByteBuffer.allocate(READ_BUFFER_BYTES);
   private final EventReader events;
   private final CompletableFuture<StreamedCall> completion = new CompletableFuture<>();
-  private ClientConnection connection;
+  private final OutgoingConnection connection;
 
   /**
    * @param nowNanos returns the time since the start of the plan
@@ -43,6 +42,7 @@
   StreamedCall(PlannedRequest request, String address, LongSupplier nowNanos) {
     this.record = new RequestRecord(request);
     this.address = address;
+    this.connection = OutgoingConnection.to(address);
     this.nowNanos = nowNanos;
     String prompt = request.prompt();
     this.events = new EventReader(OutputText.of(prompt));
@@ -68,22 +68,21 @@
 
   /** Sends the request; the future completes once the call has ended. */
   CompletableFuture<StreamedCall> send(ClientConnections connections) {
-    connections.connect(address, this::connected, this::failed);
+    connections.open(connection, ClientCallbacks.of(this::connected, this::failed));
     return completion;
   }
 
   /** Ends the call if no token has arrived; called when the caller's timeout has passed. */
   void timeOutBeforeFirstToken() {
-    if (connection != null && !record.hasFirstToken()) {
+    if (!record.hasFirstToken()) {
       end(RequestOutcome.TIMED_OUT);
     }
   }
 
   private void connected(ClientConnection newConnection) {
-    connection = newConnection;
     record.recordDispatch(address, nowNanos.getAsLong());
     newConnection.getCloseSetter().set(closed -> ended());
-    newConnection.sendRequest(request(), callback(this::sendBody));
+    newConnection.sendRequest(request(), ClientCallbacks.of(this::sendBody, this::failed));
     long timeoutMillis = record.request().trafficClass().timeout().toMillis();
     newConnection
         .getIoThread()
@@ -104,7 +103,7 @@
   }
 
   private void sendBody(ClientExchange exchange) {
-    exchange.setResponseListener(callback(this::receiveResponse));
+    exchange.setResponseListener(ClientCallbacks.of(this::receiveResponse, this::failed));
     StreamSinkChannel sink = exchange.getRequestChannel();
     sink.getWriteSetter().set(this::write);
     write(sink);
@@ -174,20 +173,6 @@
     }
     record.setOutcome(outcome);
     completion.complete(this);
-    IoUtils.safeClose(connection);
-  }
-
-  private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
-    return new ClientCallback<>() {
-      @Override
-      public void completed(ClientExchange result) {
-        next.accept(result);
-      }
-
-      @Override
-      public void failed(IOException cause) {
-        StreamedCall.this.failed(cause);
-      }
-    };
+    connection.abort();
   }
 }
--- a/src/main/java/org/cuminrack/relay/UpstreamExchange.java
+++ b/src/main/java/org/cuminrack/relay/UpstreamExchange.java
@@ -1,20 +1,15 @@
 package org.cuminrack.relay;
 
-import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
-import java.net.URI;
 import java.nio.ByteBuffer;
-import java.util.function.Consumer;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
+import org.cuminrack.http.ClientCallbacks;
+import org.cuminrack.http.OutgoingConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -40,8 +35,8 @@
   private final IoContext io;
   private final ByteBuffer requestBody;
   private final ReadLimit readLimit = new ReadLimit(MAX_UNPARSED_BYTES);
+  private final OutgoingConnection connection;
   private XnioExecutor.Key connectTimer;
-  private ClientConnection connection;
   private StreamSourceChannel source;
   private boolean suspended;
   private boolean mayHaveSentBytes;
@@ -52,6 +47,9 @@
     this.listener = listener;
     this.io = io;
     this.requestBody = request.body().asReadOnlyByteBuffer();
+    this.connection =
+        OutgoingConnection.to(request.address())
+            .filteredBy(input -> new LimitedSourceConduit(input, readLimit));
   }
 
   /** Opens an exchange; must be called on its I/O thread. */
@@ -65,13 +63,8 @@
   private void connect() {
     long timeoutMillis = io.bounds().connectTimeout().toMillis();
     connectTimer = io.timeout(timeoutMillis, () -> notSent(NotSentReason.NO_CONNECTION));
-    UndertowClient.getInstance()
-        .connect(
-            callback(this::connected, this::connectFailed),
-            URI.create("http://" + request.address()),
-            LimitingIoThread.of(io.thread(), readLimit),
-            io.buffers(),
-            OptionMap.create(Options.TCP_NODELAY, true));
+    connection.open(
+        io.thread(), io.buffers(), ClientCallbacks.of(this::connected, this::connectFailed));
   }
 
   private void connectFailed(IOException cause) {
@@ -88,16 +81,14 @@
   private void connected(ClientConnection opened) {
     connectTimer.remove();
     if (ended) {
-      IoUtils.safeClose(opened);
       return;
     }
-    connection = opened;
     if (!listener.maySend()) {
       notSent(NotSentReason.NOT_PERMITTED);
       return;
     }
     mayHaveSentBytes = true;
-    opened.sendRequest(clientRequest(), callback(this::requestStarted, this::failed));
+    opened.sendRequest(clientRequest(), ClientCallbacks.of(this::requestStarted, this::failed));
   }
 
   private ClientRequest clientRequest() {
@@ -115,7 +106,7 @@
   }
 
   private void requestStarted(ClientExchange exchange) {
-    exchange.setResponseListener(callback(this::responseStarted, this::failed));
+    exchange.setResponseListener(ClientCallbacks.of(this::responseStarted, this::failed));
     StreamSinkChannel sink = exchange.getRequestChannel();
     sink.getWriteSetter().set(this::write);
     write(sink);
@@ -199,30 +190,45 @@
     }
   }
 
-  /** Closes the connection; the listener is not called afterwards. */
+  /**
+   * Gives the exchange up, unless it has ended: ends the connection, and sends nothing afterwards.
+   * The listener is not called again.
+   */
   public void close() {
+    if (end()) {
+      connection.abort();
+    }
+  }
+
+  /** Returns false if the exchange has ended already. */
+  private boolean end() {
+    boolean endedNow = !ended;
     ended = true;
     connectTimer.remove();
-    IoUtils.safeClose(connection);
+    return endedNow;
   }
 
   private void notSent(NotSentReason reason) {
-    if (!ended) {
-      close();
+    if (end()) {
+      connection.abort();
       listener.notSent(reason);
     }
   }
 
   private void completed() {
-    if (!ended) {
-      close();
+    if (end()) {
+      if (requestBody.hasRemaining()) {
+        connection.abort();
+      } else {
+        connection.close();
+      }
       listener.completed();
     }
   }
 
   private void failed(IOException cause) {
-    if (!ended) {
-      close();
+    if (end()) {
+      connection.abort();
       listener.failed(cause.toString());
     }
   }
@@ -231,19 +237,4 @@
   public boolean mayHaveSentBytes() {
     return mayHaveSentBytes;
   }
-
-  private static <T> ClientCallback<T> callback(
-      Consumer<T> onSuccess, Consumer<IOException> onFailure) {
-    return new ClientCallback<>() {
-      @Override
-      public void completed(T result) {
-        onSuccess.accept(result);
-      }
-
-      @Override
-      public void failed(IOException cause) {
-        onFailure.accept(cause);
-      }
-    };
-  }
 }
