End what a gateway holds of a caller that has left

What callers saw: after some hundred callers that had left, a gateway answered nothing any more. A planned stop waited for requests whose callers had long gone.

Cause: a call that ended because its caller had left did not end the caller's exchange. The watcher had read the end of the connection and stopped reading, so that nobody saw it again: the connection stayed in CLOSE_WAIT, with the exchange and the body.

Change: the end of such a call drops the exchange with its connection. The same holds for a caller that leaves before its body is complete, on gateways and entries.

--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -279,16 +279,12 @@
     return endedNow;
   }
 
-  /**
-   * Ends the call because the caller's connection is lost. Returns false if the call had ended
-   * before.
-   */
-  boolean markCallerDisconnected() {
-    boolean endedNow = end("caller-gone", 0, "");
-    if (endedNow) {
+  /** Ends the call and its exchange because the caller's connection is lost. */
+  void markCallerDisconnected() {
+    if (end("caller-gone", 0, "")) {
       context.counters().add(GatewayCounters.Kind.CALLERS_GONE);
+      CallerExchanges.drop(exchange);
     }
-    return endedNow;
   }
 
   private boolean end(String outcome, int status, String detail) {
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -15,6 +15,7 @@
 import org.cuminrack.fleet.FleetView;
 import org.cuminrack.pace.PaceTable;
 import org.cuminrack.relay.BodyReader;
+import org.cuminrack.relay.CallerExchanges;
 import org.cuminrack.relay.IoContext;
 import org.cuminrack.relay.RelayBounds;
 import org.cuminrack.routing.HttpRoute;
@@ -257,9 +258,8 @@
 
           @Override
           public void callerDisconnected() {
-            exchange.setPersistent(false);
             context.counters().add(GatewayCounters.Kind.CALLERS_GONE);
-            exchange.endExchange();
+            CallerExchanges.drop(exchange);
           }
         });
   }
--- a/src/main/java/org/cuminrack/relay/RequestFilter.java
+++ b/src/main/java/org/cuminrack/relay/RequestFilter.java
@@ -112,9 +112,8 @@
 
           @Override
           public void callerDisconnected() {
-            exchange.setPersistent(false);
             context.counters().add(RelayCounters.CALLERS_GONE);
-            exchange.endExchange();
+            CallerExchanges.drop(exchange);
           }
         });
   }
