--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -9,6 +9,7 @@
 import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.log.LogEvent;
 import org.cuminrack.relay.CallerExchanges;
+import org.cuminrack.relay.DisconnectWatcher;
 import org.cuminrack.relay.IoContext;
 import org.cuminrack.relay.UpstreamRequest;
 import org.cuminrack.routing.HttpRoute;
@@ -41,6 +42,7 @@
   private String upstreamId = "none";
   private long firstEventMillis = -1;
   private Runnable onEnd = () -> {};
+  private Runnable callerCheck = () -> {};
   private boolean ended;
 
   GatewayCall(
@@ -144,6 +146,11 @@
     return context.stopAdmission().admits(remaining());
   }
 
+  /** Watches the caller's connection; the task runs at once if the caller has left already. */
+  void watchCaller(Runnable onDisconnect) {
+    callerCheck = DisconnectWatcher.begin(exchange, onDisconnect);
+  }
+
   /** Ends the call at its deadline or with a planned stop of the gateway, unless it has ended. */
   void limit(StoppableCall stoppable) {
     context.runningCalls().add(this, stoppable);
@@ -162,7 +169,9 @@
 
   /** Returns whether the request may be sent to an upstream now; if so, it counts as sent. */
   boolean maySendTo(UpstreamRecord upstream) {
-    boolean permitted = context.selector().maySendTo(upstream) && !suspicion.isSuspended();
+    callerCheck.run();
+    boolean permitted =
+        !ended && context.selector().maySendTo(upstream) && !suspicion.isSuspended();
     if (permitted) {
       sendCount++;
     }
@@ -174,8 +183,9 @@
    * resumed.
    */
   boolean mayResumeOn(UpstreamRecord upstream) {
+    callerCheck.run();
     boolean permitted =
-        context.selector().mayResumeOn(upstream) && !suspicion.isSuspendedFromResuming();
+        !ended && context.selector().mayResumeOn(upstream) && !suspicion.isSuspendedFromResuming();
     if (permitted) {
       sendCount++;
       context.notices().recordResumed(upstream);
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import org.cuminrack.fairshare.QueueEntry;
 import org.cuminrack.log.LogEvent;
-import org.cuminrack.relay.DisconnectWatcher;
 
 /**
  * Relays a request whose response is not a stream. The response is buffered and forwarded only once
@@ -55,10 +54,12 @@
 
   static void begin(GatewayContext context, GatewayCall call) {
     PlainRelay relay = new PlainRelay(context, call);
-    DisconnectWatcher.begin(call.exchange(), relay::onCallerDisconnected);
     call.limit(relay);
-    context.retries().recordFirstAttempt(call.service().name());
-    CallStart.unlessSuspended(context, call, relay::sendFirst);
+    call.watchCaller(relay::onCallerDisconnected);
+    if (!call.hasEnded()) {
+      context.retries().recordFirstAttempt(call.service().name());
+      CallStart.unlessSuspended(context, call, relay::sendFirst);
+    }
   }
 
   /** Sends the request once the load on the service's upstreams is known. */
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.cuminrack.relay.CallerSink;
-import org.cuminrack.relay.DisconnectWatcher;
 import org.cuminrack.relay.HopByHopHeaders;
 import org.cuminrack.routing.EngineSpec;
 import org.xnio.XnioExecutor;
@@ -75,10 +74,12 @@
 
   static void begin(GatewayContext context, GatewayCall call, EngineSpec engine) {
     StreamRelay relay = new StreamRelay(context, call, engine);
-    DisconnectWatcher.begin(call.exchange(), relay::callerDisconnected);
     call.limit(relay);
-    context.retries().recordFirstAttempt(call.service().name());
-    CallStart.unlessSuspended(context, call, relay.admission::begin);
+    call.watchCaller(relay::callerDisconnected);
+    if (!call.hasEnded()) {
+      context.retries().recordFirstAttempt(call.service().name());
+      CallStart.unlessSuspended(context, call, relay.admission::begin);
+    }
   }
 
   private void send(
--- a/src/main/java/org/cuminrack/relay/Generation.java
+++ b/src/main/java/org/cuminrack/relay/Generation.java
@@ -34,7 +34,9 @@
   /** Requests an admission ticket and sends the request once it is granted. */
   void start() {
     startMonitoring();
-    admission.requestTicket(this::admitted);
+    if (!isEnded()) {
+      admission.requestTicket(this::admitted);
+    }
   }
 
   private void admitted(AdmissionOutcome outcome) {
@@ -56,7 +58,7 @@
 
   @Override
   public boolean maySend() {
-    return dispatch.maySend();
+    return isCallerPresent() && dispatch.maySend();
   }
 
   @Override
--- a/src/main/java/org/cuminrack/relay/GenerationExchange.java
+++ b/src/main/java/org/cuminrack/relay/GenerationExchange.java
@@ -20,6 +20,7 @@
   private final GenerationResponse response;
   private XnioExecutor.Key progressTimer;
   private EngineStream engineStream;
+  private Runnable callerCheck = () -> {};
   private boolean ended;
 
   GenerationExchange(RelayContext context, CallerRequest caller, GenerationRequest request) {
@@ -81,7 +82,13 @@
     long silenceMillis = context.bounds().silenceTimeout().toMillis();
     progressTimer =
         io.every(Math.max(1, silenceMillis / CHECKS_PER_SILENCE_TIMEOUT), this::checkProgress);
-    DisconnectWatcher.begin(caller.exchange(), response.stream()::callerDisconnected);
+    callerCheck = DisconnectWatcher.begin(caller.exchange(), response.stream()::callerDisconnected);
+  }
+
+  /** Returns whether the caller still waits, as far as its connection tells. */
+  boolean isCallerPresent() {
+    callerCheck.run();
+    return !ended;
   }
 
   /** Creates the stream from an engine without connecting to it. */
--- a/src/main/java/org/cuminrack/relay/PlainCall.java
+++ b/src/main/java/org/cuminrack/relay/PlainCall.java
@@ -30,6 +30,7 @@
   private Dispatch dispatch;
   private PlainExchange exchange;
   private ExecutionStatus executionStatus = ExecutionStatus.NO;
+  private Runnable callerCheck = () -> {};
   private boolean ended;
 
   private PlainCall(RelayContext context, CallerRequest caller, PlainRequest request, CallKey key) {
@@ -62,8 +63,10 @@
     if (isAtMostOnce()) {
       claim.acquire(admission.remainingTime(), this::claimed);
     } else {
-      DisconnectWatcher.begin(caller.exchange(), this::callerDisconnected);
-      requestTicket();
+      callerCheck = DisconnectWatcher.begin(caller.exchange(), this::callerDisconnected);
+      if (!ended) {
+        requestTicket();
+      }
     }
   }
 
@@ -112,6 +115,7 @@
 
   private void send(Ticket ticket) {
     dispatch = new Dispatch(context, ticket, request.fingerprint());
+    callerCheck.run();
     if (ended) {
       dispatch.finish(Result.NOT_SENT, 0);
       return;
