--- a/src/main/java/org/cuminrack/gateway/GatewayCall.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCall.java
@@ -151,6 +151,22 @@
     callerCheck = DisconnectWatcher.begin(exchange, onDisconnect);
   }
 
+  /**
+   * Closes what the call holds of upstreams because the request is given up.
+   *
+   * @param upstreamWorks whether an upstream may be working on the request
+   */
+  void giveUp(boolean upstreamWorks, Runnable close) {
+    long startNanos = context.clock().nanoTime();
+    close.run();
+    if (upstreamWorks) {
+      context.counters().add(GatewayCounters.Kind.GIVEN_UP_SENDS);
+      context
+          .requestMetrics()
+          .recordGivenUp(Duration.ofNanos(context.clock().nanoTime() - startNanos));
+    }
+  }
+
   /** Ends the call at its deadline or with a planned stop of the gateway, unless it has ended. */
   void limit(StoppableCall stoppable) {
     context.runningCalls().add(this, stoppable);
--- a/src/main/java/org/cuminrack/gateway/GatewayCounters.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayCounters.java
@@ -22,6 +22,8 @@
     FAILED,
     /** Requests whose caller disconnected before the response was complete. */
     CALLERS_GONE,
+    /** Requests given up while an upstream worked on them, whatever the reason. */
+    GIVEN_UP_SENDS,
     /** Dispatches of requests to upstreams, including those that could not be sent. */
     SENDS,
     /** Retries of plain requests, except after a dispatch that could not be sent. */
--- a/src/main/java/org/cuminrack/gateway/PlainRelay.java
+++ b/src/main/java/org/cuminrack/gateway/PlainRelay.java
@@ -188,18 +188,18 @@
   @Override
   public void end(CallEnd reason) {
     boolean mayHaveRun = mayHaveRun();
-    closeCurrent();
+    giveUp();
     call.fail(reason, mayHaveRun, RETRY_AFTER);
   }
 
   private void onCallerDisconnected() {
-    closeCurrent();
+    giveUp();
     call.markCallerDisconnected();
   }
 
-  private void closeCurrent() {
+  private void giveUp() {
     if (current != null) {
-      current.close();
+      call.giveUp(current.isSent() && !call.hasEnded(), current::close);
     }
   }
 
--- a/src/main/java/org/cuminrack/gateway/RequestMetrics.java
+++ b/src/main/java/org/cuminrack/gateway/RequestMetrics.java
@@ -22,6 +22,9 @@
    */
   void recordQueued(String service, int priority, String outcome, Duration waited);
 
+  /** Records the time from the end of a request that is given up to that of its connections. */
+  void recordGivenUp(Duration untilClosed);
+
   /** Records by how much the wait of a placed request differed from its estimate. */
   void recordEstimateError(String service, int priority, Duration error);
 }
--- a/src/main/java/org/cuminrack/gateway/StreamRelay.java
+++ b/src/main/java/org/cuminrack/gateway/StreamRelay.java
@@ -95,7 +95,7 @@
   @Override
   public void end(CallEnd reason) {
     boolean mayHaveRun = mayHaveRun();
-    closeAll();
+    call.giveUp(mayHaveRun, this::closeAll);
     if (responseStarted) {
       abort(reason.label());
     } else {
@@ -131,7 +131,7 @@
 
   @Override
   public void callerDisconnected() {
-    closeAll();
+    call.giveUp(mayHaveRun() && !call.hasEnded(), this::closeAll);
     call.markCallerDisconnected();
   }
 
--- a/src/main/java/org/cuminrack/process/RequestTimers.java
+++ b/src/main/java/org/cuminrack/process/RequestTimers.java
@@ -42,6 +42,11 @@
         .record(waited);
   }
 
+  @Override
+  public void recordGivenUp(Duration untilClosed) {
+    metrics.timer("cuminrack.gateway.given.up.close").record(untilClosed);
+  }
+
   @Override
   public void recordEstimateError(String service, int priority, Duration error) {
     metrics
