--- a/src/test/java/org/cuminrack/platform/CrashingUpstream.java
+++ b/src/test/java/org/cuminrack/platform/CrashingUpstream.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 /**
  * An upstream on loopback that crashes when it begins to run a request with {@code crash} in its
@@ -54,6 +55,9 @@
   /** The header lines that each answer carries besides its own. */
   volatile String extraHeaders = "";
 
+  /** Decides which new connections are reset at once, as if their callers were cut off. */
+  volatile Predicate<Socket> resets = connection -> false;
+
   /** Whether requests are turned away without being run. */
   volatile boolean turnsAway;
 
@@ -159,8 +163,12 @@
           connections.add(connection);
           return;
         }
-        connections.add(connection);
-        threads.execute(() -> serve(connection));
+        if (resets.test(connection)) {
+          reset(connection);
+        } else {
+          connections.add(connection);
+          threads.execute(() -> serve(connection));
+        }
       } catch (IOException e) {
         // Closed by a crash or at the end of the test.
         return;
--- a/src/test/java/org/cuminrack/system/RunningProcess.java
+++ b/src/test/java/org/cuminrack/system/RunningProcess.java
@@ -72,6 +72,11 @@
     }
   }
 
+  /** Returns whether this end of a connection on this machine belongs to the process. */
+  public boolean owns(int localPort, int remotePort) {
+    return TcpTable.isOwnedBy(process.pid(), localPort, remotePort);
+  }
+
   public boolean isAlive() {
     return process.isAlive();
   }
--- a/src/test/java/org/cuminrack/system/TcpTable.java
+++ b/src/test/java/org/cuminrack/system/TcpTable.java
@@ -6,12 +6,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** The TCP sockets of this machine, as the kernel lists them. */
 public final class TcpTable {
   private static final List<Path> FILES =
       List.of(Path.of("/proc/self/net/tcp"), Path.of("/proc/self/net/tcp6"));
 
+  private static final int INODE_COLUMN = 9;
+
   private TcpTable() {}
 
   /** States of a socket, with the kernel's codes. */
@@ -37,6 +40,34 @@
     return count(2, remotePort, state);
   }
 
+  /** Returns whether a process has the socket with these ports. */
+  public static boolean isOwnedBy(long pid, int localPort, int remotePort) {
+    String local = ":%04X".formatted(localPort);
+    String remote = ":%04X".formatted(remotePort);
+    return lines().stream()
+        .map(line -> line.strip().split("\\s+"))
+        .filter(columns -> columns[1].endsWith(local) && columns[2].endsWith(remote))
+        .anyMatch(columns -> holds(pid, "socket:[" + columns[INODE_COLUMN] + "]"));
+  }
+
+  private static boolean holds(long pid, String socket) {
+    try (Stream<Path> descriptors = Files.list(Path.of("/proc", Long.toString(pid), "fd"))) {
+      return descriptors.anyMatch(descriptor -> isLinkTo(descriptor, socket));
+    } catch (IOException e) {
+      // The process has ended.
+      return false;
+    }
+  }
+
+  private static boolean isLinkTo(Path descriptor, String target) {
+    try {
+      return Files.readSymbolicLink(descriptor).toString().equals(target);
+    } catch (IOException e) {
+      // Closed meanwhile.
+      return false;
+    }
+  }
+
   private static long count(int addressColumn, int port, State state) {
     String portSuffix = ":%04X".formatted(port);
     return lines().stream()
