Say which services a gateway reaches no upstream of, and since when

The logs of the incident could not tell when a gateway had lost its upstreams, nor when it had them back: each request said not-sent, and announcements come over other paths.

Two different upstreams that fail before any byte of a response, with no response in between, make a service unreached: log line service-unreached (which failed, time since the last response), then service-reached (how long), and the gauge cuminrack_gateway_services_unreached.

--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -158,11 +158,17 @@
     sent = false;
     if (reason != NotSentReason.NOT_PERMITTED) {
       context.health().recordFailure(reservation.upstream().id());
+      recordNoResponse();
     }
     close();
     listener.notSent(this);
   }
 
+  private void recordNoResponse() {
+    UpstreamRecord upstream = reservation.upstream();
+    context.reach().recordNoResponse(upstream.service(), upstream.id());
+  }
+
   @Override
   public void responseStarted(int responseStatus, HeaderMap responseHeaders) {
     status = responseStatus;
@@ -296,6 +302,9 @@
     suspectDispatch = Optional.empty();
     outcome.failed();
     closeKeepingBackup();
+    if (responseHead == null) {
+      recordNoResponse();
+    }
     call.recordLost(reservation.upstream(), detail);
     call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(this, detail));
   }
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -13,6 +13,7 @@
     UpstreamSelector selector,
     LoadFreshness freshness,
     UpstreamHealth health,
+    ServiceReach reach,
     RequestRateLimits rateLimits,
     UpstreamNotices notices,
     UpstreamPaces paces,
@@ -29,6 +30,7 @@
 
   /** Records what an upstream's answer states about further requests. */
   void recordAnswer(UpstreamRecord upstream, ResponseHead head) {
+    reach.recordResponse(upstream.service());
     rateLimits.recordAnswer(upstream, head);
     notices.recordAnswer(upstream, head);
     paces.recordAnswer(upstream, head);
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -81,6 +81,7 @@
                 RandomGenerator.getDefault()),
             freshness,
             health,
+            new ServiceReach(clock),
             rateLimits,
             notices,
             paces,
@@ -136,6 +137,11 @@
     return context.counters();
   }
 
+  /** Returns which services this gateway reaches. */
+  public ServiceReach reach() {
+    return context.reach();
+  }
+
   /** Returns the number of requests that wait for a place. */
   public int queuedGenerations() {
     return context.queue().size();
--- a/src/main/java/org/cuminrack/gateway/PlainDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/PlainDispatch.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
+import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.relay.HopByHopHeaders;
 import org.cuminrack.relay.NotSentReason;
 import org.cuminrack.relay.UpstreamExchange;
@@ -121,6 +122,11 @@
     context.health().recordFailure(reservation.upstream().id());
   }
 
+  private void recordNoResponse() {
+    UpstreamRecord upstream = reservation.upstream();
+    context.reach().recordNoResponse(upstream.service(), upstream.id());
+  }
+
   @Override
   public boolean maySend() {
     sent = call.maySendTo(reservation.upstream());
@@ -138,6 +144,7 @@
     close();
     if (reason != NotSentReason.NOT_PERMITTED) {
       recordFailure();
+      recordNoResponse();
     }
     listener.notSent();
   }
@@ -192,6 +199,9 @@
     outcome.failed();
     close();
     recordFailure();
+    if (responseHead == null) {
+      recordNoResponse();
+    }
     call.recordLost(reservation.upstream(), detail);
     call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(detail));
   }
--- a/src/main/java/org/cuminrack/process/GatewayProcess.java
+++ b/src/main/java/org/cuminrack/process/GatewayProcess.java
@@ -24,6 +24,7 @@
 import org.cuminrack.gateway.ReplicatedSuspectTrials;
 import org.cuminrack.gateway.RequestRateLimits;
 import org.cuminrack.gateway.RolloutReports;
+import org.cuminrack.gateway.ServiceReach;
 import org.cuminrack.gateway.UpstreamNotices;
 import org.cuminrack.http.HttpServer;
 import org.cuminrack.lifecycle.ManagedService;
@@ -278,6 +279,10 @@
     return metrics
         .gauge("cuminrack.gateway.running", handler.counters(), GatewayCounters::running)
         .gauge("cuminrack.gateway.waiting", handler, GatewayHandler::queuedGenerations)
+        .gauge(
+            "cuminrack.gateway.services.unreached",
+            handler.reach(),
+            ServiceReach::unreachedServices)
         .gauge("cuminrack.gateway.use", use, measured -> measured.load().use().orElse(0))
         .gauge("cuminrack.gateway.suspects", view.suspects(), SuspectTable::size)
         .gauge("cuminrack.gateway.routing.revision", view, FleetView::routingRevision);
