--- a/src/main/java/org/cuminrack/gateway/EngineDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/EngineDispatch.java
@@ -158,17 +158,12 @@
     sent = false;
     if (reason != NotSentReason.NOT_PERMITTED) {
       context.health().recordFailure(reservation.upstream().id());
-      recordNoResponse();
+      context.recordNoResponse(reservation.upstream());
     }
     close();
     listener.notSent(this);
   }
 
-  private void recordNoResponse() {
-    UpstreamRecord upstream = reservation.upstream();
-    context.reach().recordNoResponse(upstream.service(), upstream.id());
-  }
-
   @Override
   public void responseStarted(int responseStatus, HeaderMap responseHeaders) {
     status = responseStatus;
@@ -303,7 +298,7 @@
     outcome.failed();
     closeKeepingBackup();
     if (responseHead == null) {
-      recordNoResponse();
+      context.recordNoResponse(reservation.upstream());
     }
     call.recordLost(reservation.upstream(), detail);
     call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(this, detail));
--- a/src/main/java/org/cuminrack/gateway/GatewayContext.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayContext.java
@@ -28,7 +28,12 @@
     RelayBounds bounds,
     Clock clock) {
 
-  /** Records what an upstream's answer states about further requests. */
+  /** Records that a dispatch to an upstream failed before any byte of a response. */
+  void recordNoResponse(UpstreamRecord upstream) {
+    reach.recordNoResponse(upstream.service(), upstream.id());
+  }
+
+  /** Records that a response has begun, and what it states about further requests. */
   void recordAnswer(UpstreamRecord upstream, ResponseHead head) {
     reach.recordResponse(upstream.service());
     rateLimits.recordAnswer(upstream, head);
--- a/src/main/java/org/cuminrack/gateway/GatewayHandler.java
+++ b/src/main/java/org/cuminrack/gateway/GatewayHandler.java
@@ -228,7 +228,7 @@
   }
 
   private static ServiceSpec serviceOf(RoutingTable table, HttpRoute route, RequestHead head) {
-    String name = route.serviceAt(splitPoint(head.attemptId()));
+    String name = route.serviceAt(head.splitPoint());
     return table.service(name).orElseThrow(() -> new IllegalStateException("no service " + name));
   }
 
@@ -290,13 +290,4 @@
       PlainRelay.begin(context, call);
     }
   }
-
-  /**
-   * Returns a point from 0 to 1 that depends only on the attempt id, so that all requests with the
-   * same id go to the same service of a split.
-   */
-  private static double splitPoint(String attemptId) {
-    int hash = attemptId.hashCode() * 0x9E3779B9;
-    return (hash >>> 1) / (double) Integer.MAX_VALUE * 0.999_999;
-  }
 }
--- a/src/main/java/org/cuminrack/gateway/PlainDispatch.java
+++ b/src/main/java/org/cuminrack/gateway/PlainDispatch.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
-import org.cuminrack.fleet.UpstreamRecord;
 import org.cuminrack.relay.HopByHopHeaders;
 import org.cuminrack.relay.NotSentReason;
 import org.cuminrack.relay.UpstreamExchange;
@@ -122,11 +121,6 @@
     context.health().recordFailure(reservation.upstream().id());
   }
 
-  private void recordNoResponse() {
-    UpstreamRecord upstream = reservation.upstream();
-    context.reach().recordNoResponse(upstream.service(), upstream.id());
-  }
-
   @Override
   public boolean maySend() {
     sent = call.maySendTo(reservation.upstream());
@@ -144,7 +138,7 @@
     close();
     if (reason != NotSentReason.NOT_PERMITTED) {
       recordFailure();
-      recordNoResponse();
+      context.recordNoResponse(reservation.upstream());
     }
     listener.notSent();
   }
@@ -200,7 +194,7 @@
     close();
     recordFailure();
     if (responseHead == null) {
-      recordNoResponse();
+      context.recordNoResponse(reservation.upstream());
     }
     call.recordLost(reservation.upstream(), detail);
     call.suspicion().checkLost(lostDispatch, call.io(), () -> listener.lost(detail));
--- a/src/main/java/org/cuminrack/gateway/RequestHead.java
+++ b/src/main/java/org/cuminrack/gateway/RequestHead.java
@@ -31,4 +31,13 @@
         .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
         .orElse(route.timeout());
   }
+
+  /**
+   * Returns a point from 0 to 1 that depends only on the attempt id, so that all requests with the
+   * same id go to the same service of a split.
+   */
+  double splitPoint() {
+    int hash = attemptId.hashCode() * 0x9E3779B9;
+    return (hash >>> 1) / (double) Integer.MAX_VALUE * 0.999_999;
+  }
 }
