--- a/src/main/java/org/cuminrack/load/StreamedCall.java
+++ b/src/main/java/org/cuminrack/load/StreamedCall.java
@@ -173,6 +173,10 @@
     }
     record.setOutcome(outcome);
     completion.complete(this);
-    connection.abort();
+    if (outcome == RequestOutcome.COMPLETED) {
+      connection.close();
+    } else {
+      connection.abort();
+    }
   }
 }
