--- a/src/test/java/org/cuminrack/system/TcpTable.java
+++ b/src/test/java/org/cuminrack/system/TcpTable.java
@@ -40,6 +40,17 @@
     return count(2, remotePort, state);
   }
 
+  /** Counts the bytes that the sockets with this own port have received and not read yet. */
+  public static long unreadBytesAt(int localPort) {
+    String portSuffix = ":%04X".formatted(localPort);
+    return lines().stream()
+        .map(line -> line.strip().split("\\s+"))
+        .filter(columns -> columns[1].endsWith(portSuffix))
+        .filter(columns -> columns[3].equals(State.ESTABLISHED.code))
+        .mapToLong(columns -> Long.parseLong(columns[4].substring(columns[4].indexOf(':') + 1), 16))
+        .sum();
+  }
+
   /** Returns whether a process has the socket with these ports. */
   public static boolean isOwnedBy(long pid, int localPort, int remotePort) {
     String local = ":%04X".formatted(localPort);
