Don't resume a generation for a caller that has left before it is resumed

Found on reading the change: the watcher of the caller's connection may now report at once that the caller has left. A resumed generation went on then and opened a connection to its engine that nothing would have closed before the generation's end. No test plays it: the caller would have to leave between the end of its request and the next task of the same thread.

--- a/src/main/java/org/cuminrack/relay/ResumedGeneration.java
+++ b/src/main/java/org/cuminrack/relay/ResumedGeneration.java
@@ -21,6 +21,9 @@
   void start() {
     response().resumeAfter(lastEvent.index());
     startMonitoring();
+    if (isEnded()) {
+      return;
+    }
     if (lastEvent.isLastToken()) {
       finish(Result.COMPLETED);
       response().stream().endSuccessfully();
